--- /dev/null
+++ b/src/apricotcart/__init__.py
@@ -0,0 +1,1 @@
+"""A router for language-model traffic with service levels and priorities."""
--- /dev/null
+++ b/src/apricotcart/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Records, their wire form and sealed envelopes."""
--- /dev/null
+++ b/src/apricotcart/errors/__init__.py
@@ -0,0 +1,1 @@
+"""The exception tree."""
--- /dev/null
+++ b/src/apricotcart_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that apricotcart talks to."""
