--- /dev/null
+++ b/src/apricotcart/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server side shared by entry and control hosts."""
--- /dev/null
+++ b/src/apricotcart/web/errors.py
@@ -0,0 +1,67 @@
+"""Failures of requests to the HTTP servers."""
+
+from __future__ import annotations
+
+from apricotcart.errors.tree import NOT_RUN, ApricotcartError
+
+
+class RequestError(ApricotcartError):
+    """The request itself is wrong; it was not run."""
+
+    code = 'bad_request'
+    http_status = 400
+    run_state = NOT_RUN
+
+
+class InvalidJsonError(RequestError):
+    """The body is no JSON object."""
+
+    code = 'invalid_json'
+
+
+class InvalidFieldError(RequestError):
+    """A field of the body has no valid value."""
+
+    code = 'invalid_field'
+
+
+class UnauthorizedError(RequestError):
+    """The request has no key, or one that is not accepted."""
+
+    code = 'unauthorized'
+    http_status = 401
+
+
+class ForbiddenError(RequestError):
+    """The key's customer may not use what it asks for."""
+
+    code = 'forbidden'
+    http_status = 403
+
+
+class UnknownPathError(RequestError):
+    """Nothing answers at this path."""
+
+    code = 'unknown_path'
+    http_status = 404
+
+
+class MethodError(RequestError):
+    """The path does not take this method."""
+
+    code = 'method_not_allowed'
+    http_status = 405
+
+
+class RequestTimeoutError(RequestError):
+    """The request did not arrive before its deadline."""
+
+    code = 'request_timeout'
+    http_status = 408
+
+
+class BodyTooLargeError(RequestError):
+    """The body is larger than the settings allow."""
+
+    code = 'body_too_large'
+    http_status = 413
--- /dev/null
+++ b/tests/web/test_server.py
@@ -0,0 +1,125 @@
+"""Tests of the HTTP server's limits against hostile clients."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+
+import cherrypy
+import pytest
+import urllib3
+
+from apricotcart.web.application import WebApplication
+from apricotcart.web.request import WebRequest
+from apricotcart.web.response import WebResponse
+from apricotcart.web.server import (
+    HttpAddress,
+    ServerLimits,
+    add_server,
+    mount,
+    quiet_engine,
+)
+
+_HEADER_TIMEOUT_S = 0.5
+_MAX_BODY = 1000
+_SLOW_HEADERS = b'GET / HTTP/1.1\r\nX-Slow: %s' % (b'a' * 400)
+
+
+class EchoApplication(WebApplication):
+    """Echoes the request's JSON body."""
+
+    def respond(self, req: WebRequest) -> WebResponse:
+        """Echo the body."""
+        return WebResponse.from_json(req.json(_MAX_BODY))
+
+
+@pytest.fixture(scope='module')
+def echo_port() -> Iterator[int]:
+    """Run an echo server with small limits."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    quiet_engine()
+    mount(EchoApplication())
+    add_server(
+        HttpAddress(host='127.0.0.1', port=port),
+        ServerLimits(
+            threads=4,
+            max_header_bytes=4096,
+            header_timeout_s=_HEADER_TIMEOUT_S,
+            body_timeout_s=_HEADER_TIMEOUT_S,
+        ),
+    )
+    cherrypy.engine.start()
+    yield port
+    cherrypy.engine.exit()
+
+
+def _post(port: int, body: bytes) -> urllib3.BaseHTTPResponse:
+    return urllib3.request('POST', f'http://127.0.0.1:{port}/', body=body)
+
+
+def test_server_echo(echo_port: int) -> None:
+    """Guards against a body that is not handed to the application."""
+    assert _post(echo_port, b'{"a":1}').json() == {'a': 1}
+
+
+def test_server_broken_json(echo_port: int) -> None:
+    """Guards against an untyped failure on a broken body."""
+    reply = _post(echo_port, b'{"a":')
+    error = reply.json()['error']
+    assert (reply.status, error['code']) == (400, 'invalid_json')
+    assert error['run_state'] == 'not_run'
+
+
+def test_server_large_body(echo_port: int) -> None:
+    """Guards against a body read into memory beyond the limit."""
+    reply = _post(echo_port, b'x' * 100_000)
+    assert reply.status == 413
+    assert reply.json()['error']['code'] == 'body_too_large'
+
+
+def test_server_header_flood(echo_port: int) -> None:
+    """Guards against headers without bound."""
+    reply = urllib3.request(
+        'GET',
+        f'http://127.0.0.1:{echo_port}/',
+        headers={f'X-{number}': 'v' * 100 for number in range(100)},
+    )
+    assert reply.status == 413
+
+
+def test_server_slow_headers(echo_port: int) -> None:
+    """Guards against a client that holds a thread by single bytes."""
+    with socket.create_connection(('127.0.0.1', echo_port)) as conn:
+        conn.settimeout(20)
+        assert _drip(conn, _SLOW_HEADERS)
+
+
+def test_server_slow_body(echo_port: int) -> None:
+    """Guards against a body that arrives byte by byte without end."""
+    head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n'
+    with socket.create_connection(('127.0.0.1', echo_port)) as conn:
+        conn.settimeout(20)
+        conn.sendall(head)
+        assert _drip(conn, b'x' * 400)
+
+
+def _drip(conn: socket.socket, content: bytes) -> bool:
+    """Send single bytes until the server cuts the connection off."""
+    for byte in content:
+        try:
+            conn.sendall(bytes([byte]))
+        except OSError:
+            return True
+        time.sleep(_HEADER_TIMEOUT_S / 10)
+        conn.setblocking(False)
+        try:
+            if conn.recv(4096) is not None:
+                return True
+        except BlockingIOError:
+            conn.settimeout(20)
+        except OSError:
+            return True
+    return False
