--- /dev/null
+++ b/src/apricotcart/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the two processes, read and checked whole."""
