--- /dev/null
+++ b/src/apricotcart_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for an inference engine."""
--- /dev/null
+++ b/src/apricotcart_standins/engine/commands.py
@@ -0,0 +1,98 @@
+"""Engine commands: load and unload models, change the role."""
+
+from __future__ import annotations
+
+import threading
+import time
+from itertools import compress
+from typing import Any, TypeAlias
+
+from apricotcart_standins.web import (
+    STATUS_BAD_REQUEST,
+    STATUS_CONFLICT,
+    STATUS_OK,
+)
+
+_Fields: TypeAlias = dict[str, Any]
+
+_LOADS = frozenset(('load', 'load_adapter', 'load_version'))
+_UNLOADS = frozenset(('unload', 'unload_adapter', 'unload_version'))
+
+
+class CommandTable:
+    """Models of one engine and the commands it received.
+
+    Parameters
+    ----------
+    models : list of str
+        Models loaded at the start.
+    checks_fencing : bool
+        Refuse a command with a lower fencing number than one seen before.
+    load_s : float
+        Time until a loaded model can be used, in seconds.
+    """
+
+    __slots__ = (
+        '_checks_fencing',
+        '_highest',
+        '_load_s',
+        '_lock',
+        '_models',
+        'records',
+        'role',
+    )
+
+    def __init__(
+        self,
+        models: list[str],
+        *,
+        checks_fencing: bool,
+        load_s: float,
+    ) -> None:
+        """Start with the given models."""
+        self._models = dict.fromkeys(models, time.monotonic())
+        self._checks_fencing = checks_fencing
+        self._load_s = load_s
+        self._highest = 0
+        self._lock = threading.Lock()
+        self.records: list[dict[str, Any]] = []
+        self.role = 'both'
+
+    def models(self) -> list[str]:
+        """Give the models that can be used now."""
+        now = time.monotonic()
+        with self._lock:
+            ready = [self._models[name] <= now for name in self._models]
+            return list(compress(self._models, ready))
+
+    def order(self, fields: _Fields) -> tuple[int, _Fields]:
+        """Take one command; gives the status and body of the answer."""
+        with self._lock:
+            return self._order(fields)
+
+    def _order(self, fields: _Fields) -> tuple[int, _Fields]:
+        fencing = int(fields.get('fencing') or 0)
+        record = {**fields, 'at': time.time(), 'accepted': False}
+        self.records.append(record)
+        if self._checks_fencing and fencing < self._highest:
+            return STATUS_CONFLICT, {
+                'error': {'code': 'stale_fencing', 'fencing': self._highest},
+            }
+        self._highest = max(self._highest, fencing)
+        if not self._apply(fields):
+            return STATUS_BAD_REQUEST, {'error': {'code': 'unknown_action'}}
+        record['accepted'] = True
+        return STATUS_OK, {'ok': True, 'ready_in_s': self._load_s}
+
+    def _apply(self, fields: dict[str, Any]) -> bool:
+        action = fields.get('action')
+        model = str(fields.get('model', ''))
+        if action in _LOADS:
+            self._models.setdefault(model, time.monotonic() + self._load_s)
+        elif action in _UNLOADS:
+            self._models.pop(model, None)
+        elif action == 'set_role':
+            self.role = str(fields.get('role', self.role))
+        else:
+            return False
+        return True
--- /dev/null
+++ b/src/apricotcart_standins/run.py
@@ -0,0 +1,49 @@
+"""Runs one stand-in as a process."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from typing import TYPE_CHECKING
+
+from apricotcart_standins.engine.app import EngineStandIn
+from apricotcart_standins.options import build_parser
+from apricotcart_standins.service import ServiceStandIn
+from apricotcart_standins.web import Server
+
+if TYPE_CHECKING:
+    import argparse
+    from collections.abc import Sequence
+
+    from apricotcart_standins.api import StandIn
+
+
+def build(options: argparse.Namespace) -> StandIn:
+    """Build the stand-in that the command line names."""
+    if options.kind == 'engine':
+        return EngineStandIn.from_options(options)
+    return ServiceStandIn.from_options(options)
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Serve until SIGTERM or SIGINT; gives the exit status.
+
+    The base URL is written to standard output once requests are accepted.
+    """
+    options = build_parser().parse_args(arguments)
+    server = Server((options.host, options.port), build(options))
+    stopped = threading.Event()
+    _stop_on_signals(stopped)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    sys.stdout.write(f'{server.url}\n')
+    sys.stdout.flush()
+    stopped.wait()
+    server.shutdown()
+    server.server_close()
+    return 0
+
+
+def _stop_on_signals(stopped: threading.Event) -> None:
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    signal.signal(signal.SIGINT, lambda *_: stopped.set())
