--- /dev/null
+++ b/src/apricotcart/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: election, replication, reads, snapshots, membership."""
