--- /dev/null
+++ b/src/apricotcart/control/__init__.py
@@ -0,0 +1,1 @@
+"""Process adapter of the control hosts."""
--- /dev/null
+++ b/src/apricotcart/control/loop.py
@@ -0,0 +1,224 @@
+"""Thread that drives the consensus node."""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import Any
+
+from apricotcart.codec.packing import pack, unpack
+from apricotcart.consensus.api import Role
+from apricotcart.consensus.members import MemberChange
+from apricotcart.consensus.messages import message_from_wire
+from apricotcart.consensus.node import Node
+from apricotcart.control.api import ReplicatedState, WireMessage
+from apricotcart.control.identity import host_name
+from apricotcart.errors.tree import (
+    ApricotcartError,
+    CodecError,
+    UnavailableError,
+)
+from apricotcart.transport.api import PeerLinks
+
+_LOG = logging.getLogger(__name__)
+_RECEIVE_WAIT_S = 0.5
+# One round takes at most this many jobs, so that timers fire in time.
+_MAX_JOBS_A_ROUND = 512
+
+Job = Callable[[float], None]
+Reply = Future[bytes]
+
+
+class ConsensusLoop(ReplicatedState):
+    """Runs a node on one thread; callers wait for their completion.
+
+    Parameters
+    ----------
+    node : Node
+        The node; only this loop's thread touches it.
+    links : PeerLinks
+        Carries messages to the other control hosts.
+    addresses : dict of str to str
+        Peer address by host name.
+    tick_s : float
+        Time between two ticks in seconds.
+    on_failed : callable
+        Called once when the node has failed and the process must end.
+    """
+
+    __slots__ = (
+        '_addresses',
+        '_jobs',
+        '_links',
+        '_node',
+        '_on_failed',
+        '_stopping',
+        '_threads',
+        '_tick_s',
+        '_waiting',
+        'lock',
+    )
+
+    def __init__(
+        self,
+        node: Node,
+        links: PeerLinks,
+        addresses: dict[str, str],
+        tick_s: float,
+        on_failed: Callable[[], None],
+    ) -> None:
+        """Prepare the threads."""
+        self._node = node
+        self._links = links
+        self._addresses = addresses
+        self._tick_s = tick_s
+        self._on_failed = on_failed
+        self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
+        self._waiting: dict[int, Reply] = {}
+        self._stopping = threading.Event()
+        # Held while the node applies entries; readers of the state machine
+        # on other threads take it too.
+        self.lock = threading.RLock()
+        self._threads = [
+            threading.Thread(target=self._run, daemon=True, name='consensus'),
+            threading.Thread(target=self._receive, daemon=True, name='peers'),
+        ]
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop the threads and close the links."""
+        self._stopping.set()
+        self._threads[0].join()
+        self._links.close()
+
+    def propose(self, command: WireMessage, timeout_s: float) -> WireMessage:
+        """Commit a command and give the reply of the state machine."""
+        stamped = {**command, 'at_ms': _wall_ms()}
+        blob = pack(stamped)
+        reply = self._request(
+            lambda now: self._node.propose(now, blob),
+            timeout_s,
+        )
+        fields: WireMessage = unpack(reply)
+        return fields
+
+    def barrier(self, timeout_s: float) -> None:
+        """Wait until this host holds everything committed before the call."""
+        self._request(self._node.read, timeout_s)
+
+    def change_members(self, change: MemberChange, timeout_s: float) -> Any:
+        """Start a membership change and give the members after it."""
+        reply = self._request(
+            lambda now: self._node.change_members(now, change),
+            timeout_s,
+        )
+        return unpack(reply)
+
+    def lease_until(self) -> float:
+        """Give the end of the leader's lease on the monotonic clock, s."""
+        with self.lock:
+            return self._node.lease_valid_until()
+
+    def leader_name(self) -> str:
+        """Give the name of the leading control host, or an empty string."""
+        return host_name(self._node.leader_id)
+
+    def status(self) -> WireMessage:
+        """Give role, term, members and positions."""
+        with self.lock:
+            node = self._node
+            return {
+                'role': str(node.role),
+                'term': node.term,
+                'leader': node.leader_id,
+                'commit_index': node.commit_index,
+                'members': node.members.to_wire(),
+            }
+
+    def _request(self, action: Callable[[float], int], timeout_s: float) -> bytes:
+        fut: Reply = Future()
+        self._jobs.put(lambda now: self._track(action(now), fut))
+        try:
+            return fut.result(timeout_s)
+        except FutureTimeoutError as exc:
+            raise UnavailableError('no quorum answered in time') from exc
+
+    def _track(self, ticket: int, fut: Reply) -> None:
+        self._waiting[ticket] = fut
+
+    def _run(self) -> None:
+        next_tick = time.monotonic()
+        while not self._stopping.is_set():
+            jobs = self._take_jobs(next_tick)
+            with self.lock:
+                next_tick = self._round(jobs, next_tick)
+            if self._node.role is Role.FAILED:
+                self._on_failed()
+                return
+
+    def _take_jobs(self, next_tick: float) -> list[Job]:
+        wait_s = max(0, next_tick - time.monotonic())
+        jobs: list[Job] = []
+        try:
+            jobs.append(self._jobs.get(timeout=wait_s))
+        except queue.Empty:
+            return jobs
+        while len(jobs) < _MAX_JOBS_A_ROUND and not self._jobs.empty():
+            jobs.append(self._jobs.get())
+        return jobs
+
+    def _round(self, jobs: list[Job], next_tick: float) -> float:
+        now = time.monotonic()
+        for job in jobs:
+            job(now)
+        if now >= next_tick:
+            self._node.tick(now)
+            next_tick = now + self._tick_s
+        self._flush()
+        return next_tick
+
+    def _flush(self) -> None:
+        for message in self._node.take_outbox():
+            address = self._addresses.get(host_name(message.to_id))
+            if address is not None:
+                self._links.send(address, message.to_wire())
+        for completion in self._node.take_completions():
+            fut = self._waiting.pop(completion.ticket, None)
+            if fut is None:
+                continue
+            if completion.error is None:
+                fut.set_result(completion.reply)
+            else:
+                fut.set_exception(completion.error)
+
+    def _receive(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                wire = self._links.receive(_RECEIVE_WAIT_S)
+            except Exception:
+                if not self._stopping.is_set():
+                    _LOG.exception('peer link failed')
+                return
+            if wire is not None:
+                self._queue_message(wire)
+
+    def _queue_message(self, wire: WireMessage) -> None:
+        try:
+            message = message_from_wire(wire)
+        except (CodecError, ApricotcartError) as exc:
+            _LOG.warning('dropped a peer message: %s', exc)
+            return
+        self._jobs.put(lambda now: self._node.receive(now, message))
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/src/apricotcart/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Process adapter of the entry hosts."""
--- /dev/null
+++ b/src/apricotcart/entry/attempt.py
@@ -0,0 +1,175 @@
+"""One request on its way through queue, endpoints and retries."""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+from apricotcart.entry.configuration import Configuration, Grant, RouteView
+from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.entry.errors import (
+    DeadlineExceededError,
+    EndpointUnreachableError,
+    KeyWithdrawnError,
+)
+from apricotcart.entry.running import RunningRequest, RunningTable
+from apricotcart.entry.upstream import Upstream, UpstreamAnswer, UpstreamCall
+from apricotcart.scheduling.records import QueuedRequest
+from apricotcart.web.request import WebRequest
+
+# An endpoint that is silent for this many times its target has frozen.
+_STALL_FACTOR = 10
+_STALL_MIN_S = 3.0
+
+
+class Runtime:
+    """What all requests of one entry host share."""
+
+    __slots__ = ('configuration', 'dispatcher', 'running', 'upstream')
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        dispatcher: Dispatcher,
+        running: RunningTable,
+        upstream: Upstream,
+    ) -> None:
+        """Keep the parts."""
+        self.configuration = configuration
+        self.dispatcher = dispatcher
+        self.running = running
+        self.upstream = upstream
+
+
+class Job:
+    """A request that was admitted, with identity, route and deadline.
+
+    Attributes
+    ----------
+    request_id : str
+        Id that every attempt carries and every answer must repeat.
+    deadline_at : float
+        Total deadline on the monotonic clock in seconds; retries keep it.
+    excluded : list of str
+        Endpoints on which earlier attempts failed.
+    """
+
+    __slots__ = (
+        'deadline_at',
+        'excluded',
+        'grant',
+        'req',
+        'request_id',
+        'route',
+        'running',
+        'runtime',
+    )
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        req: WebRequest,
+        grant: Grant,
+        route: RouteView,
+    ) -> None:
+        """Give the request its id and its deadline."""
+        self.runtime = runtime
+        self.req = req
+        self.grant = grant
+        self.route = route
+        self.request_id = uuid.uuid4().hex
+        self.deadline_at = time.monotonic() + route.total_s
+        self.excluded: list[str] = []
+        self.running: RunningRequest = runtime.running.add(
+            self.request_id,
+            grant.key_name,
+        )
+
+    def queued(self, **sizes: object) -> QueuedRequest:
+        """Describe the request for the scheduler."""
+        return QueuedRequest(
+            request_id=self.request_id,
+            customer=self.grant.customer,
+            class_name=self.route.class_name,
+            pool=self.route.pool,
+            model=self.route.model,
+            deadline_at=self.deadline_at,
+            excluded_endpoints=self.excluded,
+            **sizes,  # type: ignore[arg-type]
+        )
+
+    def acquire(self, queued: QueuedRequest) -> str:
+        """Wait for an endpoint; the key is checked once more after that.
+
+        Raises
+        ------
+        KeyWithdrawnError
+            If the key was withdrawn while the request waited.
+        """
+        dispatcher = self.runtime.dispatcher
+        endpoint = dispatcher.acquire(queued, self.req.is_disconnected)
+        if self.running.is_revoked:
+            dispatcher.finish(self.request_id, 'cancelled')
+            raise KeyWithdrawnError('the key was withdrawn')
+        return endpoint
+
+    def send(
+        self,
+        endpoint: str,
+        call: UpstreamCall,
+        *,
+        fresh: bool = False,
+    ) -> UpstreamAnswer:
+        """Send the request to its endpoint.
+
+        Raises
+        ------
+        EndpointUnreachableError
+            If nothing was sent.
+        EndpointError
+            If the request may have left.
+        """
+        if not call.url:
+            raise EndpointUnreachableError(f'endpoint {endpoint} is gone')
+        answer = self.runtime.upstream.send(call, fresh=fresh)
+        self.running.attach(answer.abort)
+        return answer
+
+    def end_attempt(self, endpoint: str, outcome: str) -> None:
+        """Free the slot on the endpoint and note how it went."""
+        self.runtime.dispatcher.finish(self.request_id, outcome)
+        if outcome != 'ok':
+            self.excluded.append(endpoint)
+
+    def close(self) -> None:
+        """Remove the request from the table of running requests."""
+        self.runtime.running.remove(self.request_id)
+
+    def left_s(self) -> float:
+        """Give the time to the deadline in seconds.
+
+        Raises
+        ------
+        DeadlineExceededError
+            If the deadline has passed.
+        """
+        left = self.deadline_at - time.monotonic()
+        if left <= 0:
+            raise DeadlineExceededError('the deadline of the request passed')
+        return left
+
+    def stall_s(self, target_s: float) -> float:
+        """Give the longest silence allowed for a target, in seconds."""
+        return min(max(target_s * _STALL_FACTOR, _STALL_MIN_S), self.left_s())
+
+    def check_key(self) -> None:
+        """End the request if its key was withdrawn.
+
+        Raises
+        ------
+        KeyWithdrawnError
+            If the key was withdrawn.
+        """
+        if self.running.is_revoked:
+            raise KeyWithdrawnError('the key was withdrawn')
--- /dev/null
+++ b/src/apricotcart/entry/chat_stream.py
@@ -0,0 +1,175 @@
+"""Streams of chat completions, resumed when they break."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+
+from apricotcart.entry.engine_call import (
+    EngineCaller,
+    EngineRejectedError,
+    attempt_outcome,
+)
+from apricotcart.entry.errors import (
+    EndpointError,
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    KeyWithdrawnError,
+    MismatchedAnswerError,
+    TruncatedAnswerError,
+)
+from apricotcart.entry.events import (
+    END_MARKER,
+    EventSplitter,
+    event_bytes,
+    event_document,
+)
+from apricotcart.entry.retrying import RetryGate
+from apricotcart.entry.upstream import UpstreamAnswer
+from apricotcart.entry.usage import UsageCounter
+from apricotcart.errors.tree import ApricotcartError
+from apricotcart.web.response import error_document
+
+_FAILURES = (EndpointError, EndpointRefusedError, EndpointUnreachableError)
+_NOT_RESUMED = (
+    EndpointRefusedError,
+    EndpointUnreachableError,
+    EngineRejectedError,
+)
+
+
+class ChatStream:
+    """Forwards the events of an engine until its end marker.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens forwarded to the caller so far.
+    """
+
+    __slots__ = ('_caller', '_gate', '_reported', '_usage', 'tokens')
+
+    def __init__(
+        self,
+        caller: EngineCaller,
+        usage: UsageCounter,
+        gate: RetryGate,
+    ) -> None:
+        """Keep the parts."""
+        self._caller = caller
+        self._usage = usage
+        self._gate = gate
+        self._reported: Any = None
+        self.tokens = 0
+
+    def events(self) -> Iterator[bytes]:
+        """Give the events for the caller.
+
+        Failures before the first event are raised; later ones become a
+        typed error event, since the response has begun.
+        """
+        try:
+            yield from self._attempts()
+        except ApricotcartError as exc:
+            if not self.tokens:
+                raise
+            yield event_bytes(orjson.dumps(error_document(exc)))
+        finally:
+            self._caller.job.close()
+            self._usage.count_stream(
+                self._caller.job,
+                self._reported,
+                self.tokens,
+            )
+
+    def _attempts(self) -> Iterator[bytes]:
+        self._gate.on_request()
+        job = self._caller.job
+        while True:
+            endpoint = self._caller.acquire()
+            try:
+                yield from self._attempt(endpoint)
+            except _FAILURES as exc:
+                job.check_key()
+                if self.tokens:
+                    raise
+                self._gate.require(job, exc)
+            else:
+                return
+
+    def _attempt(self, endpoint: str) -> Iterator[bytes]:
+        with attempt_outcome(self._caller.job, endpoint):
+            try:
+                yield from self._exchange(endpoint)
+            except EndpointError as exc:
+                if not self.tokens:
+                    raise
+                self._caller.job.check_key()
+                self._gate.require(self._caller.job, exc)
+                yield from self._resume(endpoint)
+
+    def _resume(self, endpoint: str) -> Iterator[bytes]:
+        """Go on with a broken stream on the engine that holds its state.
+
+        Another engine would sample other tokens, and the caller would get
+        an answer spliced from two.
+        """
+        try:
+            yield from self._exchange(endpoint)
+        except _NOT_RESUMED as exc:
+            raise TruncatedAnswerError(
+                'the stream broke and could not be resumed',
+            ) from exc
+
+    def _exchange(self, endpoint: str) -> Iterator[bytes]:
+        answer = self._caller.send(endpoint, self.tokens)
+        try:
+            yield from self._forward(answer)
+        except BaseException:
+            answer.close()
+            raise
+        answer.release()
+
+    def _forward(self, answer: UpstreamAnswer) -> Iterator[bytes]:
+        splitter = EventSplitter()
+        for chunk in answer.chunks():
+            for text in splitter.feed(chunk):
+                if text == END_MARKER:
+                    yield event_bytes(text)
+                    return
+                yield self._checked(text)
+        raise TruncatedAnswerError('the stream ended without its end marker')
+
+    def _checked(self, text: bytes) -> bytes:
+        job = self._caller.job
+        document = event_document(text)
+        returned = document.get('request_id')
+        if returned is not None and returned != job.request_id:
+            raise MismatchedAnswerError('an event of another request')
+        if job.running.is_revoked:
+            raise KeyWithdrawnError('the key was withdrawn')
+        job.left_s()
+        self._count(document)
+        return event_bytes(text)
+
+    def _count(self, document: dict[str, Any]) -> None:
+        if document.get('usage'):
+            self._reported = document['usage']
+        if _has_content(document):
+            self.tokens += 1
+            dispatcher = self._caller.job.runtime.dispatcher
+            if self.tokens == 1:
+                dispatcher.notify(self._first_byte)
+            dispatcher.count_tokens(self._caller.job.request_id, 1)
+
+    def _first_byte(self, scheduler: Any, now: float) -> None:
+        scheduler.on_first_byte(now, self._caller.job.request_id)
+
+
+def _has_content(document: dict[str, Any]) -> bool:
+    for choice in document.get('choices') or ():
+        if choice.get('delta', {}).get('content'):
+            return True
+    return False
