--- /dev/null
+++ b/src/apricotcart/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoint table, selection, adaptive limits, suspects and drain."""
--- /dev/null
+++ b/src/apricotcart/endpoints/affinity.py
@@ -0,0 +1,86 @@
+"""Endpoints that probably hold a prompt prefix in their cache."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+
+# An engine's cache is limited; after this time a prefix is probably gone.
+PREFIX_LIFETIME_S = 60.0
+MAX_PREFIXES = 4096
+_MAX_HOLDERS = 3
+_GAP_FACTOR = 0.5
+
+_Key = tuple[str, str]
+
+
+class PrefixTable:
+    """Holders of prefixes by customer and prefix hash.
+
+    The customer is part of the key, so that no customer can learn from
+    latencies what another customer asked.
+    """
+
+    __slots__ = ('_holders', '_gap_at', '_sequence')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._holders: OrderedDict[_Key, dict[str, float]] = OrderedDict()
+        self._gap_at: dict[str, float] = {}
+        self._sequence: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Count the prefixes."""
+        return len(self._holders)
+
+    def stored(
+        self, now: float, endpoint: str, customer: str, prefix: str
+    ) -> None:
+        """Note that the endpoint holds the prefix."""
+        key = (customer, prefix)
+        holders = self._holders.setdefault(key, {})
+        holders[endpoint] = now
+        self._holders.move_to_end(key)
+        if len(holders) > _MAX_HOLDERS:
+            holders.pop(min(holders, key=holders.__getitem__))
+        if len(self._holders) > MAX_PREFIXES:
+            self._holders.popitem(last=False)
+
+    def evicted(self, endpoint: str, customer: str, prefix: str) -> None:
+        """Note that the endpoint no longer holds the prefix."""
+        holders = self._holders.get((customer, prefix))
+        if holders:
+            holders.pop(endpoint, None)
+
+    def on_sequence(self, now: float, endpoint: str, sequence: int) -> None:
+        """Note the number of a cache event, and a gap before it."""
+        last = self._sequence.get(endpoint)
+        self._sequence[endpoint] = sequence
+        if last is not None and sequence != last + 1:
+            self._gap_at[endpoint] = now
+
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Note that the endpoint lost its whole cache."""
+        for holders in self._holders.values():
+            holders.pop(endpoint, None)
+
+    def holders(
+        self, now: float, customer: str, prefix: str
+    ) -> dict[str, float]:
+        """Give the probability that each endpoint holds the prefix."""
+        holders = self._holders.get((customer, prefix))
+        if not prefix or not holders:
+            return {}
+        return {
+            endpoint: self._probability(now, endpoint, stored_at)
+            for endpoint, stored_at in holders.items()
+        }
+
+    def _probability(
+        self, now: float, endpoint: str, stored_at: float
+    ) -> float:
+        probability = math.exp((stored_at - now) / PREFIX_LIFETIME_S)
+        if self._gap_at.get(endpoint, stored_at) > stored_at:
+            # An eviction may be among the lost events.
+            return probability * _GAP_FACTOR
+        return probability
--- /dev/null
+++ b/src/apricotcart/endpoints/limits.py
@@ -0,0 +1,94 @@
+"""Adaptive concurrency limit of one endpoint as seen by one host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+FAILED_FACTOR = 0.7
+REFUSED_FACTOR = 0.8
+SLOW_FACTOR = 0.9
+# A first byte is slow if it takes this many times the usual latency.
+SLOW_RATIO = 3.0
+# Latency differences below this are noise of the network, in seconds.
+SLOW_FLOOR_S = 0.05
+_BASELINE_GAIN = 0.05
+# Failures in a row after which the endpoint counts as down.
+FAILURES_TO_CLOSE = 3
+CLOSED_MIN_S = 0.5
+CLOSED_MAX_S = 20.0
+_JITTER = 0.25
+_DOUBLINGS = 6
+_EPSILON = 1e-9
+
+
+class AdaptiveLimit:
+    """The part of an endpoint's slots that this host uses now.
+
+    ``health`` is between 0 and 1. It falls by a factor on failure or slow
+    responses and grows by half a slot with each success, so that an endpoint
+    that recovers gets its load back gradually, starting with one request.
+    """
+
+    __slots__ = ('health', 'closed_until', 'failures', 'baseline_s', '_rng')
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start healthy."""
+        self.health = 1.0
+        self.closed_until: float = 0
+        self.failures = 0
+        self.baseline_s: float = 0
+        self._rng = rng
+
+    def allowed(self, now: float, slots: int) -> int:
+        """Give the number of requests that may run at the same time."""
+        if slots <= 0 or now < self.closed_until:
+            return 0
+        usable = int(slots * self.health + _EPSILON)
+        return max(1, usable)
+
+    def on_first_byte(self, latency_s: float) -> None:
+        """Compare the latency with the usual one."""
+        if not self.baseline_s:
+            self.baseline_s = latency_s
+        bound = SLOW_RATIO * self.baseline_s + SLOW_FLOOR_S
+        if latency_s > bound:
+            self.health *= SLOW_FACTOR
+        # The baseline follows shorter latencies at once, longer ones slowly.
+        gain = _BASELINE_GAIN if latency_s > self.baseline_s else 0.5
+        self.baseline_s += gain * (latency_s - self.baseline_s)
+
+    def on_success(self, slots: int) -> None:
+        """Grow by half a slot."""
+        self.failures = 0
+        grown = self.health + 0.5 / max(1, slots)
+        self.health = min(1, grown)
+
+    def on_refused(self) -> None:
+        """Shrink after the endpoint refused a request for its load."""
+        self.health *= REFUSED_FACTOR
+
+    def on_failed(self, now: float) -> None:
+        """Shrink after a failure; close after several in a row."""
+        self.failures += 1
+        self.health *= FAILED_FACTOR
+        if self.failures >= FAILURES_TO_CLOSE:
+            self._close(now, self.failures - FAILURES_TO_CLOSE)
+
+    def on_crashed(self, now: float) -> None:
+        """Close at once after a broken connection.
+
+        The requests that one crash breaks count as one failure.
+        """
+        if now < self.closed_until:
+            return
+        self.failures += 1
+        self._close(now, self.failures - 1)
+
+    def _close(self, now: float, exponent: int) -> None:
+        self.health = 0
+        period = CLOSED_MIN_S * 2 ** min(exponent, _DOUBLINGS)
+        jitter = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
+        self.closed_until = now + min(period, CLOSED_MAX_S) * jitter
--- /dev/null
+++ b/src/apricotcart/endpoints/outcomes.py
@@ -0,0 +1,12 @@
+"""Outcomes of a dispatched request."""
+
+from __future__ import annotations
+
+OK = 'ok'
+# The endpoint failed without breaking its connections, or timed out.
+FAILED = 'failed'
+# The endpoint refused the request because of its load.
+REFUSED = 'refused'
+CANCELLED = 'cancelled'
+# The connection broke after the request was sent, before the end marker.
+CRASHED = 'crashed'
--- /dev/null
+++ b/src/apricotcart/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budget, retry policy and back-off."""
--- /dev/null
+++ b/src/apricotcart/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, tiers, fair share in tokens, dispatch and load shedding."""
--- /dev/null
+++ b/src/apricotcart/scheduling/decisions.py
@@ -0,0 +1,123 @@
+"""Decisions and demand that the scheduler gives out."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from apricotcart.codec.record import Record
+
+SHED_QUEUE_FULL = 'queue_full'
+SHED_MAX_WAIT = 'max_wait'
+SHED_DEADLINE = 'deadline'
+SHED_QUARANTINED = 'quarantined'
+SHED_UNKNOWN_CLASS = 'unknown_class'
+
+
+class Dispatch(Record):
+    """The request goes to the endpoint now."""
+
+    __slots__ = ('request_id', 'endpoint')
+
+    def __init__(self, *, request_id: str, endpoint: str) -> None:
+        """Keep the fields."""
+        self.request_id = request_id
+        self.endpoint = endpoint
+
+
+class Shed(Record):
+    """The request is refused and has not run.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    reason : str
+        One of the ``SHED_`` constants.
+    retry_after_s : float
+        Seconds after which a new attempt is sensible.
+    """
+
+    __slots__ = ('request_id', 'reason', 'retry_after_s')
+
+    def __init__(
+        self, *, request_id: str, reason: str, retry_after_s: float
+    ) -> None:
+        """Keep the fields."""
+        self.request_id = request_id
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+Decision = Dispatch | Shed
+
+
+class TierDemand(Record):
+    """Demand of one host for one pool and tier.
+
+    Parameters
+    ----------
+    pool : str
+        The pool.
+    tier : int
+        The tier.
+    queued, in_flight : int
+        Requests waiting and running.
+    weight : float
+        Sum of the weights of the customers that wait or run.
+    """
+
+    __slots__ = ('pool', 'tier', 'queued', 'in_flight', 'weight')
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        tier: int,
+        queued: int = 0,
+        in_flight: int = 0,
+        weight: float = 1.0,
+    ) -> None:
+        """Keep the fields."""
+        self.pool = pool
+        self.tier = tier
+        self.queued = queued
+        self.in_flight = in_flight
+        self.weight = weight
+
+
+class Demand:
+    """Demand of one host, for the sync message.
+
+    Parameters
+    ----------
+    tiers : sequence of TierDemand
+        One entry for each pool and tier with queued or running requests.
+    running : mapping of str to int
+        Requests in flight by endpoint, without the idle endpoints.
+    """
+
+    __slots__ = ('tiers', 'running')
+
+    def __init__(
+        self,
+        *,
+        tiers: Sequence[TierDemand] = (),
+        running: Mapping[str, int] | None = None,
+    ) -> None:
+        """Keep the fields."""
+        self.tiers = tuple(tiers)
+        self.running = dict(running or {})
+
+    @classmethod
+    def from_wire(cls, fields: Mapping[str, Any]) -> Demand:
+        """Build the demand from its wire form."""
+        tiers = [TierDemand.from_wire(entry) for entry in fields['tiers']]
+        return cls(tiers=tiers, running=fields['running'])
+
+    def to_wire(self) -> dict[str, Any]:
+        """Give the fields as a mapping that msgpack can encode."""
+        return {
+            'tiers': [entry.to_wire() for entry in self.tiers],
+            'running': self.running,
+        }
--- /dev/null
+++ b/src/apricotcart/scheduling/dispatching.py
@@ -0,0 +1,98 @@
+"""Dispatch in tier order with fair sharing between customers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricotcart.endpoints.selection import Need
+from apricotcart.scheduling.decisions import Decision, Dispatch
+from apricotcart.scheduling.entries import PROMPT_TOKEN_COST
+
+if TYPE_CHECKING:
+    from apricotcart.scheduling.entries import Entry
+    from apricotcart.scheduling.pools import Pool
+    from apricotcart.scheduling.queues import TierQueue
+    from apricotcart.scheduling.tables import Tables
+
+
+def dispatch_pool(tables: Tables, now: float, pool: Pool) -> list[Decision]:
+    """Send queued requests of the pool to free endpoints."""
+    made: list[Decision] = []
+    decision = _next(tables, now, pool)
+    while decision is not None:
+        made.append(decision)
+        decision = _next(tables, now, pool)
+    pool.dirty = False
+    return made
+
+
+def estimated_cost(tables: Tables, entry: Entry) -> float:
+    """Give the tokens to charge at dispatch, before the length is known."""
+    req = entry.req
+    tokens = tables.history.estimate(req.customer, req.class_name).tokens
+    if req.max_tokens:
+        tokens = min(tokens, req.max_tokens)
+    return tokens + PROMPT_TOKEN_COST * req.prompt_tokens
+
+
+def charge(tables: Tables, entry: Entry, tokens: float) -> None:
+    """Charge the customer and apply the new order to its queue."""
+    pool = tables.pools[entry.req.pool]
+    customer = entry.req.customer
+    ledger = pool.ledger(entry.tier)
+    rank = ledger.charge(customer, tokens, tables.weight(customer))
+    entry.charged += tokens
+    queue = pool.queue.tiers.get(entry.tier)
+    if queue is not None:
+        queue.rerank(customer, rank)
+
+
+def _next(tables: Tables, now: float, pool: Pool) -> Decision | None:
+    for _, queue in pool.tiers_in_order(now):
+        decision = _from_tier(tables, now, pool, queue)
+        if decision is not None:
+            return decision
+    return None
+
+
+def _from_tier(
+    tables: Tables, now: float, pool: Pool, queue: TierQueue
+) -> Decision | None:
+    for lane in queue.lanes_in_order():
+        entry = lane.first()
+        if entry is None:
+            continue
+        endpoint = tables.endpoints.choose(now, _need(tables, now, entry))
+        if endpoint is not None:
+            return _dispatch(tables, now, entry, endpoint)
+    return None
+
+
+def _need(tables: Tables, now: float, entry: Entry) -> Need:
+    req = entry.req
+    return Need(
+        pool=req.pool,
+        model=req.model,
+        cheap_allowed=entry.cheap_allowed,
+        excluded=req.excluded_endpoints,
+        holders=tables.prefixes.holders(now, req.customer, req.prefix_hash),
+        isolated=entry.suspect,
+    )
+
+
+def _dispatch(
+    tables: Tables, now: float, entry: Entry, endpoint: str
+) -> Decision:
+    pool = tables.pools[entry.req.pool]
+    req = entry.req
+    tables.dequeue(entry)
+    pool.ledger(entry.tier).advance(req.customer)
+    pool.on_dispatch(now, entry)
+    entry.endpoint = endpoint
+    entry.dispatched_at = now
+    tables.running[entry.request_id] = entry
+    tables.endpoints.acquire(now, endpoint, suspect=entry.suspect)
+    if req.prefix_hash:
+        tables.prefixes.stored(now, endpoint, req.customer, req.prefix_hash)
+    charge(tables, entry, estimated_cost(tables, entry))
+    return Dispatch(request_id=entry.request_id, endpoint=endpoint)
--- /dev/null
+++ b/src/apricotcart/scheduling/entries.py
@@ -0,0 +1,65 @@
+"""Entities of the scheduler: queued and running requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from apricotcart.scheduling.records import QueuedRequest, ServiceClass
+
+# A prompt token costs an engine far less than an output token, since the
+# prompt is processed in parallel.
+PROMPT_TOKEN_COST = 0.2
+
+
+class Entry:
+    """A request that waits or runs.
+
+    ``charged`` is the number of tokens that the fair share has counted so
+    far; ``tokens`` is the number that came from the endpoint.
+    """
+
+    __slots__ = (
+        'req',
+        'tier',
+        'class_name',
+        'enqueued_at',
+        'deadline_at',
+        'expire_at',
+        'expire_reason',
+        'endpoint',
+        'dispatched_at',
+        'first_byte_at',
+        'tokens',
+        'charged',
+        'cheap_allowed',
+        'suspect',
+    )
+
+    def __init__(
+        self, req: QueuedRequest, service_class: ServiceClass, now: float
+    ) -> None:
+        """Start in the queue at ``now``."""
+        self.req = req
+        self.tier = service_class.tier
+        self.class_name = service_class.name
+        self.enqueued_at = now
+        self.deadline_at = req.deadline_at or now + service_class.total_s
+        self.expire_at = now + service_class.max_wait_s
+        self.expire_reason = ''
+        self.endpoint = ''
+        self.dispatched_at: float = 0
+        self.first_byte_at: float = 0
+        self.tokens = 0
+        self.charged: float = 0
+        self.cheap_allowed = req.resumable
+        self.suspect = False
+
+    def cost(self) -> float:
+        """Give the tokens used so far, prompt tokens at a lower cost."""
+        return self.tokens + PROMPT_TOKEN_COST * self.req.prompt_tokens
+
+    @property
+    def request_id(self) -> str:
+        """Identity of the request."""
+        return self.req.request_id
--- /dev/null
+++ b/src/apricotcart/scheduling/shares.py
@@ -0,0 +1,132 @@
+"""Division of endpoint slots among hosts, on the control leader."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TYPE_CHECKING
+
+from apricotcart.scheduling.maxmin import Bid, max_min
+
+if TYPE_CHECKING:
+    from apricotcart.endpoints.records import Endpoint
+    from apricotcart.scheduling.decisions import Demand, TierDemand
+
+Division = dict[str, dict[str, int]]
+
+
+def divide(
+    demands: Mapping[str, Demand], endpoints: Iterable[Endpoint]
+) -> Division:
+    """Divide the slots of all endpoints among the live hosts.
+
+    Parameters
+    ----------
+    demands : mapping of str to Demand
+        The last demand of each live host.
+    endpoints : iterable of Endpoint
+        All endpoints; draining ones are left out.
+
+    Returns
+    -------
+    dict
+        Slots by host and endpoint. The slots of one endpoint never add up
+        to more than it has.
+    """
+    division: Division = {host: {} for host in demands}
+    pools: dict[str, list[Endpoint]] = {}
+    for endpoint in endpoints:
+        if not endpoint.leaving:
+            pools.setdefault(endpoint.pool, []).append(endpoint)
+    if demands:
+        for pool, members in pools.items():
+            _divide_pool(pool, members, demands, division)
+    return division
+
+
+def _divide_pool(
+    pool: str,
+    members: Sequence[Endpoint],
+    demands: Mapping[str, Demand],
+    division: Division,
+) -> None:
+    total = sum(endpoint.slots for endpoint in members)
+    counts = allot(pool, total, demands)
+    _deal(counts, members, division)
+
+
+def allot(
+    pool: str, total: int, demands: Mapping[str, Demand]
+) -> dict[str, int]:
+    """Give each host its number of slots in the pool.
+
+    Each host first gets one slot, so that an idle host can send at once.
+    Then the tiers are served from the top, each by weighted max-min
+    fairness: a host that asks for less than its part gets all it asks for.
+    Slots that nobody asks for are spread evenly.
+    """
+    counts = dict.fromkeys(sorted(demands), 0)
+    counts.update(dict.fromkeys(list(counts)[:total], 1))
+    covered = dict(counts)
+    for bids in _bids_by_tier(pool, demands):
+        _grant(counts, total, _after_covered(bids, covered))
+    _grant(counts, total, [Bid(host, total, 1) for host in counts])
+    return counts
+
+
+def _grant(counts: dict[str, int], total: int, bids: Sequence[Bid]) -> None:
+    left = total - sum(counts.values())
+    for host, slots in max_min(left, bids).items():
+        counts[host] += slots
+
+
+def _bids_by_tier(pool: str, demands: Mapping[str, Demand]) -> list[list[Bid]]:
+    tiers: dict[int, list[Bid]] = {}
+    for host in sorted(demands):
+        for entry in demands[host].tiers:
+            if entry.pool == pool:
+                tiers.setdefault(entry.tier, []).append(_bid(host, entry))
+    return [tiers[number] for number in sorted(tiers)]
+
+
+def _bid(host: str, entry: TierDemand) -> Bid:
+    return Bid(host, entry.queued + entry.in_flight, entry.weight)
+
+
+def _after_covered(bids: Sequence[Bid], covered: dict[str, int]) -> list[Bid]:
+    """Take off what the host's guaranteed slot already covers."""
+    wanted = []
+    for bid in bids:
+        used = min(bid.asked, covered[bid.host])
+        covered[bid.host] -= used
+        wanted.append(Bid(bid.host, bid.asked - used, bid.weight))
+    return wanted
+
+
+def _deal(
+    counts: Mapping[str, int],
+    members: Sequence[Endpoint],
+    division: Division,
+) -> None:
+    """Deal the slots so that each host's are spread over the endpoints."""
+    slots = _interleaved(members)
+    position = 0
+    for host in sorted(counts):
+        share = division[host]
+        for name in slots[position : position + counts[host]]:
+            share[name] = share.get(name, 0) + 1
+        position += counts[host]
+
+
+def _interleaved(members: Sequence[Endpoint]) -> list[str]:
+    deepest = max((endpoint.slots for endpoint in members), default=0)
+    ordered = sorted(members, key=_name)
+    return [
+        endpoint.name
+        for level in range(deepest)
+        for endpoint in ordered
+        if level < endpoint.slots
+    ]
+
+
+def _name(endpoint: Endpoint) -> str:
+    return endpoint.name
--- /dev/null
+++ b/src/apricotcart/scheduling/tables.py
@@ -0,0 +1,113 @@
+"""Tables that the systems of the scheduler share."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from apricotcart.endpoints.affinity import PrefixTable
+from apricotcart.endpoints.suspects import SuspectTable
+from apricotcart.endpoints.table import EndpointTable
+from apricotcart.scheduling.decisions import Shed
+from apricotcart.scheduling.history import History
+from apricotcart.scheduling.pools import Pool
+
+if TYPE_CHECKING:
+    import random
+
+    from apricotcart.scheduling.config import SchedulerConfig
+    from apricotcart.scheduling.entries import Entry
+    from apricotcart.scheduling.records import QueuedRequest, ServiceClass
+
+# Spread of Retry-After, so that refused callers do not return together.
+_RETRY_AFTER_SPREAD = 0.25
+_DEFAULT_WEIGHT = 1.0
+
+
+class Tables:
+    """Configuration, queued and running requests, pools and endpoints."""
+
+    __slots__ = (
+        'cfg',
+        'rng',
+        'endpoints',
+        'prefixes',
+        'suspects',
+        'history',
+        'classes',
+        'weights',
+        'max_queues',
+        'pools',
+        'queued',
+        'running',
+        'sheds',
+        '_expiry',
+        '_sequence',
+    )
+
+    def __init__(self, cfg: SchedulerConfig, rng: random.Random) -> None:
+        """Start empty."""
+        self.cfg = cfg
+        self.rng = rng
+        self.endpoints = EndpointTable(cfg.zone, rng)
+        self.prefixes = PrefixTable()
+        self.suspects = SuspectTable()
+        self.history = History()
+        self.classes: dict[str, ServiceClass] = {}
+        self.weights: dict[str, float] = {}
+        self.max_queues: dict[str, int] = {}
+        self.pools: dict[str, Pool] = {}
+        self.queued: dict[str, Entry] = {}
+        self.running: dict[str, Entry] = {}
+        self.sheds: list[Shed] = []
+        self._expiry: list[tuple[float, int, Entry]] = []
+        self._sequence = 0
+
+    def weight(self, customer: str) -> float:
+        """Give the customer's weight in the fair share."""
+        return self.weights.get(customer, _DEFAULT_WEIGHT)
+
+    def pool(self, name: str) -> Pool:
+        """Give the state of a pool."""
+        pool = self.pools.get(name)
+        if pool is None:
+            bound = self.max_queues.get(name, self.cfg.max_queue)
+            pool = Pool(bound, self.weight)
+            pool.set_shares(self.classes.values())
+            self.pools[name] = pool
+        return pool
+
+    def enqueue(self, entry: Entry) -> None:
+        """Put the entry in its queue."""
+        pool = self.pool(entry.req.pool)
+        ledger = pool.ledger(entry.tier)
+        pool.queue.add(entry, ledger.activate(entry.req.customer))
+        pool.dirty = True
+        self.queued[entry.request_id] = entry
+        self._sequence += 1
+        heapq.heappush(self._expiry, (entry.expire_at, self._sequence, entry))
+
+    def dequeue(self, entry: Entry) -> None:
+        """Take the entry out of its queue."""
+        self.pools[entry.req.pool].queue.remove(entry)
+        self.queued.pop(entry.request_id)
+
+    def expired(self, now: float) -> Entry | None:
+        """Give a queued entry whose time in the queue is over."""
+        while self._expiry and self._expiry[0][0] <= now:
+            entry = heapq.heappop(self._expiry)[2]
+            if self.queued.get(entry.request_id) is entry:
+                return entry
+        return None
+
+    def shed(self, now: float, req: QueuedRequest, reason: str) -> None:
+        """Note the decision to refuse a request that has not run."""
+        retry_after_s = self.pool(req.pool).retry_after_s(now)
+        spread = 1 + _RETRY_AFTER_SPREAD * self.rng.random()
+        self.sheds.append(
+            Shed(
+                request_id=req.request_id,
+                reason=reason,
+                retry_after_s=retry_after_s * spread,
+            )
+        )
--- /dev/null
+++ b/tests/scheduling/test_scheduler.py
@@ -0,0 +1,68 @@
+"""Tests of admission, tier order, shedding and dispatch."""
+
+from __future__ import annotations
+
+from scheduling.conftest import MakeRequest, MakeScheduler
+
+from apricotcart.scheduling.decisions import Decision, Dispatch, Shed
+
+
+def dispatched(made: list[Decision]) -> list[str]:
+    """Give the requests that were dispatched."""
+    return [entry.request_id for entry in made if isinstance(entry, Dispatch)]
+
+
+def shed(made: list[Decision]) -> list[str]:
+    """Give the requests that were shed."""
+    return [entry.request_id for entry in made if isinstance(entry, Shed)]
+
+
+def test_scheduler_dispatch_at_once(
+    make_scheduler: MakeScheduler, make_request: MakeRequest
+) -> None:
+    """Guards against a request that waits although a slot is free."""
+    scheduler = make_scheduler()
+    scheduler.submit(0, make_request('r1'))
+    assert dispatched(scheduler.tick(0)) == ['r1']
+
+
+def test_scheduler_tier_order(
+    make_scheduler: MakeScheduler, make_request: MakeRequest
+) -> None:
+    """Guards against a lower tier that runs before a higher one."""
+    scheduler = make_scheduler()
+    scheduler.submit(0, make_request('l', class_name='low'))
+    scheduler.submit(0, make_request('m', class_name='middle'))
+    scheduler.submit(0, make_request('h'))
+    assert dispatched(scheduler.tick(0)) == ['h']
+    scheduler.on_finish(1, 'h', 'ok')
+    assert dispatched(scheduler.tick(1)) == ['m']
+
+
+def test_scheduler_full_queue_sheds_lowest(
+    make_scheduler: MakeScheduler, make_request: MakeRequest
+) -> None:
+    """Guards against shedding a higher tier's request for a lower one's."""
+    scheduler = make_scheduler(max_queue=2)
+    scheduler.submit(0, make_request('busy'))
+    scheduler.tick(0)
+    scheduler.submit(0, make_request('l1', class_name='low'))
+    scheduler.submit(0, make_request('l2', class_name='low'))
+    scheduler.submit(0, make_request('h1'))
+    scheduler.submit(0, make_request('h2'))
+    scheduler.submit(0, make_request('l3', class_name='low'))
+    assert shed(scheduler.tick(0)) == ['l2', 'l1', 'l3']
+
+
+def test_scheduler_max_wait(
+    make_scheduler: MakeScheduler, make_request: MakeRequest
+) -> None:
+    """Guards against a wait beyond the bound of the class."""
+    scheduler = make_scheduler()
+    scheduler.submit(0, make_request('busy'))
+    scheduler.submit(0, make_request('waits'))
+    scheduler.tick(0)
+    made = scheduler.tick(20)
+    assert shed(made) == ['waits']
+    assert isinstance(made[0], Shed)
+    assert made[0].retry_after_s >= 1
