--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import queue
 import threading
 import time
@@ -14,19 +13,14 @@
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.consensus.api import Role
 from apricotcart.consensus.members import MemberChange
-from apricotcart.consensus.messages import message_from_wire
+from apricotcart.consensus.messages import Message
 from apricotcart.consensus.node import Node
 from apricotcart.control.api import ReplicatedState, WireMessage
 from apricotcart.control.identity import host_name
-from apricotcart.errors.tree import (
-    ApricotcartError,
-    CodecError,
-    UnavailableError,
-)
+from apricotcart.errors.tree import UnavailableError
 from apricotcart.transport.api import PeerLinks
 
-_LOG = logging.getLogger(__name__)
-_RECEIVE_WAIT_S = 0.5
+_NS_A_MS = 1_000_000
 # One round takes at most this many jobs, so that timers fire in time.
 _MAX_JOBS_A_ROUND = 512
 
@@ -34,6 +28,33 @@
 Reply = Future[bytes]
 
 
+class Mailbox:
+    """Jobs that other threads leave for the loop's thread."""
+
+    __slots__ = ('_jobs',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
+
+    def put(self, job: Job) -> None:
+        """Leave a job."""
+        self._jobs.put(job)
+
+    def take(self, until: float) -> list[Job]:
+        """Wait for jobs until a time on the monotonic clock, in seconds."""
+        jobs: list[Job] = []
+        try:
+            jobs.append(
+                self._jobs.get(timeout=max(0, until - time.monotonic()))
+            )
+        except queue.Empty:
+            return jobs
+        while len(jobs) < _MAX_JOBS_A_ROUND and not self._jobs.empty():
+            jobs.append(self._jobs.get())
+        return jobs
+
+
 class ConsensusLoop(ReplicatedState):
     """Runs a node on one thread; callers wait for their completion.
 
@@ -58,7 +79,7 @@
         '_node',
         '_on_failed',
         '_stopping',
-        '_threads',
+        '_thread',
         '_tick_s',
         '_waiting',
         'lock',
@@ -72,33 +93,32 @@
         tick_s: float,
         on_failed: Callable[[], None],
     ) -> None:
-        """Prepare the threads."""
+        """Prepare the thread."""
         self._node = node
         self._links = links
         self._addresses = addresses
         self._tick_s = tick_s
         self._on_failed = on_failed
-        self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
+        self._jobs = Mailbox()
         self._waiting: dict[int, Reply] = {}
         self._stopping = threading.Event()
         # Held while the node applies entries; readers of the state machine
         # on other threads take it too.
         self.lock = threading.RLock()
-        self._threads = [
-            threading.Thread(target=self._run, daemon=True, name='consensus'),
-            threading.Thread(target=self._receive, daemon=True, name='peers'),
-        ]
+        self._thread = threading.Thread(
+            target=self._run,
+            daemon=True,
+            name='consensus',
+        )
 
     def start(self) -> None:
-        """Start the threads."""
-        for thread in self._threads:
-            thread.start()
+        """Start the thread."""
+        self._thread.start()
 
     def stop(self) -> None:
-        """Stop the threads and close the links."""
+        """Stop the thread."""
         self._stopping.set()
-        self._threads[0].join()
-        self._links.close()
+        self._thread.join()
 
     def propose(self, command: WireMessage, timeout_s: float) -> WireMessage:
         """Commit a command and give the reply of the state machine."""
@@ -123,6 +143,10 @@
         )
         return unpack(reply)
 
+    def deliver(self, message: Message) -> None:
+        """Queue a message of another control host."""
+        self._jobs.put(lambda now: self._node.receive(now, message))
+
     def lease_until(self) -> float:
         """Give the end of the leader's lease on the monotonic clock, s."""
         with self.lock:
@@ -144,38 +168,26 @@
                 'members': node.members.to_wire(),
             }
 
-    def _request(self, action: Callable[[float], int], timeout_s: float) -> bytes:
+    def _request(
+        self, action: Callable[[float], int], timeout_s: float
+    ) -> bytes:
         fut: Reply = Future()
-        self._jobs.put(lambda now: self._track(action(now), fut))
+        self._jobs.put(lambda now: self._waiting.update({action(now): fut}))
         try:
             return fut.result(timeout_s)
         except FutureTimeoutError as exc:
             raise UnavailableError('no quorum answered in time') from exc
 
-    def _track(self, ticket: int, fut: Reply) -> None:
-        self._waiting[ticket] = fut
-
     def _run(self) -> None:
         next_tick = time.monotonic()
         while not self._stopping.is_set():
-            jobs = self._take_jobs(next_tick)
+            jobs = self._jobs.take(next_tick)
             with self.lock:
                 next_tick = self._round(jobs, next_tick)
             if self._node.role is Role.FAILED:
                 self._on_failed()
                 return
 
-    def _take_jobs(self, next_tick: float) -> list[Job]:
-        wait_s = max(0, next_tick - time.monotonic())
-        jobs: list[Job] = []
-        try:
-            jobs.append(self._jobs.get(timeout=wait_s))
-        except queue.Empty:
-            return jobs
-        while len(jobs) < _MAX_JOBS_A_ROUND and not self._jobs.empty():
-            jobs.append(self._jobs.get())
-        return jobs
-
     def _round(self, jobs: list[Job], next_tick: float) -> float:
         now = time.monotonic()
         for job in jobs:
@@ -200,25 +212,6 @@
             else:
                 fut.set_exception(completion.error)
 
-    def _receive(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                wire = self._links.receive(_RECEIVE_WAIT_S)
-            except Exception:
-                if not self._stopping.is_set():
-                    _LOG.exception('peer link failed')
-                return
-            if wire is not None:
-                self._queue_message(wire)
-
-    def _queue_message(self, wire: WireMessage) -> None:
-        try:
-            message = message_from_wire(wire)
-        except (CodecError, ApricotcartError) as exc:
-            _LOG.warning('dropped a peer message: %s', exc)
-            return
-        self._jobs.put(lambda now: self._node.receive(now, message))
-
 
 def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
+    return time.time_ns() // _NS_A_MS
--- /dev/null
+++ b/src/apricotcart/entry/app.py
@@ -0,0 +1,101 @@
+"""HTTP interface of an entry host."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from apricotcart.entry.access import Access
+from apricotcart.entry.chat import CHAT_KIND, ChatHandler
+from apricotcart.entry.services import PREFIX, ServiceHandler
+from apricotcart.web.application import WebApplication
+from apricotcart.web.errors import MethodError, UnknownPathError
+from apricotcart.web.request import WebRequest
+from apricotcart.web.response import WebResponse
+
+_GET = 'GET'
+_POST = 'POST'
+
+Responder = Callable[[WebRequest], WebResponse]
+
+
+class HostsAnswer(Protocol):
+    """Answers which entry hosts callers should use."""
+
+    def document(self) -> dict[str, Any]:
+        """Give addresses and their time to live."""
+
+
+class ActiveRequests:
+    """Counts the requests that are being answered."""
+
+    __slots__ = ('count', 'last_at')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.count = 0
+        self.last_at = time.monotonic()
+
+    def enter(self) -> None:
+        """Count a request that starts."""
+        self.count += 1
+        self.last_at = time.monotonic()
+
+    def leave(self) -> None:
+        """Count a request that has ended."""
+        self.count -= 1
+        self.last_at = time.monotonic()
+
+
+class EntryApplication(WebApplication):
+    """Routes the callers' requests to their handlers."""
+
+    def __init__(
+        self,
+        *,
+        access: Access,
+        chat: ChatHandler,
+        services: ServiceHandler,
+        hosts: HostsAnswer,
+    ) -> None:
+        """Keep the handlers."""
+        self._access = access
+        self._services = services
+        self._hosts = hosts
+        self._routes: dict[str, tuple[str, Responder]] = {
+            '/v1/chat/completions': (_POST, chat.respond),
+            '/v1/models': (_GET, self._models),
+            '/v1/hosts': (_GET, self._which_host),
+            '/healthz': (_GET, self._health),
+        }
+
+    def respond(self, req: WebRequest) -> WebResponse:
+        """Answer one request."""
+        if req.path.startswith(PREFIX):
+            return self._services.respond(req)
+        method, responder = self._routes.get(req.path, ('', None))
+        if responder is None:
+            raise UnknownPathError(f'nothing answers at {req.path}')
+        if req.method != method:
+            raise MethodError(f'{req.path} takes {method} only')
+        return responder(req)
+
+    def _models(self, req: WebRequest) -> WebResponse:
+        grant = self._access.grant(req)
+        models = [
+            {
+                'id': route.name,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'apricotcart',
+            }
+            for route in self._access.routes(grant, CHAT_KIND)
+        ]
+        return WebResponse.from_json({'object': 'list', 'data': models})
+
+    def _which_host(self, req: WebRequest) -> WebResponse:
+        return WebResponse.from_json(self._hosts.document())
+
+    def _health(self, req: WebRequest) -> WebResponse:
+        return WebResponse.from_json({'ok': True})
--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -15,6 +15,7 @@
 from apricotcart.entry.running import RunningRequest, RunningTable
 from apricotcart.entry.upstream import Upstream, UpstreamAnswer, UpstreamCall
 from apricotcart.scheduling.records import QueuedRequest
+from apricotcart.web.errors import UnauthorizedError
 from apricotcart.web.request import WebRequest
 
 # An endpoint that is silent for this many times its target has frozen.
@@ -104,14 +105,14 @@
 
         Raises
         ------
-        KeyWithdrawnError
+        UnauthorizedError
             If the key was withdrawn while the request waited.
         """
         dispatcher = self.runtime.dispatcher
         endpoint = dispatcher.acquire(queued, self.req.is_disconnected)
         if self.running.is_revoked:
             dispatcher.finish(self.request_id, 'cancelled')
-            raise KeyWithdrawnError('the key was withdrawn')
+            raise UnauthorizedError('the key was withdrawn')
         return endpoint
 
     def send(
@@ -125,11 +126,14 @@
 
         Raises
         ------
-        EndpointUnreachableError
+        EndpointUnreachableError, StaleConfigurationError
             If nothing was sent.
         EndpointError
             If the request may have left.
         """
+        # A host that was frozen after the decision must not send on what it
+        # knew before.
+        self.runtime.configuration.require_fresh()
         if not call.url:
             raise EndpointUnreachableError(f'endpoint {endpoint} is gone')
         answer = self.runtime.upstream.send(call, fresh=fresh)
--- a/src/apricotcart/entry/chat.py
+++ b/src/apricotcart/entry/chat.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from contextlib import closing
 from http import HTTPStatus
 from itertools import chain
 from typing import Any
@@ -66,10 +67,8 @@
         caller = EngineCaller(job, chat)
         if chat.is_streamed:
             return self._streamed(caller)
-        try:
+        with closing(job):
             return self._whole(caller)
-        finally:
-            job.close()
 
     def _whole(self, caller: EngineCaller) -> WebResponse:
         body = self._answer(caller)
--- a/src/apricotcart/entry/chat_request.py
+++ b/src/apricotcart/entry/chat_request.py
@@ -14,6 +14,7 @@
 _CHARACTERS_A_TOKEN = 4
 # Prompts that share their first part are likely to share cached blocks.
 _PREFIX_CHARACTERS = 512
+_DIGEST_BYTES = 16
 _MODEL = 'model'
 _MAX_TOKENS_FIELDS = ('max_completion_tokens', 'max_tokens')
 
@@ -119,4 +120,4 @@
 
 
 def _digest(text: bytes) -> str:
-    return hashlib.blake2b(text, digest_size=16).hexdigest()
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
--- a/src/apricotcart/entry/engine_call.py
+++ b/src/apricotcart/entry/engine_call.py
@@ -119,5 +119,3 @@
         raise
     finally:
         job.end_attempt(endpoint, outcome)
-
-
--- a/src/apricotcart/entry/events.py
+++ b/src/apricotcart/entry/events.py
@@ -34,7 +34,8 @@
             If the bytes are no event stream.
         """
         stream = (self._rest + chunk).replace(b'\r\n', b'\n')
-        *blocks, self._rest = stream.split(_SEPARATOR)
+        blocks = stream.split(_SEPARATOR)
+        self._rest = blocks.pop()
         if len(self._rest) > _MAX_EVENT_BYTES:
             raise EndpointCrashedError('an event of the stream has no end')
         found = [_event_text(block) for block in blocks]
--- a/src/apricotcart/entry/orders.py
+++ b/src/apricotcart/entry/orders.py
@@ -6,6 +6,7 @@
 import logging
 import queue
 import threading
+import time
 import uuid
 
 from apricotcart.entry.control_link import ControlLink
@@ -40,6 +41,10 @@
         self.idempotency_key = idempotency_key
         self.attempt_id = uuid.uuid4().hex
 
+    def order_key(self) -> str:
+        """Give the key that the service sees, unique over customers."""
+        return f'{self.customer}/{self.idempotency_key}'
+
     def fields(self) -> WireMessage:
         """Give the fields that name the attempt."""
         return {
@@ -126,14 +131,14 @@
         command['body'] = body
         self._send(command)
 
-    def finish_later(self, attempt: OrderAttempt, result: str) -> None:
+    def finish_later(self, attempt: OrderAttempt, outcome: str) -> None:
         """Close a record in the background."""
-        self._unsent.put(self._closing(attempt, result))
+        self._unsent.put(self._closing(attempt, outcome))
 
-    def _closing(self, attempt: OrderAttempt, result: str) -> WireMessage:
+    def _closing(self, attempt: OrderAttempt, outcome: str) -> WireMessage:
         return {
             'kind': 'order_finish',
-            'result': result,
+            'result': outcome,
             'status': 0,
             'content_type': '',
             'body': b'',
@@ -148,10 +153,10 @@
             self._unsent.put(command)
 
     def _repeat(self) -> None:
-        pause = threading.Event()
-        while True:
-            self._send(self._unsent.get())
-            pause.wait(_RETRY_PAUSE_S if self.unsent else 0)
+        for command in iter(self._unsent.get, None):
+            self._send(command)
+            if self.unsent:
+                time.sleep(_RETRY_PAUSE_S)
 
 
 def _outcome(reply: WireMessage) -> WebResponse | None:
@@ -165,14 +170,18 @@
         return None
     if outcome == 'finished':
         return _stored(reply)
+    raise _refusal(outcome)
+
+
+def _refusal(outcome: str) -> ApricotcartError:
     if outcome == 'conflict':
-        raise OrderConflictError('the key belongs to another body')
+        return OrderConflictError('the key belongs to another body')
     if outcome == 'in_progress':
-        raise OrderInProgressError(
+        return OrderInProgressError(
             'another attempt of this order is in progress',
             retry_after_s=_RETRY_AFTER_S,
         )
-    raise OrderUnknownError('the outcome of this order is not known')
+    return OrderUnknownError('the outcome of this order is not known')
 
 
 def _stored(reply: WireMessage) -> WebResponse:
--- a/src/apricotcart/entry/services.py
+++ b/src/apricotcart/entry/services.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import closing
+
 from apricotcart.entry.access import Access
 from apricotcart.entry.attempt import Job, Runtime
 from apricotcart.entry.engine_call import attempt_outcome
@@ -15,7 +17,7 @@
 from apricotcart.entry.retrying import RetryGate
 from apricotcart.entry.upstream import UpstreamCall
 from apricotcart.entry.usage import UsageCounter
-from apricotcart.errors.tree import ApricotcartError
+from apricotcart.errors.tree import ApricotcartError, NotRunError
 from apricotcart.web.request import WebRequest
 from apricotcart.web.response import WebResponse
 
@@ -59,15 +61,13 @@
     def respond(self, req: WebRequest) -> WebResponse:
         """Answer one call."""
         grant = self._access.grant(req)
-        name, _, path = req.path[len(PREFIX) :].partition('/')
+        name, _, path = req.path.removeprefix(PREFIX).partition('/')
         route = self._access.route(grant, name, SERVICE_KIND)
         body = req.body(self._max_body_bytes)
         job = Job(self._runtime, req, grant, route)
         call = ServiceCall(job, path, body)
-        try:
+        with closing(job):
             return self._answer(call)
-        finally:
-            job.close()
 
     def _answer(self, call: ServiceCall) -> WebResponse:
         is_safe = call.job.req.method in _SAFE_METHODS
@@ -118,7 +118,7 @@
             raise
         try:
             response = call.exchange(endpoint, order_key=attempt)
-        except EndpointUnreachableError:
+        except NotRunError:
             self._orders.finish_later(attempt, 'not_run')
             raise
         except ApricotcartError:
@@ -183,18 +183,23 @@
         url = job.runtime.configuration.endpoint_url(endpoint)
         headers = endpoint_headers(job.req, job.request_id)
         if order_key is not None:
-            headers[ORDER_KEY] = order_key.idempotency_key
-        query = job.req.query_string()
-        target = f'{url}/{self.path}' + (f'?{query}' if query else '')
+            headers[ORDER_KEY] = order_key.order_key()
         return UpstreamCall(
             method=job.req.method,
-            url=target if url else '',
+            url=self._target(url),
             headers=headers,
             body=self.body,
             request_id=job.request_id,
             read_timeout_s=job.left_s(),
         )
 
+    def _target(self, url: str) -> str:
+        if not url:
+            return ''
+        query = self.job.req.query_string()
+        suffix = f'?{query}' if query else ''
+        return f'{url}/{self.path}{suffix}'
+
 
 def _idempotency_key(job: Job) -> str:
     key = job.req.header('Idempotency-Key')
--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -157,7 +157,9 @@
             retries=False,
         )
 
-    def send(self, call: UpstreamCall, *, fresh: bool = False) -> UpstreamAnswer:
+    def send(
+        self, call: UpstreamCall, *, fresh: bool = False
+    ) -> UpstreamAnswer:
         """Send a call and give the answer once its headers are there.
 
         Parameters
