Add the replicated state with resources, orders and fencing

Control hosts need one deterministic state machine before consensus and the process adapters can be joined.

Commands on resources name the resource's kind in resource_kind, since kind is that of the command.

--- /dev/null
+++ b/src/apricotcart/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine: resources, orders, usage and fencing."""
--- /dev/null
+++ b/src/apricotcart/state/batch_rules.py
@@ -0,0 +1,134 @@
+"""Rules of a batch that concern several resources or several fields."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING, Any, Final
+
+from apricotcart.state.records import Fault, Identity
+from apricotcart.state.specs import SPECS
+
+if TYPE_CHECKING:
+    from apricotcart.state.store import ResourceStore
+
+#: Kinds of routes and of the pools that can serve them.
+_POOL_KINDS: Final = (('chat', 'engine'), ('service', 'service'))
+
+
+class Change:
+    """One change of a batch with its path and normalized spec."""
+
+    __slots__ = ('expected_version', 'kind', 'name', 'path', 'spec')
+
+    def __init__(
+        self,
+        *,
+        path: str,
+        kind: str,
+        name: str,
+        expected_version: int | None,
+        spec: dict[str, Any],
+    ) -> None:
+        """Keep the fields."""
+        self.path = path
+        self.kind = kind
+        self.name = name
+        self.expected_version = expected_version
+        self.spec = spec
+
+    @property
+    def identity(self) -> Identity:
+        """Give kind and name."""
+        return self.kind, self.name
+
+    def fault(self, field: str, message: str) -> Fault:
+        """Build a fault of one field of the spec."""
+        return Fault(path=f'{self.path}.spec.{field}', message=message)
+
+
+class BatchRules:
+    """Rules that concern several resources, or several fields of one."""
+
+    __slots__ = ('_changes', '_key_names', '_rules', '_store')
+
+    def __init__(
+        self,
+        store: ResourceStore,
+        changes: Mapping[Identity, Change],
+    ) -> None:
+        """Keep the resources before the batch and the changes."""
+        self._store = store
+        self._changes = changes
+        self._key_names: dict[str, str] = {}
+        self._rules = {
+            'key': self._key_faults,
+            'pool': self._pool_faults,
+            'endpoint': self._endpoint_faults,
+            'route': self._route_faults,
+        }
+
+    def faults(self, change: Change) -> Iterator[Fault]:
+        """Give the faults of a change whose single fields are valid."""
+        references = SPECS[change.kind].references_by_field(change.spec)
+        for field, (kind, name) in references:
+            if self._spec_of(kind, name) is None:
+                message = f'there is no {kind} named {name}'
+                yield change.fault(field, message)
+        rule = self._rules.get(change.kind)
+        if rule:
+            yield from rule(change)
+
+    def _spec_of(self, kind: str, name: str) -> Mapping[str, Any] | None:
+        change = self._changes.get((kind, name))
+        if change:
+            return change.spec
+        resource = self._store.get(kind, name)
+        return resource.spec if resource else None
+
+    def _key_faults(self, change: Change) -> Iterator[Fault]:
+        # A secret shared by two keys would have two customers.
+        secret = change.spec['sha256']
+        holder = self._key_names.setdefault(secret, change.name)
+        if holder == change.name:
+            holder = self._store.key_name(secret) or holder
+            holder_spec = self._spec_of('key', holder) or {}
+            if holder_spec.get('sha256') != secret:
+                return
+        if holder != change.name:
+            yield change.fault('sha256', f'is already that of key {holder}')
+
+    def _pool_faults(self, change: Change) -> Iterator[Fault]:
+        resource = self._store.get(change.kind, change.name)
+        if resource and resource.spec['kind'] != change.spec['kind']:
+            yield change.fault('kind', 'cannot be changed')
+
+    def _endpoint_faults(self, change: Change) -> Iterator[Fault]:
+        pool = self._spec_of('pool', change.spec['pool'])
+        if pool and pool['kind'] == 'service' and change.spec['models']:
+            yield change.fault('models', 'must be empty in a service pool')
+
+    def _route_faults(self, change: Change) -> Iterator[Fault]:
+        yield from _model_faults(change)
+        yield from _public_faults(change)
+        pool = self._spec_of('pool', change.spec['pool'])
+        if pool and (change.spec['kind'], pool['kind']) not in _POOL_KINDS:
+            yield change.fault('pool', 'is of a kind for other routes')
+
+
+def _model_faults(change: Change) -> Iterator[Fault]:
+    is_chat = change.spec['kind'] == 'chat'
+    has_model = change.spec['model'] is not None
+    if is_chat and not has_model:
+        yield change.fault('model', 'is required for a chat route')
+    if has_model and not is_chat:
+        yield change.fault('model', 'is for chat routes only')
+
+
+def _public_faults(change: Change) -> Iterator[Fault]:
+    if not change.spec['public']:
+        return
+    if change.spec['customers']:
+        yield change.fault('customers', 'must be empty if public')
+    if not change.spec['idempotent']:
+        # An order record needs the customer that a key stands for.
+        yield change.fault('public', 'needs an idempotent route')
--- /dev/null
+++ b/src/apricotcart/state/limits.py
@@ -0,0 +1,76 @@
+"""Bounds of the replicated state.
+
+All control hosts of a cluster must have the same bounds, or their states
+differ after the first command that meets one.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from apricotcart.codec.record import Record
+
+#: An order without an outcome is reported as unknown after this time.
+ORDER_UNKNOWN_AFTER_MS: Final = 120_000
+ORDER_RETENTION_MS: Final = 86_400_000
+WINDOW_MS: Final = 60_000
+#: A host that has sent no usage for this long is forgotten.
+USAGE_SOURCE_RETENTION_MS: Final = 86_400_000
+
+
+class Limits(Record):
+    """Bounds on counts and bytes.
+
+    Attributes
+    ----------
+    max_resources : int
+        Resources of all kinds together.
+    max_events : int
+        Events kept for ``events_since``; 8 h of 12,000 changes a day.
+    max_operations, max_operation_bytes : int
+        Replies kept for repeated operation ids, and their size.
+    max_orders, max_order_bytes : int
+        Order records of all customers, and their stored responses.
+    max_customer_orders : int
+        Order records of one customer.
+    max_body_bytes : int
+        Stored response of one order.
+    max_usage_rows : int
+        Unreported usage figures of all windows.
+    """
+
+    __slots__ = (
+        'max_resources',
+        'max_events',
+        'max_operations',
+        'max_operation_bytes',
+        'max_orders',
+        'max_order_bytes',
+        'max_customer_orders',
+        'max_body_bytes',
+        'max_usage_rows',
+    )
+
+    def __init__(
+        self,
+        *,
+        max_resources: int = 50_000,
+        max_events: int = 4096,
+        max_operations: int = 4096,
+        max_operation_bytes: int = 1_048_576,
+        max_orders: int = 50_000,
+        max_order_bytes: int = 16_777_216,
+        max_customer_orders: int = 10_000,
+        max_body_bytes: int = 65_536,
+        max_usage_rows: int = 50_000,
+    ) -> None:
+        """Keep the bounds."""
+        self.max_resources = max_resources
+        self.max_events = max_events
+        self.max_operations = max_operations
+        self.max_operation_bytes = max_operation_bytes
+        self.max_orders = max_orders
+        self.max_order_bytes = max_order_bytes
+        self.max_customer_orders = max_customer_orders
+        self.max_body_bytes = max_body_bytes
+        self.max_usage_rows = max_usage_rows
--- /dev/null
+++ b/tests/state/test_orders.py
@@ -0,0 +1,188 @@
+"""Tests of order records: an order runs at most once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from state.conftest import Send
+
+from apricotcart.codec.packing import pack, unpack
+from apricotcart.state.limits import (
+    ORDER_RETENTION_MS,
+    ORDER_UNKNOWN_AFTER_MS,
+    Limits,
+)
+from apricotcart.state.machine import ClusterState
+
+Order = Callable[..., dict[str, Any]]
+KEY = {'customer': 'acme', 'idempotency_key': 'k'}
+ANSWER = {'status': 201, 'content_type': 'text/plain', 'body': b'booked'}
+
+
+@pytest.fixture
+def begin(send: Send) -> Order:
+    """Give a function that begins the order for an attempt."""
+
+    def begun(attempt: str = 'a1', **fields: Any) -> dict[str, Any]:
+        command = {
+            **KEY,
+            'attempt_id': attempt,
+            'body_hash': 'h',
+            'host': 'h1',
+            'incarnation': 1,
+            **fields,
+        }
+        return send('order_begin', **command)
+
+    return begun
+
+
+@pytest.fixture
+def finish(send: Send) -> Order:
+    """Give a function that finishes the order of an attempt."""
+
+    def finished(result: str, attempt: str = 'a1', **fields: Any) -> Any:
+        command = {**KEY, 'attempt_id': attempt, 'result': result, **fields}
+        return send('order_finish', **command)
+
+    return finished
+
+
+def test_begin_once(begin: Order, finish: Order) -> None:
+    """Guards against a second attempt that may send as well."""
+    assert begin('a1')['outcome'] == 'start'
+    assert begin('a2')['outcome'] == 'in_progress'
+    assert begin('a2', body_hash='other')['outcome'] == 'conflict'
+    assert finish('done', **ANSWER)['ok']
+    expected = {**ANSWER, 'ok': True, 'outcome': 'finished', 'body_kept': True}
+    assert begin('a2') == expected
+    assert begin('a1') == expected
+
+
+def test_begin_resent(begin: Order) -> None:
+    """Guards against losing the order when the reply of begin is lost."""
+    assert begin('a1')['outcome'] == begin('a1')['outcome'] == 'start'
+
+
+def test_crash_before_begin_is_committed(begin: Order, finish: Order) -> None:
+    """Guards against a late begin of an attempt that was answered not run."""
+    assert finish('not_run', 'a1')['ok']
+    assert begin('a1')['code'] == 'stale_attempt'
+    assert begin('a2')['outcome'] == 'start'
+
+
+def test_crash_after_begin(begin: Order, finish: Order) -> None:
+    """Guards against a rerun after the host of the attempt is gone."""
+    begin('a1')
+    late = ORDER_UNKNOWN_AFTER_MS + 1000
+    assert begin('a2', at_ms=late - 1)['outcome'] == 'in_progress'
+    assert begin('a2', at_ms=late)['outcome'] == 'unknown'
+    # A frozen host may come back and report what its one send led to.
+    assert finish('done', at_ms=late, **ANSWER)['ok']
+    assert begin('a3')['outcome'] == 'finished'
+
+
+def test_crash_before_finish_reply(begin: Order, finish: Order) -> None:
+    """Guards against a resent finish that changes the outcome."""
+    begin('a1')
+    finish('done', **ANSWER)
+    assert finish('done', **{**ANSWER, 'body': b'other'})['ok']
+    assert finish('unknown')['ok']
+    assert begin('a2')['body'] == b'booked'
+    assert finish('not_run')['code'] == 'stale_attempt'
+    assert begin('a2')['outcome'] == 'finished'
+
+
+def test_finish_not_run(begin: Order, finish: Order) -> None:
+    """Guards against a delayed finish that frees a newer attempt."""
+    begin('a1')
+    finish('not_run', 'a1')
+    assert begin('a2')['outcome'] == 'start'
+    assert finish('not_run', 'a1')['ok']
+    assert begin('a3')['outcome'] == 'in_progress'
+    assert finish('done', 'a1')['code'] == 'stale_attempt'
+    assert begin('a1')['outcome'] == 'in_progress'
+
+
+def test_retention_from_last_change(begin: Order, finish: Order) -> None:
+    """Guards against forgetting an order before its retention is over."""
+    begin('a1')
+    finish('done', at_ms=5000, **ANSWER)
+    over = 5000 + ORDER_RETENTION_MS
+    assert begin('a2', at_ms=over - 1)['outcome'] == 'finished'
+    # A leader whose clock is behind does not turn the time back.
+    assert begin('a2', at_ms=1)['outcome'] == 'finished'
+    assert begin('a2', at_ms=over)['outcome'] == 'start'
+
+
+def test_full_table_keeps_records() -> None:
+    """Guards against evicting a record, or one customer filling the table."""
+    state = ClusterState(Limits(max_orders=8, max_customer_orders=3))
+    begun = [
+        _begin(state, customer, str(number))
+        for customer in ('acme', 'mill', 'farm')
+        for number in range(4)
+    ]
+    outcomes = ' '.join(begun)
+    assert outcomes == (
+        'start start start full start start start full start full full full'
+    )
+    assert _begin(state, 'acme', '0', attempt='other') == 'in_progress'
+
+
+def test_large_response() -> None:
+    """Guards against stored responses above the bounds on bytes."""
+    state = ClusterState(Limits(max_body_bytes=8, max_order_bytes=12))
+    sizes = {'0': 9, '1': 7, '2': 7}
+    for key in sizes:
+        assert _begin(state, 'acme', key) == 'start'
+    for key, size in sizes.items():
+        command = {
+            'kind': 'order_finish',
+            'at_ms': 1,
+            'customer': 'acme',
+            'idempotency_key': key,
+            'attempt_id': key,
+            'result': 'done',
+            'body': b'x' * size,
+        }
+        assert unpack(state.apply(1, pack(command)))['ok']
+    assert state.tables.orders.store.stored_bytes == 7
+    record = state.tables.orders.store.get('acme', '2')
+    assert record and not record.body_kept
+    assert _begin(state, 'acme', '2') == 'finished'
+    assert _begin(state, 'acme', '3') == 'full'
+
+
+def test_deleted_customer_with_records(begin: Order, send: Send) -> None:
+    """Guards against responses that reach a later customer of that name."""
+    change = {'kind': 'customer', 'name': 'acme', 'spec': {'weight': 1}}
+    assert send('apply', changes=[change])['ok']
+    begin('a1')
+    reply = send('delete', resource_kind='customer', name='acme')
+    assert reply['code'] == 'referenced'
+
+
+def _begin(
+    state: ClusterState,
+    customer: str,
+    key: str,
+    attempt: str | None = None,
+) -> str:
+    command = {
+        'kind': 'order_begin',
+        'at_ms': 1,
+        'customer': customer,
+        'idempotency_key': key,
+        'attempt_id': attempt or key,
+        'body_hash': 'h',
+        'host': 'h1',
+        'incarnation': 1,
+    }
+    reply = unpack(state.apply(1, pack(command)))
+    if reply['ok']:
+        return str(reply['outcome'])
+    assert reply['code'] == 'order_records_full'
+    return 'full'
