Add logs, metrics and spans

Cause: operators need to see what each process does, and no key, prompt or answer may leave a process this way. Change: a log in text or JSON lines behind a redaction filter, a metrics page from one catalogue by aioprometheus, spans by opentelemetry-sdk in a JSON lines file, and a reader that shows one trace as a tree.

--- /dev/null
+++ b/src/apricotcart/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and spans."""
--- /dev/null
+++ b/tests/observability/test_logs.py
@@ -0,0 +1,147 @@
+"""Tests of the log and its redaction."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from queue import Queue
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from apricotcart.errors.tree import NotFoundError
+from apricotcart.observability.log_records import RedactionFilter
+from apricotcart.observability.logs import DroppingQueueHandler, Log
+from apricotcart.observability.redaction import safe_text
+
+_PROMPT = 'Draft the seal for the Caledonian ceremony'
+_KEY = 'ack_q0w9e8r7t6y5u4i3o2p1'
+
+Written = Callable[[str], str]
+
+
+@pytest.fixture
+def write_log(tmp_path: Path) -> Iterator[Callable[..., str]]:
+    """Give a function that logs in one format and returns the file."""
+    path = tmp_path / 'log'
+    before = list(logging.getLogger().handlers)
+
+    def run(form: str, call: Callable[[logging.Logger], Any]) -> str:
+        cfg: Any = SimpleNamespace(format=form, level='info', file=str(path))
+        log = Log.from_config(cfg, 'entry-1')
+        call(logging.getLogger('apricotcart.test'))
+        log.close()
+        return path.read_text()
+
+    yield run
+    for handler in before:
+        logging.getLogger().addHandler(handler)
+
+
+def _fail() -> None:
+    try:
+        json.loads(f'{{"a": {_PROMPT}')
+    except ValueError as exc:
+        raise NotFoundError(f'bad request with Bearer {_KEY}') from exc
+
+
+def _log_secrets(log: logging.Logger) -> None:
+    log.info('key %s of %s', _KEY, 'acme')
+    log.info('header Authorization: Bearer %s', 'sesame')
+    log.info('sent %s and %r', {'messages': [_PROMPT]}, _PROMPT.encode())
+    log.info('body %s', json.dumps({'messages': [{'content': _PROMPT}]}))
+    log.info('lone field', extra={'prompt': _PROMPT, 'customer': 'acme'})
+    log.info(f'eager {{"content": "{_PROMPT}"}}')
+    log.info('wrong %d', _KEY)
+    try:
+        _fail()
+    except NotFoundError:
+        log.exception('request failed')
+
+
+@pytest.mark.parametrize('form', ['text', 'json'])
+def test_log_writes_no_secret(write_log: Callable[..., str], form: str) -> None:
+    """Guards against a key, prompt or answer in the log file."""
+    written = write_log(form, _log_secrets)
+    assert _KEY not in written
+    assert 'sesame' not in written
+    assert _PROMPT not in written
+    assert 'acme' in written
+    assert 'test_logs.py' in written
+    assert 'NotFoundError' in written
+    assert len(written.splitlines()) >= 8
+
+
+def test_log_json_fields(write_log: Callable[..., str]) -> None:
+    """Guards against JSON lines that a log collector cannot index."""
+    line = write_log(
+        'json',
+        lambda log: log.warning('shed', extra={'class': 'chat', 'tier': 2}),
+    )
+    fields = json.loads(line)
+    assert fields.pop('time').endswith('Z')
+    assert fields == {
+        'level': 'WARNING',
+        'logger': 'apricotcart.test',
+        'message': 'shed',
+        'host': 'entry-1',
+        'class': 'chat',
+        'tier': 2,
+    }
+
+
+def test_log_text_line(write_log: Callable[..., str]) -> None:
+    """Guards against a message that forges a second log line."""
+    line = write_log(
+        'text', lambda log: log.info('a\nb %s', 'c\nd', extra={'status': 200})
+    )
+    assert line.endswith(' INFO apricotcart.test a b c d status=200\n')
+    assert len(line.splitlines()) == 1
+
+
+def test_log_full_queue_drops() -> None:
+    """Guards against a request that waits for a blocked log."""
+    handler = DroppingQueueHandler(Queue(1))
+    record = logging.makeLogRecord({'msg': 'a'})
+    handler.handle(record)
+    handler.handle(record)
+    assert handler.dropped == 1
+
+
+@given(
+    prompt=st.text('abcdefg \n"\\', min_size=250, max_size=900),
+    template=st.sampled_from(['%s', 'answer: %s', "{'text': %r}"]),
+)
+def test_filter_cuts_long_text(prompt: str, template: str) -> None:
+    """Guards against a whole prompt or answer passing as an argument."""
+    record = logging.makeLogRecord({'msg': template, 'args': (prompt,)})
+    RedactionFilter().filter(record)
+    assert prompt not in record.getMessage()
+    assert len(record.getMessage()) < 300
+
+
+def test_safe_text_keeps_plain_words() -> None:
+    """Guards against a filter that removes what operators need."""
+    plain = 'endpoint press-3 refused the connection after 0.5 s'
+    assert safe_text(plain) == plain
+
+
+def test_log_default_target_is_stderr(
+    monkeypatch: pytest.MonkeyPatch,
+    write_log: Callable[..., str],
+) -> None:
+    """Guards against a host without a disk that has no log."""
+    stream = io.StringIO()
+    monkeypatch.setattr(sys, 'stderr', stream)
+    cfg: Any = SimpleNamespace(format='text', level='info', file=None)
+    log = Log.from_config(cfg, 'entry-1')
+    logging.getLogger('apricotcart').info('started')
+    log.close()
+    assert 'INFO apricotcart started' in stream.getvalue()
--- /dev/null
+++ b/tests/observability/test_metrics.py
@@ -0,0 +1,89 @@
+"""Tests of the metrics and their page."""
+
+from __future__ import annotations
+
+import re
+from threading import Thread
+from typing import Any
+
+import pytest
+
+from apricotcart.observability.catalogue import (
+    FIRST_TOKEN_S,
+    METRICS,
+    QUEUED,
+    REQUESTS,
+)
+from apricotcart.observability.metrics import MetricError, Metrics
+
+
+def test_metrics_page_values() -> None:
+    """Guards against counts that the page shows otherwise than counted."""
+    metrics = Metrics()
+    labels = {'class': 'chat', 'outcome': 'ok'}
+    metrics.count(REQUESTS, labels)
+    metrics.count(REQUESTS, labels, 2)
+    metrics.gauge(QUEUED, 7, {'class': 'chat'})
+    metrics.observe(FIRST_TOKEN_S, 0.05, {'class': 'chat'})
+    body, content_type = metrics.page()
+    page = body.decode()
+    assert content_type.startswith('text/plain')
+    name = 'apricotcart_requests_total'
+    assert f'{name}{{class="chat",outcome="ok"}} 3' in page
+    assert 'apricotcart_queued_requests{class="chat"} 7' in page
+    bucket = 'apricotcart_first_token_seconds_bucket'
+    assert f'{bucket}{{class="chat",le="0.047"}} 0' in page
+    assert f'{bucket}{{class="chat",le="0.1"}} 1' in page
+    assert re.search('apricotcart_resident_bytes [1-9][0-9]{6,}', page)
+
+
+def test_metrics_all_declared() -> None:
+    """Guards against a metric that is declared but not on the page."""
+    page = Metrics().page()[0].decode()
+    for metric in METRICS:
+        assert f'# TYPE {metric.name} ' in page
+
+
+def test_metrics_wrong_labels() -> None:
+    """Guards against series whose labels differ from the declared ones."""
+    with pytest.raises(MetricError, match='outcome'):
+        Metrics().count(REQUESTS, {'customer': 'acme'})
+
+
+def test_metrics_counts_from_threads() -> None:
+    """Guards against lost counts and broken pages under threads."""
+    metrics = Metrics()
+    errors: list[Exception] = []
+
+    def count(number: int) -> None:
+        try:
+            for turn in range(40):
+                labels = {'class': f'c{turn}', 'outcome': str(number)}
+                metrics.count(REQUESTS, labels)
+                metrics.page()
+        except Exception as exc:
+            errors.append(exc)
+
+    threads = [Thread(target=count, args=(number,)) for number in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    page = metrics.page()[0].decode()
+    assert not errors
+    counts = re.findall('apricotcart_requests_total{.*} ([0-9]+)', page)
+    assert sum(map(int, counts)) == 320
+
+
+def test_metrics_wsgi_app() -> None:
+    """Guards against a page that a scraper cannot fetch."""
+    seen: list[Any] = []
+    metrics = Metrics()
+
+    def start_response(status: str, headers: Any, exc: Any = None) -> Any:
+        seen.append((status, dict(headers)))
+
+    body = metrics.wsgi_app({'PATH_INFO': '/metrics'}, start_response)
+    metrics.wsgi_app({'PATH_INFO': '/other'}, start_response)
+    assert [status for status, _ in seen] == ['200 OK', '404 Not Found']
+    assert seen[0][1]['Content-Length'] == str(len(b''.join(body)))
