--- /dev/null
+++ b/src/apricotcart/control/joining.py
@@ -0,0 +1,102 @@
+"""A control host with a new identity asks to become a member."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from typing import Any
+
+from apricotcart.consensus.members import ChangeKind, MemberChange
+from apricotcart.control.identity import host_name
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.errors.tree import ApricotcartError
+from apricotcart.transport.api import PeerLinks
+
+_LOG = logging.getLogger(__name__)
+_ASK_INTERVAL_S = 1.0
+_CHANGE_TIMEOUT_S = 3.0
+JOIN = 'join'
+
+
+class Joiner:
+    """Asks every peer to add this host until it is a member.
+
+    Parameters
+    ----------
+    node_id : str
+        Identity of this host.
+    loop : ConsensusLoop
+        Shows whether this host is a member, and changes the members when
+        this host leads.
+    links : PeerLinks
+        Leads to the peers.
+    addresses : dict of str to str
+        Peer address by host name.
+    """
+
+    __slots__ = ('_addresses', '_links', '_loop', '_node_id', '_stopping')
+
+    def __init__(
+        self,
+        node_id: str,
+        loop: ConsensusLoop,
+        links: PeerLinks,
+        addresses: dict[str, str],
+    ) -> None:
+        """Prepare the thread."""
+        self._node_id = node_id
+        self._loop = loop
+        self._links = links
+        self._addresses = addresses
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Start asking if this host is no member."""
+        threading.Thread(target=self._run, daemon=True, name='join').start()
+
+    def stop(self) -> None:
+        """Stop asking."""
+        self._stopping.set()
+
+    def on_request(self, message: dict[str, Any]) -> None:
+        """Add the host that asks, if this host leads."""
+        threading.Thread(
+            target=self._admit,
+            args=(str(message.get('node_id')),),
+            daemon=True,
+        ).start()
+
+    def _run(self) -> None:
+        while not self._is_member():
+            self._ask()
+            if self._stopping.wait(_ASK_INTERVAL_S):
+                return
+
+    def _ask(self) -> None:
+        own_name = host_name(self._node_id)
+        for name, address in self._addresses.items():
+            if name != own_name:
+                message = {'kind': JOIN, 'node_id': self._node_id}
+                self._links.send(address, message)
+
+    def _is_member(self) -> bool:
+        members = self._loop.status()['members']
+        return self._node_id in members['voters'] + members['learners']
+
+    def _admit(self, node_id: str) -> None:
+        members = self._loop.status()['members']
+        if node_id in members['voters'] + members['learners']:
+            return
+        name = host_name(node_id)
+        replaced = [old for old in members['voters'] if host_name(old) == name]
+        change = MemberChange(
+            kind=ChangeKind.JOIN,
+            node_id=node_id,
+            replaces=replaced[0] if replaced else '',
+        )
+        try:
+            self._loop.change_members(change, _CHANGE_TIMEOUT_S)
+        except ApricotcartError as exc:
+            _LOG.debug('%s is not added by this host: %s', node_id, exc)
+            return
+        _LOG.info('added %s, which replaces %s', node_id, replaced)
--- a/src/apricotcart/control/receiver.py
+++ b/src/apricotcart/control/receiver.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from apricotcart.consensus.messages import Message, message_from_wire
+from apricotcart.control.joining import JOIN
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.transport.api import PeerLinks, WireMessage
 
@@ -22,19 +23,23 @@
     links : PeerLinks
         Where messages come from.
     deliver : callable
-        Takes each decoded message.
+        Takes each decoded consensus message.
+    on_join : callable
+        Takes each request of a host that wants to become a member.
     """
 
-    __slots__ = ('_deliver', '_links', '_stopping')
+    __slots__ = ('_deliver', '_links', '_on_join', '_stopping')
 
     def __init__(
         self,
         links: PeerLinks,
         deliver: Callable[[Message], None],
+        on_join: Callable[[WireMessage], None],
     ) -> None:
         """Prepare the thread."""
         self._links = links
         self._deliver = deliver
+        self._on_join = on_join
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -52,6 +57,9 @@
                 self._take(wire)
 
     def _take(self, wire: WireMessage) -> None:
+        if wire.get('kind') == JOIN:
+            self._on_join(wire)
+            return
         try:
             message = message_from_wire(wire)
         except ApricotcartError as exc:
--- /dev/null
+++ b/src/apricotcart/control/server.py
@@ -0,0 +1,189 @@
+"""Process of a control host."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import threading
+from pathlib import Path
+from typing import Any, Self
+
+import cherrypy
+
+from apricotcart.codec.envelope import Sealer
+from apricotcart.consensus.config import NodeConfig
+from apricotcart.consensus.node import Node
+from apricotcart.control.joining import Joiner
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.control.machine import ReplicatedMachine
+from apricotcart.control.operators import OperatorApplication
+from apricotcart.control.receiver import PeerReceiver
+from apricotcart.control.reports import Reports
+from apricotcart.control.rpc import ControlRequests
+from apricotcart.observability.logs import Log
+from apricotcart.settings.control import ControlConfig
+from apricotcart.storage.identity import open_identity
+from apricotcart.storage.log_store import DurableLogStore
+from apricotcart.storage.real_disk import RealDisk
+from apricotcart.transport.peers import NngPeerLinks
+from apricotcart.transport.requests import NngRequestServer
+from apricotcart.transport.tls import TlsFiles
+from apricotcart.web.server import (
+    HttpAddress,
+    ServerLimits,
+    add_server,
+    mount,
+    quiet_engine,
+)
+
+_LOG = logging.getLogger(__name__)
+_RPC_WORKERS = 16
+_HTTP_THREADS = 24
+_MAX_HEADER_BYTES = 32_768
+_REQUEST_TIMEOUT_S = 10.0
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+class ControlServer:
+    """Runs the replicated state, the RPC server and the operators' API."""
+
+    def __init__(self, cfg: ControlConfig) -> None:
+        """Open the data folder and build the parts.
+
+        Raises
+        ------
+        StorageError
+            If the data folder cannot be used.
+        """
+        self._cfg = cfg
+        self._stopping = threading.Event()
+        self._failed = False
+        self._log = Log.from_config(cfg.log, cfg.host.name)
+        self._sealer = Sealer(cfg.cluster.read_secret())
+        self._tls = _tls_files(cfg)
+        self._machine = ReplicatedMachine()
+        self._build_consensus()
+
+    @classmethod
+    def from_config(cls, cfg: ControlConfig) -> Self:
+        """Build the server from checked settings."""
+        return cls(cfg)
+
+    def run(self) -> int:
+        """Serve until SIGTERM or a failure; give the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self._start()
+        _LOG.info('control host %s serves', self._cfg.host.name)
+        self._stopping.wait()
+        self._stop()
+        return EXIT_FAILED if self._failed else EXIT_OK
+
+    def _build_consensus(self) -> None:
+        cfg = self._cfg
+        rng = random.SystemRandom()
+        disk = RealDisk(Path(cfg.data.folder))
+        identity = open_identity(disk, cfg.host.name, rng)
+        node = Node.from_config(
+            NodeConfig(
+                node_id=identity.node_id,
+                snapshot_every=cfg.timing.snapshot_entries,
+            ),
+            DurableLogStore(disk),
+            self._machine,
+            rng,
+        )
+        self._links = NngPeerLinks(cfg.peers.listen, self._sealer, self._tls)
+        self._loop = ConsensusLoop(
+            node,
+            self._links,
+            cfg.peers.voters,
+            cfg.timing.tick_interval_s,
+            self._on_failed,
+        )
+        self._joiner = Joiner(
+            identity.node_id,
+            self._loop,
+            self._links,
+            cfg.peers.voters,
+        )
+        self._receiver = PeerReceiver(
+            self._links,
+            self._loop.deliver,
+            self._joiner.on_request,
+        )
+
+    def _start(self) -> None:
+        cfg = self._cfg
+        state = self._machine.state
+        self._loop.start()
+        self._receiver.start()
+        self._joiner.start()
+        self._requests = ControlRequests.from_config(cfg, self._loop, state)
+        self._rpc = NngRequestServer(
+            cfg.rpc.listen,
+            self._requests,
+            self._sealer,
+            _RPC_WORKERS,
+            self._tls,
+        ).start()
+        self._serve_operators()
+
+    def _serve_operators(self) -> None:
+        cfg = self._cfg
+        quiet_engine()
+        mount(
+            OperatorApplication(
+                self._loop,
+                self._machine.state,
+                cfg.operators.read_token(),
+                Reports(self._loop, self._machine.state),
+            ),
+        )
+        add_server(
+            HttpAddress(
+                host=cfg.host.address,
+                port=cfg.host.api_port,
+                cert=cfg.tls.cert,
+                key=cfg.tls.key,
+            ),
+            ServerLimits(
+                threads=_HTTP_THREADS,
+                max_header_bytes=_MAX_HEADER_BYTES,
+                header_timeout_s=_REQUEST_TIMEOUT_S,
+                body_timeout_s=_REQUEST_TIMEOUT_S,
+            ),
+        )
+        cherrypy.engine.start()
+
+    def _stop(self) -> None:
+        self._joiner.stop()
+        self._receiver.stop()
+        self._rpc.close()
+        self._loop.stop()
+        self._links.close()
+        cherrypy.engine.exit()
+        _LOG.info('control host %s has stopped', self._cfg.host.name)
+        self._log.close()
+
+    def _on_signal(self, *_args: Any) -> None:
+        self._stopping.set()
+
+    def _on_failed(self) -> None:
+        _LOG.error('the replicated log has failed; the process ends')
+        self._failed = True
+        self._stopping.set()
+
+
+def _tls_files(cfg: ControlConfig) -> TlsFiles | None:
+    tls = cfg.tls
+    if tls.cert and tls.key and tls.ca:
+        return TlsFiles(
+            cert=tls.cert,
+            key=tls.key,
+            ca=tls.ca,
+            name=f'{cfg.cluster.name}.apricotcart',
+        )
+    return None
