--- /dev/null
+++ b/src/apricotcart/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable log, vote, snapshot and identity of a control host."""
