--- /dev/null
+++ b/src/apricotcart/control/rpc.py
@@ -0,0 +1,108 @@
+"""Requests of entry hosts to the leading control host."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, Self
+
+from apricotcart.control.hosts import HostTable
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.distribution.responder import SyncResponder
+from apricotcart.endpoints.records import Endpoint
+from apricotcart.errors.tree import CodecError
+from apricotcart.scheduling.shares import divide
+from apricotcart.settings.control import ControlConfig
+from apricotcart.state.machine import ClusterState
+from apricotcart.transport.api import RequestHandler, WireMessage
+
+_READ_TIMEOUT_S = 1.0
+_COMMIT_TIMEOUT_S = 2.5
+# Entry hosts may commit these; everything else is for operators or for
+# this process itself.
+_COMMANDS = frozenset(('order_begin', 'order_finish', 'usage_add'))
+_KIND = 'kind'
+
+
+class ControlRequests(RequestHandler):
+    """Answers syncs and commands while this host leads.
+
+    Parameters
+    ----------
+    loop : ConsensusLoop
+        Commits commands and confirms the leadership.
+    state : ClusterState
+        Read under the loop's lock.
+    hosts : HostTable
+        The entry hosts.
+    """
+
+    __slots__ = ('_hosts', '_loop', '_responder', '_state')
+
+    def __init__(
+        self,
+        loop: ConsensusLoop,
+        state: ClusterState,
+        hosts: HostTable,
+    ) -> None:
+        """Keep the parts."""
+        self._loop = loop
+        self._state = state
+        self._hosts = hosts
+        self._responder = SyncResponder(state)
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: ControlConfig,
+        loop: ConsensusLoop,
+        state: ClusterState,
+    ) -> Self:
+        """Build the handler from checked settings."""
+        return cls(loop, state, HostTable(cfg.timing.host_timeout_s))
+
+    def answer(self, message: WireMessage) -> WireMessage:
+        """Answer one request.
+
+        Raises
+        ------
+        NotLeaderError, UnavailableError
+            If this host cannot answer.
+        CodecError
+            If the request is not known.
+        """
+        kind = message.get(_KIND)
+        if kind == 'sync':
+            return self._sync(message)
+        command = message.get('command')
+        if kind == 'command' and isinstance(command, dict):
+            return self._commit(command)
+        raise CodecError(f'unknown request {kind!r}')
+
+    def _commit(self, command: WireMessage) -> WireMessage:
+        if command.get(_KIND) not in _COMMANDS:
+            raise CodecError('the command is not for entry hosts')
+        return self._loop.propose(command, _COMMIT_TIMEOUT_S)
+
+    def _sync(self, message: WireMessage) -> WireMessage:
+        # Without the barrier a leader that was replaced without noticing
+        # would prove an old configuration fresh.
+        self._loop.barrier(_READ_TIMEOUT_S)
+        now = time.monotonic()
+        with self._loop.lock:
+            self._hosts.observe(now, message)
+            update = self._responder.respond(message['revision'])
+            endpoints = self._endpoints()
+        shares = divide(self._hosts.demands(now), endpoints)
+        return {
+            'ok': True,
+            'update': update.to_wire(),
+            'hosts': self._hosts.serving(now),
+            'shares': shares.get(message['host'], {}),
+            'suspects': self._hosts.suspects(now, message['host']),
+        }
+
+    def _endpoints(self) -> list[Endpoint]:
+        return [
+            Endpoint.from_spec(resource.name, resource.spec)
+            for resource in self._state.list('endpoint')
+        ]
--- a/src/apricotcart/entry/app.py
+++ b/src/apricotcart/entry/app.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Protocol
 
 from apricotcart.entry.access import Access
 from apricotcart.entry.chat import CHAT_KIND, ChatHandler
 from apricotcart.entry.services import PREFIX, ServiceHandler
+from apricotcart.entry.stopping import ActiveRequests
 from apricotcart.web.application import WebApplication
 from apricotcart.web.errors import MethodError, UnknownPathError
-from apricotcart.web.request import WebRequest
+from apricotcart.web.request import Environ, WebRequest
 from apricotcart.web.response import WebResponse
 
 _GET = 'GET'
@@ -27,25 +27,30 @@
         """Give addresses and their time to live."""
 
 
-class ActiveRequests:
-    """Counts the requests that are being answered."""
+class CountedChunks:
+    """A body; its request counts as active until the server closes it."""
 
-    __slots__ = ('count', 'last_at')
+    __slots__ = ('_active', '_chunks')
 
-    def __init__(self) -> None:
-        """Start with none."""
-        self.count = 0
-        self.last_at = time.monotonic()
+    def __init__(
+        self,
+        chunks: Iterable[bytes],
+        active: ActiveRequests,
+    ) -> None:
+        """Keep the body."""
+        self._chunks = chunks
+        self._active = active
 
-    def enter(self) -> None:
-        """Count a request that starts."""
-        self.count += 1
-        self.last_at = time.monotonic()
+    def __iter__(self) -> Iterator[bytes]:
+        """Give the chunks of the body."""
+        return iter(self._chunks)
 
-    def leave(self) -> None:
-        """Count a request that has ended."""
-        self.count -= 1
-        self.last_at = time.monotonic()
+    def close(self) -> None:
+        """End the request; the server calls this in every case."""
+        close = getattr(self._chunks, 'close', None)
+        if close is not None:
+            close()
+        self._active.leave()
 
 
 class EntryApplication(WebApplication):
@@ -58,9 +63,11 @@
         chat: ChatHandler,
         services: ServiceHandler,
         hosts: HostsAnswer,
+        active: ActiveRequests,
     ) -> None:
         """Keep the handlers."""
         self._access = access
+        self._active = active
         self._services = services
         self._hosts = hosts
         self._routes: dict[str, tuple[str, Responder]] = {
@@ -70,6 +77,20 @@
             '/healthz': (_GET, self._health),
         }
 
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Answer one WSGI call and count it until its last byte."""
+        self._active.enter()
+        try:
+            chunks = super().__call__(environ, start_response)
+        except BaseException:
+            self._active.leave()
+            raise
+        return CountedChunks(chunks, self._active)
+
     def respond(self, req: WebRequest) -> WebResponse:
         """Answer one request."""
         if req.path.startswith(PREFIX):
--- /dev/null
+++ b/src/apricotcart/entry/server.py
@@ -0,0 +1,233 @@
+"""Process of an entry host."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import threading
+import time
+from typing import Any, Self
+
+import cherrypy
+
+from apricotcart.codec.envelope import Sealer
+from apricotcart.distribution.configcopy import ConfigCopy
+from apricotcart.entry.access import Access
+from apricotcart.entry.app import EntryApplication
+from apricotcart.entry.attempt import Runtime
+from apricotcart.entry.chat import ChatHandler
+from apricotcart.entry.control_link import ControlLink
+from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.entry.held import HeldConfiguration
+from apricotcart.entry.orders import OrderLedger
+from apricotcart.entry.peers import PeerTable
+from apricotcart.entry.retrying import RetryGate
+from apricotcart.entry.running import CHECK_INTERVAL_S, RunningTable
+from apricotcart.entry.services import ServiceHandler
+from apricotcart.entry.stopping import ActiveRequests, Drain, flush
+from apricotcart.entry.synchronizer import HostIdentity, Synchronizer
+from apricotcart.entry.timers import RepeatingTimer
+from apricotcart.entry.upstream import Upstream
+from apricotcart.entry.usage import UsageCounter, UsageSender
+from apricotcart.observability.logs import Log
+from apricotcart.scheduling.scheduler import Scheduler, SchedulerConfig
+from apricotcart.settings.entry import EntryConfig
+from apricotcart.state.limits import WINDOW_MS
+from apricotcart.transport.api import RequestClient
+from apricotcart.transport.requests import NngRequestClient
+from apricotcart.transport.tls import TlsFiles
+from apricotcart.web.server import (
+    HttpAddress,
+    ServerLimits,
+    add_server,
+    mount,
+    quiet_engine,
+)
+
+_LOG = logging.getLogger(__name__)
+_MS_PER_S = 1000
+_NS_A_MS = 1_000_000
+EXIT_OK = 0
+
+
+class EntryServer:
+    """Serves callers until it is told to stop."""
+
+    def __init__(self, cfg: EntryConfig) -> None:
+        """Build the parts."""
+        self._cfg = cfg
+        self._stopping = threading.Event()
+        self._log = Log.from_config(cfg.log, cfg.host.name)
+        self._identity = HostIdentity(
+            name=cfg.host.name,
+            zone=cfg.host.zone,
+            url=cfg.host.advertised_url,
+            incarnation=time.time_ns() // _NS_A_MS,
+        )
+        self._link = ControlLink(_clients(cfg))
+        self._held = ConfigCopy()
+        self._build_requests()
+        self._build_timers()
+
+    @classmethod
+    def from_config(cls, cfg: EntryConfig) -> Self:
+        """Build the server from checked settings."""
+        return cls(cfg)
+
+    def run(self) -> int:
+        """Serve until SIGTERM, finish what runs; give the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self._start()
+        _LOG.info('entry host %s serves', self._cfg.host.name)
+        self._stopping.wait()
+        self._stop()
+        return EXIT_OK
+
+    def _build_requests(self) -> None:
+        cfg = self._cfg
+        rng = random.Random()
+        scheduler = Scheduler.from_config(
+            SchedulerConfig(
+                zone=cfg.host.zone,
+                max_queue=cfg.limits.max_queue,
+            ),
+            rng,
+        )
+        self._dispatcher = Dispatcher(scheduler)
+        self._running = RunningTable()
+        self._configuration = HeldConfiguration(self._held)
+        self._runtime = Runtime(
+            configuration=self._configuration,
+            dispatcher=self._dispatcher,
+            running=self._running,
+            upstream=Upstream(cfg.limits.threads),
+        )
+        self._usage = UsageCounter(WINDOW_MS / _MS_PER_S)
+        self._orders = OrderLedger(
+            self._link,
+            cfg.host.name,
+            self._identity.incarnation,
+        )
+        self._peers = PeerTable(cfg.host.zone, cfg.hosts_answer.ttl_s, rng)
+        self._active = ActiveRequests()
+
+    def _build_timers(self) -> None:
+        cfg = self._cfg
+        self._synchronizer = Synchronizer(
+            identity=self._identity,
+            link=self._link,
+            held=self._held,
+            dispatcher=self._dispatcher,
+            peers=self._peers,
+        )
+        self._sender = UsageSender(
+            self._usage,
+            self._link,
+            cfg.host.name,
+            self._identity.incarnation,
+        )
+        self._timers = (
+            RepeatingTimer(
+                'sync',
+                cfg.control.sync_interval_s,
+                self._synchronizer.sync,
+            ),
+            RepeatingTimer(
+                'usage',
+                cfg.usage.flush_interval_s,
+                self._sender.flush,
+            ),
+            RepeatingTimer(
+                'keys',
+                CHECK_INTERVAL_S,
+                lambda: self._running.check(self._configuration),
+            ),
+        )
+
+    def _application(self) -> EntryApplication:
+        access = Access(self._configuration)
+        gate = RetryGate()
+        max_body_bytes = self._cfg.limits.max_body_bytes
+        return EntryApplication(
+            access=access,
+            chat=ChatHandler(
+                runtime=self._runtime,
+                access=access,
+                usage=self._usage,
+                gate=gate,
+                max_body_bytes=max_body_bytes,
+            ),
+            services=ServiceHandler(
+                runtime=self._runtime,
+                access=access,
+                usage=self._usage,
+                gate=gate,
+                orders=self._orders,
+                max_body_bytes=max_body_bytes,
+            ),
+            hosts=self._peers,
+            active=self._active,
+        )
+
+    def _start(self) -> None:
+        cfg = self._cfg
+        self._dispatcher.start()
+        for timer in self._timers:
+            timer.start()
+        quiet_engine()
+        mount(self._application())
+        add_server(
+            HttpAddress(
+                host=cfg.host.address,
+                port=cfg.host.port,
+                cert=cfg.tls.cert,
+                key=cfg.tls.key,
+            ),
+            ServerLimits(
+                threads=cfg.limits.threads,
+                max_header_bytes=cfg.limits.max_header_bytes,
+                header_timeout_s=cfg.limits.header_timeout_s,
+                body_timeout_s=cfg.limits.body_timeout_s,
+            ),
+        )
+        cherrypy.engine.start()
+
+    def _stop(self) -> None:
+        cfg = self._cfg
+        drain = Drain(
+            self._identity,
+            self._synchronizer,
+            self._active,
+            cfg.hosts_answer.ttl_s,
+        )
+        # The other hosts hear of it with their next sync.
+        drain.leave(cfg.control.sync_interval_s)
+        cherrypy.engine.exit()
+        for timer in self._timers:
+            timer.stop()
+        flush(self._sender, self._orders)
+        self._dispatcher.stop()
+        _LOG.info('entry host %s has stopped', cfg.host.name)
+        self._log.close()
+
+    def _on_signal(self, *_args: Any) -> None:
+        self._stopping.set()
+
+
+def _clients(cfg: EntryConfig) -> dict[str, RequestClient]:
+    sealer = Sealer(cfg.cluster.read_secret())
+    tls = cfg.tls
+    files = None
+    if tls.ca:
+        files = TlsFiles(
+            cert=tls.cert or '',
+            key=tls.key or '',
+            ca=tls.ca,
+            name=f'{cfg.cluster.name}.apricotcart',
+        )
+    return {
+        address: NngRequestClient(address, sealer, files)
+        for address in cfg.control.addresses
+    }
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of a small cluster on loopback, for tests and measurements."""
--- /dev/null
+++ b/tests/support/cluster.py
@@ -0,0 +1,285 @@
+"""A cluster of real processes on loopback addresses."""
+
+from __future__ import annotations
+
+import secrets
+import uuid
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from support.processes import Child, ChildError, accepts, free_port, wait_until
+
+ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
+_TOKEN_BYTES = 24
+_APRICOTCART = 'apricotcart'
+_STANDINS = 'apricotcart_standins'
+
+
+class Site:
+    """Address and port of one process."""
+
+    def __init__(self, host: str) -> None:
+        """Take a free port of the address."""
+        self.host = host
+        self.port = free_port(host)
+
+    @property
+    def url(self) -> str:
+        """Give the HTTP URL."""
+        return f'http://{self.host}:{self.port}'
+
+
+class Cluster:
+    """Control hosts, entry hosts and stand-ins with their settings."""
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        controls: int = 3,
+        entries: int = 2,
+        program: Sequence[str] = (),
+        settings: Mapping[str, str] | None = None,
+    ) -> None:
+        """Write all settings files.
+
+        Parameters
+        ----------
+        folder : Path
+            Where settings, data and output go.
+        controls, entries : int
+            Number of control and entry hosts.
+        program : sequence of str
+            Command that starts apricotcart instead of the sources.
+        settings : mapping of str to str
+            Lines added to a section of the entry hosts' files.
+        """
+        self.folder = folder
+        self.program = tuple(program)
+        self.settings = dict(settings or {})
+        self.children: dict[str, Child] = {}
+        self.http = urllib3.PoolManager(retries=False, maxsize=32)
+        folder.mkdir(parents=True, exist_ok=True)
+        self.operator_token = secrets.token_hex(_TOKEN_BYTES)
+        (folder / 'operator.token').write_text(self.operator_token)
+        (folder / 'cluster.secret').write_text(secrets.token_hex(_TOKEN_BYTES))
+        self.api: dict[str, Site] = {}
+        self.entry: dict[str, Site] = {}
+        self.standins: dict[str, Site] = {}
+        self._peers: dict[str, str] = {}
+        self._rpc: dict[str, str] = {}
+        self._plan_controls(controls)
+        self._plan_entries(entries)
+        self.platform_url = ''
+
+    def api_urls(self) -> str:
+        """Give the operators' addresses as a comma list."""
+        return ','.join(site.url for site in self.api.values())
+
+    def rpc_addresses(self) -> dict[str, str]:
+        """Give the RPC address of each control host."""
+        return dict(self._rpc)
+
+    def start(self) -> None:
+        """Start all control and entry hosts and wait until they serve."""
+        for name in self.api:
+            self.init_control(name)
+            self.start_control(name)
+        for name in self.entry:
+            self.start_entry(name)
+        for name, site in {**self.api, **self.entry}.items():
+            self.wait_serving(name, site)
+        wait_until(self.leader, 'a leader')
+
+    def stop(self) -> None:
+        """Kill what still runs."""
+        for child in self.children.values():
+            child.thaw()
+            child.kill()
+
+    def init_control(self, name: str) -> None:
+        """Write the data folder of a first voter."""
+        child = self._run_once(
+            f'init-{name}', ['init', '--settings', str(self._file(name))]
+        )
+        if child != 0:
+            raise ChildError(f'init of {name} failed with {child}')
+
+    def start_control(self, name: str) -> Child:
+        """Start a control host."""
+        return self._launch(
+            name,
+            ['control', '--settings', str(self._file(name))],
+        )
+
+    def start_entry(self, name: str) -> Child:
+        """Start an entry host."""
+        return self._launch(
+            name, ['entry', '--settings', str(self._file(name))]
+        )
+
+    def start_standin(self, name: str, kind: str, *options: str) -> Site:
+        """Start a stand-in on an address of its own."""
+        site = self.standins.get(name)
+        if site is None:
+            site = Site(f'127.0.0.{100 + len(self.standins)}')
+            self.standins[name] = site
+        args = [kind, '--host', site.host, '--port', str(site.port), *options]
+        self.children[name] = Child(name, [_STANDINS, *args], self.folder)
+        self.wait_serving(name, site)
+        return site
+
+    def wait_serving(self, name: str, site: Site) -> None:
+        """Wait until a process accepts connections."""
+        child = self.children[name]
+        wait_until(
+            lambda: accepts(site.host, site.port) or not child.is_running(),
+            f'{name} listens',
+        )
+        if not child.is_running():
+            raise ChildError(f'{name} ended: {child.tail()}')
+
+    def operator(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = 10,
+    ) -> Any:
+        """Send an operator's request to whichever control host leads."""
+        reply = None
+        for site in list(self.api.values()) * 40:
+            try:
+                reply = self.http.request(
+                    method,
+                    f'{site.url}{path}',
+                    json=body,
+                    headers={'Authorization': f'Bearer {self.operator_token}'},
+                    timeout=timeout_s,
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+            if reply.status != 503:
+                return reply.json()
+        raise ChildError(f'no leader for {method} {path}: {reply}')
+
+    def apply(self, *resources: tuple[str, str, dict[str, Any]]) -> Any:
+        """Declare resources; fails unless they are accepted."""
+        changes = [
+            {'kind': kind, 'name': name, 'expected_version': None, 'spec': spec}
+            for kind, name, spec in resources
+        ]
+        body = {'op_id': uuid.uuid4().hex, 'changes': changes}
+        reply = self.operator('POST', '/v1/apply', body)
+        if 'revision' not in reply:
+            raise ChildError(f'apply failed: {reply}')
+        return reply
+
+    def leader(self) -> str:
+        """Give the name of the leading control host, or an empty string."""
+        for name, site in self.api.items():
+            if not self.children[name].is_running():
+                continue
+            try:
+                status = self._status(site)
+            except urllib3.exceptions.HTTPError:
+                continue
+            if status.get('role') == 'leader':
+                return name
+        return ''
+
+    def _status(self, site: Site) -> Any:
+        return self.http.request(
+            'GET',
+            f'{site.url}/v1/status',
+            headers={'Authorization': f'Bearer {self.operator_token}'},
+            timeout=1,
+        ).json()
+
+    def _launch(self, name: str, args: Sequence[str]) -> Child:
+        child = Child(name, self._command(args), self.folder, self.program)
+        self.children[name] = child
+        return child
+
+    def _run_once(self, name: str, args: Sequence[str]) -> int:
+        child = Child(name, self._command(args), self.folder, self.program)
+        wait_until(lambda: not child.is_running(), name)
+        return child.stop()
+
+    def _command(self, args: Sequence[str]) -> list[str]:
+        return list(args) if self.program else [_APRICOTCART, *args]
+
+    def _file(self, name: str) -> Path:
+        return self.folder / f'{name}.ini'
+
+    def _plan_controls(self, count: int) -> None:
+        for number in range(count):
+            name = f'c{number + 1}'
+            host = f'127.0.0.{11 + number}'
+            self.api[name] = Site(host)
+            self._peers[name] = f'tcp://{host}:{free_port(host)}'
+            self._rpc[name] = f'tcp://{host}:{free_port(host)}'
+        self.write_controls()
+
+    def write_controls(self, platform_url: str = '') -> None:
+        """Write the control hosts' settings."""
+        for number, name in enumerate(self.api):
+            self._write(name, self._control_sections(number, platform_url))
+
+    def _control_sections(
+        self,
+        number: int,
+        platform_url: str,
+    ) -> dict[str, dict[str, str]]:
+        name = list(self.api)[number]
+        site = self.api[name]
+        sections = {
+            'host': {
+                'name': name,
+                'zone': ZONES[number % len(ZONES)],
+                'address': site.host,
+                'api_port': str(site.port),
+            },
+            'peers': {'listen': self._peers[name], **self._peers},
+            'rpc': {'listen': self._rpc[name]},
+            'data': {'folder': str(self.folder / f'data-{name}')},
+            'operators': {'token_file': str(self.folder / 'operator.token')},
+        }
+        if platform_url:
+            sections['platform'] = {'url': platform_url, 'usage_window_s': '2'}
+        return sections
+
+    def _plan_entries(self, count: int) -> None:
+        for number in range(count):
+            name = f'e{number + 1}'
+            site = Site(f'127.0.0.{31 + number}')
+            self.entry[name] = site
+            sections = {
+                'host': {
+                    'name': name,
+                    'zone': ZONES[number % len(ZONES)],
+                    'address': site.host,
+                    'port': str(site.port),
+                },
+                'control': {'addresses': ', '.join(self._rpc.values())},
+            }
+            for dotted, text in self.settings.items():
+                section, _, key = dotted.partition('.')
+                sections.setdefault(section, {})[key] = text
+            self._write(name, sections)
+
+    def _write(self, name: str, sections: dict[str, dict[str, str]]) -> None:
+        sections['cluster'] = {
+            'name': 'sealdesk',
+            'secret_file': str(self.folder / 'cluster.secret'),
+        }
+        sections['log'] = {'format': 'json'}
+        sections['tracing'] = {'file': str(self.folder / 'spans.jsonl')}
+        lines: list[str] = []
+        for section, fields in sections.items():
+            lines.append(f'[{section}]')
+            lines.extend(f'{key} = {text}' for key, text in fields.items())
+        self._file(name).write_text('\n'.join(lines) + '\n')
