Add usage tables to the replicated state

Usage windows must not be reported with differing figures. Batches are de-duplicated by host, incarnation and sequence number, closed windows are frozen, and late figures go to the next open window. Figures older than the 24 h for which batches are known are refused, so forgetting a source cannot count a batch twice. Rows are bounded: at the bound, figures go to the oldest open window, and none is closed until reports are sent.

--- a/src/apricotcart/state/commands.py
+++ b/src/apricotcart/state/commands.py
@@ -57,6 +57,9 @@
             'set_status': self._set_status,
             'order_begin': tables.orders.begin,
             'order_finish': tables.orders.finish,
+            'usage_add': tables.usage.add,
+            'usage_close': tables.usage.close,
+            'usage_reported': tables.usage.mark_reported,
             'fencing_take': tables.fencing.take,
         }
 
--- a/src/apricotcart/state/errors.py
+++ b/src/apricotcart/state/errors.py
@@ -36,10 +36,10 @@
     code = 'window_open'
 
 
-class StaleIncarnationError(ConflictError):
-    """The batch is from a process whose sequence is no longer kept."""
+class UsageTooOldError(ConflictError):
+    """The batch may have been counted before, and that is forgotten."""
 
-    code = 'stale_incarnation'
+    code = 'usage_too_old'
 
 
 class SequenceGapError(ConflictError):
--- a/src/apricotcart/state/limits.py
+++ b/src/apricotcart/state/limits.py
@@ -14,8 +14,9 @@
 ORDER_UNKNOWN_AFTER_MS: Final = 120_000
 ORDER_RETENTION_MS: Final = 86_400_000
 WINDOW_MS: Final = 60_000
-#: A host that has sent no usage for this long is forgotten.
-USAGE_SOURCE_RETENTION_MS: Final = 86_400_000
+#: An entry process without usage for this long is forgotten, and older
+#: figures are refused.
+USAGE_RETENTION_MS: Final = 86_400_000
 
 
 class Limits(Record):
--- a/src/apricotcart/state/machine.py
+++ b/src/apricotcart/state/machine.py
@@ -11,6 +11,7 @@
 from apricotcart.state.records import Event, Resource
 from apricotcart.state.replies import reply_of
 from apricotcart.state.tables import Tables
+from apricotcart.state.usage_windows import UsageReport
 
 
 class ClusterState:
@@ -91,6 +92,14 @@
         """Give the revision and all resources, referenced kinds first."""
         return self.revision, tuple(self.tables.resources.store)
 
+    def windows_due(self, now_ms: int) -> Sequence[int]:
+        """Give the usage windows that can be closed at a wall-clock time."""
+        return self.tables.usage.windows.due_to_close(now_ms)
+
+    def reports_due(self, max_reports: int) -> Sequence[UsageReport]:
+        """Give closed usage figures that are not marked as reported."""
+        return self.tables.usage.reports_due(max_reports)
+
     def _adopt(self, tables: Tables) -> None:
         self.tables = tables
         self._commands = CommandRunner(tables)
--- a/src/apricotcart/state/orders.py
+++ b/src/apricotcart/state/orders.py
@@ -70,15 +70,17 @@
         """Record the outcome of an attempt.
 
         The first definite outcome stands; a repeated finish changes
-        nothing. ``done`` and ``not_run`` replace ``unknown``, since only
-        the holder of the attempt may report them.
+        nothing. ``done`` replaces ``unknown``, and ``not_run`` removes a
+        record without a reported outcome however old it is, since only the
+        holder of the attempt may report them.
 
         Raises
         ------
         InvalidResourceError
             If a field is invalid.
         StaleAttemptError
-            If the record belongs to another attempt, or is gone.
+            If the record belongs to another attempt, is gone, or has an
+            outcome that rules out ``not_run``.
         """
         full, faults = ORDER_FINISH.normalize(fields, '')
         if faults:
@@ -114,8 +116,8 @@
             self.store.remove(oldest)
 
     def _close(self, attempt_id: str, record: OrderRecord | None) -> None:
-        if record and record.state == DONE:
-            raise StaleAttemptError('the attempt is recorded as done')
+        if record and record.state != IN_PROGRESS:
+            raise StaleAttemptError('the attempt is recorded as sent')
         if record:
             self.store.remove(record)
         self._closed[attempt_id] = None
--- a/src/apricotcart/state/replies.py
+++ b/src/apricotcart/state/replies.py
@@ -26,9 +26,9 @@
     refusals.ReportsBacklogError,
     refusals.SequenceGapError,
     refusals.StaleAttemptError,
-    refusals.StaleIncarnationError,
     refusals.TableFullError,
     VersionConflictError,
+    refusals.UsageTooOldError,
     refusals.WindowOpenError,
 )
 _ERRORS_BY_CODE: Final = MappingProxyType(
--- a/src/apricotcart/state/tables.py
+++ b/src/apricotcart/state/tables.py
@@ -11,6 +11,7 @@
 from apricotcart.state.operations import OperationTable
 from apricotcart.state.orders import OrderTable
 from apricotcart.state.resources import ResourceTable
+from apricotcart.state.usage import UsageTable
 
 #: Version of the snapshot format.
 SNAPSHOT_FORMAT: Final = 1
@@ -34,6 +35,7 @@
         'operations',
         'orders',
         'resources',
+        'usage',
     )
 
     def __init__(self, limits: Limits) -> None:
@@ -46,6 +48,7 @@
         )
         self.operations = OperationTable(limits)
         self.orders = OrderTable(limits)
+        self.usage = UsageTable(limits)
         self.fencing = FencingCounter()
 
     @classmethod
@@ -77,6 +80,7 @@
             'resources': self.resources.to_wire(),
             'operations': self.operations.to_wire(),
             'orders': self.orders.to_wire(),
+            'usage': self.usage.to_wire(),
             'fencing': self.fencing.to_wire(),
         }
 
@@ -86,4 +90,5 @@
         self.resources.load(wire['resources'])
         self.operations.load(wire['operations'])
         self.orders.load(wire['orders'])
+        self.usage.load(wire['usage'])
         self.fencing.load(wire['fencing'])
