--- a/src/apricotcart/state/usage.py
+++ b/src/apricotcart/state/usage.py
@@ -35,6 +35,7 @@
         'seq': Integer(low=1),
     },
 )
+_NAMES: Final = UsageReport.__slots__
 _CLOSE: Final = Schema({'window': Integer()})
 _REPORTED: Final = Schema(
     {'window': Integer(), 'customer': Text(pattern=NAME_PATTERN)},
@@ -117,15 +118,21 @@
     if not isinstance(figures, list) or len(figures) > MAX_FIGURES_PER_BATCH:
         message = f'must be a list of at most {MAX_FIGURES_PER_BATCH}'
         raise invalid([*faults, Fault(path='figures', message=message)])
-    rows = [
-        _FIGURE.normalize(given, f'figures[{position}]')
+    reports = [
+        _read_figure(f'figures[{position}]', given, faults)
         for position, given in enumerate(figures)
     ]
-    for _, row_faults in rows:
-        faults.extend(row_faults)
     if faults:
         raise invalid(faults)
-    return [UsageReport(**row) for row, _ in rows]
+    return reports
+
+
+def _read_figure(path: str, given: Any, faults: list[Fault]) -> UsageReport:
+    row, row_faults = _FIGURE.normalize(given, path)
+    faults.extend(row_faults)
+    # A figure that is no mapping has no fields; its fault is kept.
+    full: dict[str, Any] = {**dict.fromkeys(_NAMES), **row}
+    return UsageReport(**full)
 
 
 def _check_age(reports: list[UsageReport], now_ms: int) -> None:
