Add the platform and relay stand-ins

Cause: the leader's requests to the platform and network faults need a receiver that records them and a link that can fail. Change: platform with zones, prices, spot capacity, fenced and recorded orders and usage reports, reclaim notices, lagging hosts and a rate-limited weight store; TCP relay that delays, cuts either way, drops and refuses.

--- /dev/null
+++ b/src/apricotcart_standins/cloud/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for the platform that provisions endpoints."""
--- /dev/null
+++ b/src/apricotcart_standins/cloud/records.py
@@ -0,0 +1,70 @@
+"""What the platform received from the one in charge."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from apricotcart_standins.fencing import FencingCheck
+from apricotcart_standins.web import STATUS_CONFLICT, STATUS_OK, error_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_Fields = dict[str, Any]
+
+
+class FencedRecords:
+    """Takes requests with a fencing number, one at a time, and records them.
+
+    A repeated ``op_id`` gets the recorded answer and has no further effect.
+
+    Parameters
+    ----------
+    check : FencingCheck
+        Highest number seen, shared by all kinds of requests.
+    """
+
+    __slots__ = ('_answers', '_check', '_lock', 'records')
+
+    def __init__(self, check: FencingCheck) -> None:
+        """Start without records."""
+        self._check = check
+        self._lock = threading.Lock()
+        self._answers: dict[str, tuple[int, _Fields]] = {}
+        self.records: list[_Fields] = []
+
+    def take(
+        self,
+        fields: _Fields,
+        action: Callable[[_Fields], tuple[int, _Fields]],
+    ) -> tuple[int, _Fields]:
+        """Record a request and run it unless it is refused or repeated.
+
+        The record holds all fields, the time ``at``, the highest number
+        seen before as ``highest_before``, and the status of the answer.
+        """
+        with self._lock:
+            record = {
+                **fields,
+                'at': time.time(),
+                'highest_before': self._check.highest,
+            }
+            self.records.append(record)
+            status, body = self._run(fields, action)
+            record['status'] = status
+            return status, body
+
+    def _run(
+        self,
+        fields: _Fields,
+        action: Callable[[_Fields], tuple[int, _Fields]],
+    ) -> tuple[int, _Fields]:
+        if self._check.is_refused(int(fields.get('fencing') or 0)):
+            return STATUS_CONFLICT, error_body('stale_fencing')
+        op_id = str(fields.get('op_id') or '')
+        answer = self._answers.get(op_id) or action(fields)
+        if op_id and answer[0] == STATUS_OK:
+            self._answers[op_id] = answer
+        return answer
--- /dev/null
+++ b/src/apricotcart_standins/cloud/zones.py
@@ -0,0 +1,126 @@
+"""Zones with capacity and prices, and the endpoints started in them."""
+
+from __future__ import annotations
+
+import time
+from itertools import count
+from typing import Any
+
+_SPOT = 'cheap'
+_REGULAR = 'regular'
+
+
+class Zones:
+    """Endpoints by zone.
+
+    An endpoint is ``starting``, then ``running``; a reclaimed one is
+    ``reclaiming`` until its notice has passed. Released and reclaimed
+    endpoints leave the list.
+
+    Parameters
+    ----------
+    capacity : dict
+        Free places by zone, each ``{'regular': n, 'cheap': n}``.
+    start_delay_s : float
+        Time from the order to the running endpoint, in seconds.
+    urls : list of str
+        Base URLs given to endpoints in turn; further ones have none.
+    """
+
+    __slots__ = (
+        '_endpoints',
+        '_numbers',
+        '_start_delay_s',
+        '_urls',
+        'capacity',
+        'notices',
+    )
+
+    def __init__(
+        self,
+        capacity: dict[str, dict[str, int]],
+        start_delay_s: float,
+        urls: list[str],
+    ) -> None:
+        """Start with no endpoints."""
+        self.capacity = capacity
+        self.notices: list[dict[str, Any]] = []
+        self._start_delay_s = start_delay_s
+        self._urls = urls
+        self._numbers = count(1)
+        self._endpoints: dict[str, dict[str, Any]] = {}
+
+    def start(self, fields: dict[str, Any]) -> list[str] | None:
+        """Start endpoints; None if the zone lacks the capacity for all."""
+        wanted = int(fields.get('count', 1))
+        free = self.capacity.get(str(fields.get('zone')), {})
+        kind = _SPOT if fields.get(_SPOT) else _REGULAR
+        if free.get(kind, 0) < wanted:
+            return None
+        free[kind] -= wanted
+        return [self._start_one(fields) for _ in range(wanted)]
+
+    def release(self, names: list[str]) -> list[str]:
+        """Stop endpoints and free their places; gives those known."""
+        known = [name for name in names if name in self._endpoints]
+        for name in known:
+            self._remove(name)
+        return known
+
+    def reclaim(self, zone: str, notice_s: float) -> list[str]:
+        """Announce that all spot endpoints of a zone disappear.
+
+        The zone has no spot capacity afterwards.
+        """
+        gone_at = time.time() + notice_s
+        names = [
+            name
+            for name, fields in self._endpoints.items()
+            if fields['zone'] == zone and fields[_SPOT]
+        ]
+        for name in names:
+            self._endpoints[name]['gone_at'] = gone_at
+            self.notices.append(
+                {'endpoint': name, 'zone': zone, 'gone_at': gone_at},
+            )
+        self.capacity[zone][_SPOT] = 0
+        return names
+
+    def list_endpoints(self) -> list[dict[str, Any]]:
+        """Give all endpoints that are not gone, with their state."""
+        now = time.time()
+        for name in list(self._endpoints):
+            gone_at = self._endpoints[name]['gone_at']
+            if (gone_at or now) < now:
+                self._endpoints.pop(name)
+        return [
+            {**fields, 'state': _state(fields, now)}
+            for fields in list(self._endpoints.values())
+        ]
+
+    def _start_one(self, fields: dict[str, Any]) -> str:
+        number = next(self._numbers)
+        name = f'ep-{number}'
+        self._endpoints[name] = {
+            'name': name,
+            'zone': fields['zone'],
+            'pool': fields.get('pool', ''),
+            _SPOT: bool(fields.get(_SPOT)),
+            'url': self._urls.pop(0) if self._urls else '',
+            'ready_at': time.time() + self._start_delay_s,
+            'gone_at': None,
+        }
+        return name
+
+    def _remove(self, name: str) -> None:
+        fields = self._endpoints.pop(name)
+        kind = _SPOT if fields[_SPOT] else _REGULAR
+        self.capacity[fields['zone']][kind] += 1
+        if fields['url']:
+            self._urls.append(fields['url'])
+
+
+def _state(fields: dict[str, Any], now: float) -> str:
+    if fields['gone_at']:
+        return 'reclaiming'
+    return 'running' if fields['ready_at'] <= now else 'starting'
--- a/src/apricotcart_standins/engine/app.py
+++ b/src/apricotcart_standins/engine/app.py
@@ -82,7 +82,7 @@
         if call.method == 'GET':
             call.reply(STATUS_OK, {'orders': self._commands.records})
             return
-        plan = self.faults.take('')
+        plan = self.faults.take(call)
         if apply_entry_faults(plan, call):
             return
         status, body = self._commands.order(call.json())
--- a/src/apricotcart_standins/engine/commands.py
+++ b/src/apricotcart_standins/engine/commands.py
@@ -7,10 +7,12 @@
 from itertools import compress
 from typing import Any, TypeAlias
 
+from apricotcart_standins.fencing import FencingCheck
 from apricotcart_standins.web import (
     STATUS_BAD_REQUEST,
     STATUS_CONFLICT,
     STATUS_OK,
+    error_body,
 )
 
 _Fields: TypeAlias = dict[str, Any]
@@ -33,8 +35,7 @@
     """
 
     __slots__ = (
-        '_checks_fencing',
-        '_highest',
+        '_check',
         '_load_s',
         '_lock',
         '_models',
@@ -51,9 +52,8 @@
     ) -> None:
         """Start with the given models."""
         self._models = dict.fromkeys(models, time.monotonic())
-        self._checks_fencing = checks_fencing
         self._load_s = load_s
-        self._highest = 0
+        self._check = FencingCheck(enforced=checks_fencing)
         self._lock = threading.Lock()
         self.records: list[dict[str, Any]] = []
         self.role = 'both'
@@ -74,13 +74,10 @@
         fencing = int(fields.get('fencing') or 0)
         record = {**fields, 'at': time.time(), 'accepted': False}
         self.records.append(record)
-        if self._checks_fencing and fencing < self._highest:
-            return STATUS_CONFLICT, {
-                'error': {'code': 'stale_fencing', 'fencing': self._highest},
-            }
-        self._highest = max(self._highest, fencing)
+        if self._check.is_refused(fencing):
+            return STATUS_CONFLICT, error_body('stale_fencing')
         if not self._apply(fields):
-            return STATUS_BAD_REQUEST, {'error': {'code': 'unknown_action'}}
+            return STATUS_BAD_REQUEST, error_body('unknown_action')
         record['accepted'] = True
         return STATUS_OK, {'ok': True, 'ready_in_s': self._load_s}
 
--- a/src/apricotcart_standins/engine/generation.py
+++ b/src/apricotcart_standins/engine/generation.py
@@ -73,7 +73,7 @@
 
     def complete(self, call: Call) -> None:
         """Answer one request for a chat completion."""
-        plan = self._faults.take(call.body.decode(errors='replace'))
+        plan = self._faults.take(call)
         if apply_entry_faults(plan, call):
             return
         try:
--- a/src/apricotcart_standins/faults.py
+++ b/src/apricotcart_standins/faults.py
@@ -5,10 +5,13 @@
 import os
 import threading
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from apricotcart.codec.record import Record
 
+if TYPE_CHECKING:
+    from apricotcart_standins.web import Call
+
 CRASH_EXIT_STATUS = 70
 DEFAULT_REFUSE_STATUS = 503
 
@@ -37,6 +40,8 @@
         Status to refuse with; 0 means not to refuse.
     fail_before, fail_after : bool
         Cut the connection before or after the request took effect.
+    path : str
+        Only requests whose path starts so are affected.
     """
 
     __slots__ = (
@@ -44,6 +49,7 @@
         'fail_after',
         'fail_before',
         'late_s',
+        'path',
         'refuse',
         'slow',
         'swap',
@@ -63,6 +69,7 @@
         refuse: int = 0,
         fail_before: bool = False,
         fail_after: bool = False,
+        path: str = '',
     ) -> None:
         """Keep the faults."""
         self.crash_on = crash_on
@@ -74,6 +81,7 @@
         self.refuse = refuse
         self.fail_before = fail_before
         self.fail_after = fail_after
+        self.path = path
 
 
 class Faults:
@@ -111,19 +119,15 @@
             self._count = count
             self._frozen_until = _freeze_end(freeze)
 
-    def take(self, text: str) -> FaultPlan:
+    def take(self, call: Call) -> FaultPlan:
         """Give the faults for one request and wait while frozen.
 
-        The process exits if the text contains the text of ``crash_on``.
+        The process exits if the body contains the text of ``crash_on``.
         """
         self.wait_thawed()
         with self._lock:
-            plan = self._plan
-            if self._count is not None:
-                self._count -= 1
-                if self._count < 0:
-                    plan = FaultPlan()
-        if plan.crash_on and plan.crash_on in text:
+            plan = self._take(call.path)
+        if plan.crash_on and plan.crash_on.encode() in call.body:
             exit_at_once()
         return plan
 
@@ -132,6 +136,13 @@
         while time.monotonic() < self._frozen_until:
             time.sleep(_POLL_S)
 
+    def _take(self, path: str) -> FaultPlan:
+        if self._count == 0 or not path.startswith(self._plan.path):
+            return FaultPlan()
+        if self._count is not None:
+            self._count -= 1
+        return self._plan
+
 
 def exit_at_once() -> None:
     """End the process as a crash does: no clean-up, no answer."""
--- a/src/apricotcart_standins/options.py
+++ b/src/apricotcart_standins/options.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import Callable
+from typing import TypeAlias
 
-_ENGINE_NUMBERS = (
+_Number: TypeAlias = tuple[str, Callable[[str], float], float, str]
+
+_ENGINE_NUMBERS: tuple[_Number, ...] = (
     ('--slots', int, 8, 'requests that run at the same time'),
     ('--first-token-s', float, 0.05, 'time to the first token, seconds'),
     ('--prompt-rate', float, 8000, 'uncached prompt tokens per second'),
@@ -20,6 +24,18 @@
     ('--seed', int, 1, 'seed of the losses'),
 )
 
+_PLATFORM_NUMBERS: tuple[_Number, ...] = (
+    ('--capacity', int, 100, 'regular endpoints per zone'),
+    ('--cheap-capacity', int, 20, 'spot endpoints per zone'),
+    ('--price', float, 1, 'price of a regular endpoint per hour'),
+    ('--cheap-price', float, 0.3, 'price of a spot endpoint per hour'),
+    ('--start-delay-s', float, 2, 'time until an endpoint runs, seconds'),
+    ('--host-lag-s', float, 2, 'lag of the list of hosts, seconds'),
+    ('--weight-rate', float, 1, 'downloads per second'),
+    ('--weight-burst', float, 2, 'downloads at once after a pause'),
+    ('--weight-bytes', int, 65536, 'size of a download'),
+)
+
 
 def build_parser() -> argparse.ArgumentParser:
     """Give the parser of ``python -m apricotcart_standins``."""
@@ -30,9 +46,17 @@
     kinds = parser.add_subparsers(dest='kind', required=True)
     _add_engine(_add_kind(kinds, 'engine'))
     _add_kind(kinds, 'service')
+    _add_platform(_add_kind(kinds, 'platform'))
+    _add_relay(_add_kind(kinds, 'relay'))
     return parser
 
 
+def control_port(options: argparse.Namespace) -> int:
+    """Give the port of the HTTP server, which is a relay's control port."""
+    port: int = getattr(options, 'control_port', options.port)
+    return port
+
+
 def _add_kind(
     kinds: argparse._SubParsersAction[argparse.ArgumentParser],
     name: str,
@@ -46,12 +70,44 @@
     return parser
 
 
-def _add_engine(parser: argparse.ArgumentParser) -> None:
-    for name, kind, default, text in _ENGINE_NUMBERS:
+def _add_numbers(
+    parser: argparse.ArgumentParser,
+    numbers: tuple[_Number, ...],
+) -> None:
+    for name, kind, default, text in numbers:
         parser.add_argument(name, type=kind, default=default, help=text)
+
+
+def _add_engine(parser: argparse.ArgumentParser) -> None:
+    _add_numbers(parser, _ENGINE_NUMBERS)
     parser.add_argument('--models', default='chat', help='comma-separated')
+    _add_fencing(parser)
+
+
+def _add_platform(parser: argparse.ArgumentParser) -> None:
+    _add_numbers(parser, _PLATFORM_NUMBERS)
+    parser.add_argument('--zones', default='a,b,c,d', help='comma-separated')
+    parser.add_argument(
+        '--urls',
+        default='',
+        help='comma-separated base URLs handed to started endpoints',
+    )
+    _add_fencing(parser)
+
+
+def _add_relay(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--target', required=True, help='host:port')
+    parser.add_argument(
+        '--control-port',
+        type=int,
+        default=0,
+        help='port of POST /relay on the same address; 0: a free port',
+    )
+
+
+def _add_fencing(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         '--ignore-fencing',
         action='store_true',
-        help='take commands with an old fencing number',
+        help='take requests with an old fencing number',
     )
--- /dev/null
+++ b/src/apricotcart_standins/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Loopback TCP relay with network faults."""
--- /dev/null
+++ b/src/apricotcart_standins/relay/pump.py
@@ -0,0 +1,117 @@
+"""One direction of a relayed connection."""
+
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_CHUNK_BYTES = 65536
+_POLL_S = 0.01
+_MAX_CHUNKS = 256
+
+_Chunk = tuple[float, bytes]
+
+
+class Pump:
+    """Copies bytes from one socket to another with delay.
+
+    Bytes keep their distance in time, so a delay adds latency and does not
+    lower the rate. While the direction is cut, bytes are held back; they go
+    on when it is restored, as TCP does after a partition.
+
+    Parameters
+    ----------
+    source, target : socket.socket
+        Connected sockets.
+    delay_s : Callable
+        Gives the delay in force, in seconds.
+    is_cut : Callable
+        Tells whether the direction is cut.
+    """
+
+    __slots__ = (
+        '_chunks',
+        '_delay_s',
+        '_is_cut',
+        '_source',
+        '_target',
+        'has_ended',
+        'peer',
+    )
+
+    def __init__(
+        self,
+        source: socket.socket,
+        target: socket.socket,
+        delay_s: Callable[[], float],
+        is_cut: Callable[[], bool],
+    ) -> None:
+        """Keep the sockets."""
+        self._source = source
+        self._target = target
+        self._delay_s = delay_s
+        self._is_cut = is_cut
+        self._chunks: queue.Queue[_Chunk] = queue.Queue(_MAX_CHUNKS)
+        self.has_ended = False
+        self.peer: Pump | None = None
+
+    def start(self) -> None:
+        """Copy in two threads until the source ends."""
+        for step in (self._read_all, self._write_all):
+            threading.Thread(target=step, daemon=True).start()
+
+    def _read_all(self) -> None:
+        chunk = b'\0'
+        while chunk:
+            chunk = _receive(self._source)
+            self._chunks.put((time.monotonic() + self._delay_s(), chunk))
+
+    def _write_all(self) -> None:
+        chunk = b'\0'
+        while chunk:
+            due, chunk = self._chunks.get()
+            time.sleep(max(due - time.monotonic(), 0))
+            while self._is_cut():
+                time.sleep(_POLL_S)
+            _send(self._target, chunk)
+        self.has_ended = True
+        if self.peer and self.peer.has_ended:
+            close_quietly(self._source)
+            close_quietly(self._target)
+
+
+def close_quietly(sock: socket.socket) -> None:
+    """Close a socket in both directions, also one already closed."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        sock.close()
+        return
+    sock.close()
+
+
+def _receive(sock: socket.socket) -> bytes:
+    try:
+        return sock.recv(_CHUNK_BYTES)
+    except OSError:
+        return b''
+
+
+def _send(sock: socket.socket, chunk: bytes) -> None:
+    try:
+        _send_or_end(sock, chunk)
+    except OSError:
+        close_quietly(sock)
+
+
+def _send_or_end(sock: socket.socket, chunk: bytes) -> None:
+    if chunk:
+        sock.sendall(chunk)
+    else:
+        sock.shutdown(socket.SHUT_WR)
--- a/src/apricotcart_standins/run.py
+++ b/src/apricotcart_standins/run.py
@@ -5,34 +5,47 @@
 import signal
 import sys
 import threading
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from apricotcart_standins.cloud.app import PlatformStandIn
 from apricotcart_standins.engine.app import EngineStandIn
-from apricotcart_standins.options import build_parser
+from apricotcart_standins.options import build_parser, control_port
+from apricotcart_standins.relay.control import RelayControl
 from apricotcart_standins.service import ServiceStandIn
 from apricotcart_standins.web import Server
 
 if TYPE_CHECKING:
     import argparse
-    from collections.abc import Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from apricotcart_standins.api import StandIn
 
+_KINDS: Mapping[str, Callable[[argparse.Namespace], StandIn]]
+_KINDS = MappingProxyType(
+    {
+        'engine': EngineStandIn.from_options,
+        'service': ServiceStandIn.from_options,
+        'platform': PlatformStandIn.from_options,
+        'relay': RelayControl.from_options,
+    }
+)
+
 
 def build(options: argparse.Namespace) -> StandIn:
     """Build the stand-in that the command line names."""
-    if options.kind == 'engine':
-        return EngineStandIn.from_options(options)
-    return ServiceStandIn.from_options(options)
+    return _KINDS[options.kind](options)
 
 
 def run(arguments: Sequence[str] | None = None) -> int:
     """Serve until SIGTERM or SIGINT; gives the exit status.
 
-    The base URL is written to standard output once requests are accepted.
+    The base URL is written to standard output once requests are accepted;
+    for the relay it is that of the control port.
     """
     options = build_parser().parse_args(arguments)
-    server = Server((options.host, options.port), build(options))
+    address = (options.host, control_port(options))
+    server = Server(address, build(options))
     stopped = threading.Event()
     _stop_on_signals(stopped)
     threading.Thread(target=server.serve_forever, daemon=True).start()
--- a/src/apricotcart_standins/service.py
+++ b/src/apricotcart_standins/service.py
@@ -46,7 +46,7 @@
         if call.path == '/counts':
             call.reply(STATUS_OK, self._figures())
             return
-        plan = self.faults.take(call.body.decode(errors='replace'))
+        plan = self.faults.take(call)
         if apply_entry_faults(plan, call):
             return
         self._count(call.header(_ORDER_HEADER))
