--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -172,12 +172,15 @@
         self, action: Callable[[float], int], timeout_s: float
     ) -> bytes:
         fut: Reply = Future()
-        self._jobs.put(lambda now: self._waiting.update({action(now): fut}))
+        self._jobs.put(lambda now: self._start(action(now), fut))
         try:
             return fut.result(timeout_s)
         except FutureTimeoutError as exc:
             raise UnavailableError('no quorum answered in time') from exc
 
+    def _start(self, ticket: int, fut: Reply) -> None:
+        self._waiting[ticket] = fut
+
     def _run(self) -> None:
         next_tick = time.monotonic()
         while not self._stopping.is_set():
--- a/src/apricotcart/control/operators.py
+++ b/src/apricotcart/control/operators.py
@@ -15,7 +15,7 @@
 from apricotcart.errors.tree import NotFoundError
 from apricotcart.state.machine import ClusterState
 from apricotcart.state.replies import error_of
-from apricotcart.state.schema import SPECS
+from apricotcart.state.specs import SPECS
 from apricotcart.web.application import WebApplication
 from apricotcart.web.errors import (
     InvalidFieldError,
--- a/src/apricotcart/control/reports.py
+++ b/src/apricotcart/control/reports.py
@@ -31,7 +31,7 @@
         status = self._loop.status()
         with self._loop.lock:
             status['revision'] = self._state.revision
-            status['orders'] = len(self._state.orders)
+            status['orders'] = len(self._state.tables.orders.store)
         return status
 
     def usage(self) -> dict[str, Any]:
--- a/src/apricotcart/control/rpc.py
+++ b/src/apricotcart/control/rpc.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from typing import Any, Self
+from typing import Self
 
 from apricotcart.control.hosts import HostTable
 from apricotcart.control.loop import ConsensusLoop
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -28,7 +28,7 @@
 from apricotcart.storage.real_disk import RealDisk
 from apricotcart.transport.peers import NngPeerLinks
 from apricotcart.transport.requests import NngRequestServer
-from apricotcart.transport.tls import TlsFiles
+from apricotcart.transport.tls import TlsFiles, cluster_dns_name
 from apricotcart.web.server import (
     HttpAddress,
     ServerLimits,
@@ -184,6 +184,6 @@
             cert=tls.cert,
             key=tls.key,
             ca=tls.ca,
-            name=f'{cfg.cluster.name}.apricotcart',
+            name=cluster_dns_name(cfg.cluster.name),
         )
     return None
--- a/src/apricotcart/entry/held.py
+++ b/src/apricotcart/entry/held.py
@@ -77,7 +77,10 @@
     def endpoint_url(self, name: str) -> str:
         """Give the URL of an endpoint, or an empty string."""
         endpoint = self._held.view.get('endpoint', name)
-        return '' if endpoint is None else str(endpoint.spec['url']).rstrip('/')
+        if endpoint is None:
+            return ''
+        url: str = endpoint.spec['url']
+        return url.rstrip('/')
 
 
 def _route_view(view: ConfigView, route: Resource) -> RouteView | None:
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -31,12 +31,13 @@
 from apricotcart.entry.upstream import Upstream
 from apricotcart.entry.usage import UsageCounter, UsageSender
 from apricotcart.observability.logs import Log
-from apricotcart.scheduling.scheduler import Scheduler, SchedulerConfig
+from apricotcart.scheduling.config import SchedulerConfig
+from apricotcart.scheduling.scheduler import Scheduler
 from apricotcart.settings.entry import EntryConfig
 from apricotcart.state.limits import WINDOW_MS
 from apricotcart.transport.api import RequestClient
 from apricotcart.transport.requests import NngRequestClient
-from apricotcart.transport.tls import TlsFiles
+from apricotcart.transport.tls import TlsFiles, cluster_dns_name
 from apricotcart.web.server import (
     HttpAddress,
     ServerLimits,
@@ -225,7 +226,7 @@
             cert=tls.cert or '',
             key=tls.key or '',
             ca=tls.ca,
-            name=f'{cfg.cluster.name}.apricotcart',
+            name=cluster_dns_name(cfg.cluster.name),
         )
     return {
         address: NngRequestClient(address, sealer, files)
--- a/src/apricotcart/transport/tls.py
+++ b/src/apricotcart/transport/tls.py
@@ -56,6 +56,11 @@
         )
 
 
+def cluster_dns_name(cluster: str) -> str:
+    """Give the DNS name that the certificates of a cluster carry."""
+    return f'{cluster}.apricotcart'
+
+
 def _read(path: str) -> str:
     with open(path, encoding='ascii') as stream:
         return stream.read()
