--- /dev/null
+++ b/src/apricotcart/control/bootstrap.py
@@ -0,0 +1,34 @@
+"""First voters of a new cluster."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from apricotcart.consensus.members import Members
+from apricotcart.control.identity import FIRST_INCARNATION, first_node_id
+from apricotcart.errors.tree import SettingsError
+from apricotcart.settings.control import ControlConfig
+from apricotcart.storage.identity import Identity
+from apricotcart.storage.log_store import initialise
+from apricotcart.storage.real_disk import RealDisk
+
+
+def bootstrap_voter(cfg: ControlConfig) -> list[str]:
+    """Write the data folder of a first voter; give all voters.
+
+    Raises
+    ------
+    SettingsError
+        If the settings do not list this host among the voters.
+    StorageError
+        If the folder is in use, has an identity or cannot be written.
+    """
+    name = cfg.host.name
+    if name not in cfg.peers.voters:
+        raise SettingsError(f'[peers] does not list {name}')
+    members = Members(voters=[first_node_id(peer) for peer in cfg.peers.voters])
+    disk = RealDisk(Path(cfg.data.folder))
+    identity = Identity(name=name, incarnation=FIRST_INCARNATION)
+    initialise(disk, identity, members)
+    disk.close()
+    return members.voters
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -21,7 +21,6 @@
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.reports import Reports
 from apricotcart.control.rpc import ControlRequests
-from apricotcart.observability.logs import Log
 from apricotcart.settings.control import ControlConfig
 from apricotcart.storage.identity import open_identity
 from apricotcart.storage.log_store import DurableLogStore
@@ -60,7 +59,6 @@
         self._cfg = cfg
         self._stopping = threading.Event()
         self._failed = False
-        self._log = Log.from_config(cfg.log, cfg.host.name)
         self._sealer = Sealer(cfg.cluster.read_secret())
         self._tls = _tls_files(cfg)
         self._machine = ReplicatedMachine()
@@ -166,7 +164,6 @@
         self._links.close()
         cherrypy.engine.exit()
         _LOG.info('control host %s has stopped', self._cfg.host.name)
-        self._log.close()
 
     def _on_signal(self, *_args: Any) -> None:
         self._stopping.set()
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -30,7 +30,6 @@
 from apricotcart.entry.timers import RepeatingTimer
 from apricotcart.entry.upstream import Upstream
 from apricotcart.entry.usage import UsageCounter, UsageSender
-from apricotcart.observability.logs import Log
 from apricotcart.scheduling.config import SchedulerConfig
 from apricotcart.scheduling.scheduler import Scheduler
 from apricotcart.settings.entry import EntryConfig
@@ -59,7 +58,6 @@
         """Build the parts."""
         self._cfg = cfg
         self._stopping = threading.Event()
-        self._log = Log.from_config(cfg.log, cfg.host.name)
         self._identity = HostIdentity(
             name=cfg.host.name,
             zone=cfg.host.zone,
@@ -211,7 +209,6 @@
         flush(self._sender, self._orders)
         self._dispatcher.stop()
         _LOG.info('entry host %s has stopped', cfg.host.name)
-        self._log.close()
 
     def _on_signal(self, *_args: Any) -> None:
         self._stopping.set()
--- /dev/null
+++ b/tests/support/demo.py
@@ -0,0 +1,177 @@
+"""Starts a cluster, sends a chat call and an order, and stops everything."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import secrets
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from support.cluster import Cluster
+from support.processes import wait_until
+
+CHAT_CLASS = {
+    'tier': 0,
+    'first_token_s': 0.64,
+    'between_tokens_s': 0.047,
+    'total_s': 60,
+    'max_wait_s': 10,
+    'min_share': 0,
+}
+BOOKING_CLASS = {**CHAT_CLASS, 'tier': 1, 'total_s': 30}
+
+
+def declare(cluster: Cluster, secret: str) -> Any:
+    """Declare customer, key, classes, pools, endpoints and routes."""
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    engines = [
+        _endpoint(cluster, name, 'drafting', 8, ['writer'])
+        for name in cluster.standins
+        if name.startswith('engine')
+    ]
+    services = [
+        _endpoint(cluster, name, 'press-room', 4, [])
+        for name in cluster.standins
+        if name.startswith('service')
+    ]
+    return cluster.apply(
+        ('customer', 'guild', {'weight': 1}),
+        ('key', 'guild-key', {'customer': 'guild', 'sha256': digest}),
+        ('class', 'drafts', CHAT_CLASS),
+        ('class', 'bookings', BOOKING_CLASS),
+        ('model', 'writer', {'context_tokens': 8192}),
+        ('pool', 'drafting', {'kind': 'engine', 'max_queue': 200}),
+        ('pool', 'press-room', {'kind': 'service', 'max_queue': 200}),
+        *engines,
+        *services,
+        ('route', 'draft', _route('chat', 'drafts', 'drafting', 'writer')),
+        ('route', 'dies', _route('service', 'bookings', 'press-room')),
+    )
+
+
+def _endpoint(
+    cluster: Cluster,
+    name: str,
+    pool: str,
+    slots: int,
+    models: list[str],
+) -> tuple[str, str, dict[str, Any]]:
+    spec = {
+        'pool': pool,
+        'url': cluster.standins[name].url,
+        'zone': 'zone-a',
+        'slots': slots,
+        'models': models,
+    }
+    return ('endpoint', name, spec)
+
+
+def _route(
+    kind: str,
+    service_class: str,
+    pool: str,
+    model: str = '',
+) -> dict[str, Any]:
+    spec = {
+        'kind': kind,
+        'class': service_class,
+        'pool': pool,
+        'public': False,
+        'idempotent': kind == 'chat',
+        'customers': [],
+    }
+    if model:
+        spec['model'] = model
+    return spec
+
+
+def start(folder: Path, **options: Any) -> tuple[Cluster, str]:
+    """Start a cluster with stand-ins and a declared configuration."""
+    cluster = Cluster(folder, **options)
+    secret = secrets.token_urlsafe()
+    try:
+        for number in (1, 2):
+            cluster.start_standin(
+                f'engine-{number}', 'engine', '--models', 'writer'
+            )
+        cluster.start_standin('service-1', 'service')
+        cluster.start()
+        declare(cluster, secret)
+        wait_until(
+            lambda: all(knows(cluster, name, secret) for name in cluster.entry),
+            'the configuration on every entry host',
+        )
+    except BaseException:
+        cluster.stop()
+        raise
+    return cluster, secret
+
+
+def knows(cluster: Cluster, entry: str, secret: str) -> bool:
+    """Tell whether an entry host serves the declared route."""
+    reply = cluster.http.request(
+        'GET',
+        f'{cluster.entry[entry].url}/v1/models',
+        headers={'Authorization': f'Bearer {secret}'},
+        timeout=5,
+    )
+    return reply.status == 200 and bool(reply.json()['data'])
+
+
+def main() -> int:
+    """Run the demonstration."""
+    with tempfile.TemporaryDirectory(prefix='apricotcart-demo-') as name:
+        folder = Path(name)
+        cluster, secret = start(folder)
+        try:
+            _demonstrate(cluster, secret)
+            codes = {
+                entry: cluster.children[entry].stop() for entry in cluster.entry
+            }
+        finally:
+            cluster.stop()
+        _say('entry hosts stopped with exit codes', codes)
+        _print_trace(folder / 'spans.jsonl')
+    return 0 if set(codes.values()) == {0} else 1
+
+
+def _demonstrate(cluster: Cluster, secret: str) -> None:
+    first = next(iter(cluster.entry.values()))
+    hosts = cluster.http.request('GET', f'{first.url}/v1/hosts').json()
+    _say('hosts to use', hosts)
+    url = hosts['hosts'][0]['address']
+    headers = {'Authorization': f'Bearer {secret}'}
+    chat = cluster.http.request(
+        'POST',
+        f'{url}/v1/chat/completions',
+        json={
+            'model': 'draft',
+            'messages': [{'role': 'user', 'content': 'A motto for the guild'}],
+            'max_tokens': 12,
+        },
+        headers=headers,
+    )
+    _say('chat answer', chat.json())
+    order = cluster.http.request(
+        'POST',
+        f'{url}/v1/services/dies/bookings',
+        json={'die': 'oak-leaf', 'run': 40},
+        headers={**headers, 'Idempotency-Key': 'booking-1'},
+    )
+    _say('order answer', order.json())
+
+
+def _print_trace(path: Path) -> None:
+    spans = [json.loads(line) for line in path.read_text().splitlines()]
+    _say('spans', spans)
+
+
+def _say(title: str, content: Any) -> None:
+    sys.stdout.write(f'{title}: {json.dumps(content, indent=2)}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
