Add the subcommands of the apricotcart program

Cause: operators need one program that runs the processes, prepares a cluster and changes its resources.

--- /dev/null
+++ b/src/apricotcart/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of ``apricotcart``, one module each."""
--- /dev/null
+++ b/src/apricotcart/commands/changes.py
@@ -0,0 +1,96 @@
+"""Differences between declared resources and those a cluster holds."""
+
+from __future__ import annotations
+
+import difflib
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from apricotcart.commands.operator_client import OperatorClient
+from apricotcart.commands.resources_file import DeclaredResource
+
+
+class Change:
+    """A declared resource that differs from the one the cluster holds.
+
+    Parameters
+    ----------
+    declared : DeclaredResource
+        What it shall be.
+    held : dict or None
+        The resource that the cluster holds, if it exists.
+    """
+
+    __slots__ = ('_declared', '_held')
+
+    def __init__(
+        self, declared: DeclaredResource, held: dict[str, Any] | None
+    ) -> None:
+        """Keep both sides."""
+        self._declared = declared
+        self._held = held
+
+    @property
+    def expected_version(self) -> int:
+        """The version that the change replaces; 0 creates the resource."""
+        if self._declared.version is not None:
+            return self._declared.version
+        return self._held['version'] if self._held else 0
+
+    def is_needed(self) -> bool:
+        """Tell whether applying it would change anything."""
+        if self._held is None:
+            return True
+        return _full(self._held['spec']) != _full(self._declared.spec)
+
+    def to_wire(self) -> dict[str, Any]:
+        """Give the change as the operator API takes it."""
+        return {
+            'kind': self._declared.kind,
+            'name': self._declared.name,
+            'expected_version': self.expected_version,
+            'spec': self._declared.spec,
+        }
+
+    def text(self) -> str:
+        """Show the change as a unified diff of the two specs."""
+        declared = self._declared
+        title = f'{declared.kind}/{declared.name}'
+        held = self._held or {'spec': {}, 'version': 0}
+        lines = difflib.unified_diff(
+            _lines(held['spec']),
+            _lines(self._declared.spec),
+            f'{title} (version {held["version"]})',
+            f'{title} (declared)',
+            lineterm='',
+        )
+        return '\n'.join(lines)
+
+
+def needed_changes(
+    client: OperatorClient, declared: Iterable[DeclaredResource]
+) -> list[Change]:
+    """Compare declared resources with those that the cluster holds."""
+    wanted = list(declared)
+    held = {
+        (kind, resource['name']): resource
+        for kind in sorted({entry.kind for entry in wanted})
+        for resource in client.list_resources(kind)
+    }
+    changes = [
+        Change(entry, held.get((entry.kind, entry.name))) for entry in wanted
+    ]
+    return [change for change in changes if change.is_needed()]
+
+
+def _full(spec: dict[str, Any]) -> dict[str, Any]:
+    # The control host fills in defaults, and every default is empty: false,
+    # 0, none or no names.
+    return {name: field for name, field in spec.items() if field}
+
+
+def _lines(spec: dict[str, Any]) -> list[str]:
+    if not spec:
+        return []
+    return json.dumps(_full(spec), indent=2, sort_keys=True).splitlines()
--- /dev/null
+++ b/src/apricotcart/commands/control.py
@@ -0,0 +1,19 @@
+"""``apricotcart control``: run a control host."""
+
+from __future__ import annotations
+
+from apricotcart.commands.serving import ServeCommand
+from apricotcart.settings.control import ControlConfig
+
+
+class ControlCommand(ServeCommand):
+    """Holds the replicated state and serves operators until SIGTERM."""
+
+    name = 'control'
+    summary = 'run a control host, which holds the replicated state'
+    server_module = 'apricotcart.control.server'
+    server_class = 'ControlServer'
+
+    def read_settings(self, path: str) -> ControlConfig:
+        """Read a control host's settings."""
+        return ControlConfig.from_file(path)
--- /dev/null
+++ b/src/apricotcart/commands/exit_codes.py
@@ -0,0 +1,43 @@
+"""Exit codes of every subcommand."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from apricotcart.errors.tree import (
+    ApricotcartError,
+    InvalidResourceError,
+    NotLeaderError,
+    SettingsError,
+    UnavailableError,
+    VersionConflictError,
+)
+
+OK: Final = 0
+FAILURE: Final = 1
+USAGE: Final = 2
+INVALID: Final = 3
+CONFLICT: Final = 4
+UNREACHABLE: Final = 5
+
+EXPLANATION: Final = (
+    'exit codes: 0 ok, 1 failure, 2 wrong usage, 3 invalid settings or'
+    ' resources, 4 conflict with the current state, 5 no control host could'
+    ' be reached in time'
+)
+
+_BY_ERROR: Final = (
+    (SettingsError, INVALID),
+    (InvalidResourceError, INVALID),
+    (VersionConflictError, CONFLICT),
+    (UnavailableError, UNREACHABLE),
+    (NotLeaderError, UNREACHABLE),
+)
+
+
+def exit_code_of(exc: ApricotcartError) -> int:
+    """Give the exit code that tells scripts about a failure."""
+    for kind, exit_code in _BY_ERROR:
+        if isinstance(exc, kind):
+            return exit_code
+    return FAILURE
--- /dev/null
+++ b/src/apricotcart/commands/operator_client.py
@@ -0,0 +1,240 @@
+"""Client of the control hosts' operator API."""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+from collections.abc import Iterator, Mapping
+from contextlib import closing, suppress
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, Final, Self
+from urllib.parse import quote, urlencode
+
+import urllib3
+
+from apricotcart.commands.answers import decode, leader_url, should_try_next
+from apricotcart.errors.tree import SettingsError, UnavailableError
+
+_CONNECT_TIMEOUT_S: Final = 2
+_ANSWER_TIMEOUT_S: Final = 10
+# A connection without an event or an empty line for this long is opened
+# again, so that a watch survives the death of its control host.
+_WATCH_TIMEOUT_S: Final = 30
+_RETRY_WAIT_S: Final = 0.2
+_JSON: Final = 'application/json'
+_WATCH_PATH: Final = '/v1/watch'
+
+
+class OperatorClient:
+    """Sends requests to whichever control host leads.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        Base URLs of the control hosts.
+    token : str
+        The operator token.
+    timeout_s : float
+        How long a request is repeated until a control host answers it.
+    ca : str or None
+        File of the certificate authority of the control hosts.
+    """
+
+    __slots__ = (
+        '_addresses',
+        '_failure',
+        '_headers',
+        '_pool',
+        '_timeout_s',
+    )
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        token: str,
+        timeout_s: float,
+        ca: str | None = None,
+    ) -> None:
+        """Prepare the connections; none is opened yet."""
+        self._addresses = list(addresses)
+        self._headers = {
+            'Authorization': f'Bearer {token}',
+            'Accept': _JSON,
+            'Content-Type': _JSON,
+        }
+        self._failure = 'none was tried'
+        self._timeout_s = timeout_s
+        self._pool = urllib3.PoolManager(ca_certs=ca, retries=False)
+
+    @classmethod
+    def from_token_file(
+        cls,
+        addresses: tuple[str, ...],
+        token_file: str,
+        timeout_s: float,
+        ca: str | None = None,
+    ) -> Self:
+        """Read the token from a file.
+
+        Raises
+        ------
+        SettingsError
+            If the file cannot be read or is empty.
+        """
+        try:
+            token = Path(token_file).read_text('ascii').strip()
+        except (OSError, UnicodeDecodeError) as exc:
+            raise SettingsError(f'token file {token_file}: {exc}') from exc
+        if not token:
+            raise SettingsError(f'token file {token_file} is empty')
+        return cls(addresses, token, timeout_s, ca)
+
+    def read(self, path: str, **query: Any) -> Any:
+        """Give the JSON document at a path."""
+        return self._request('GET', _target(path, query), None)
+
+    def list_resources(self, kind: str) -> list[dict[str, Any]]:
+        """Give every resource of a kind."""
+        document = self.read(resource_path(kind))
+        resources: list[dict[str, Any]] = document['resources']
+        return resources
+
+    def apply(self, changes: list[dict[str, Any]]) -> dict[str, Any]:
+        """Make several changes, all or none.
+
+        Every resend carries the same ``op_id``, so the changes are made
+        once even if an answer is lost.
+
+        Raises
+        ------
+        InvalidResourceError
+            If a change is invalid; nothing was changed.
+        VersionConflictError
+            If a resource has another version; nothing was changed.
+        UnavailableError
+            If no control host answered in time; the changes may have been
+            made.
+        """
+        body = {'op_id': new_op_id(), 'changes': changes}
+        answer: dict[str, Any] = self._request('POST', '/v1/apply', body)
+        return answer
+
+    def delete(
+        self, kind: str, name: str, expected_version: int | None
+    ) -> dict[str, Any]:
+        """Delete a resource; it fails like ``apply``."""
+        query: dict[str, Any] = {'op_id': new_op_id()}
+        if expected_version is not None:
+            query['expected_version'] = expected_version
+        path = _target(resource_path(kind, name), query)
+        answer: dict[str, Any] = self._request('DELETE', path, None)
+        return answer
+
+    def watch(self, revision: int) -> Iterator[dict[str, Any]]:
+        """Give events of one connection, until it ends.
+
+        Raises
+        ------
+        UnavailableError
+            If no control host could be reached.
+        """
+        answer = self._open('GET', _target(_WATCH_PATH, {'from': revision}))
+        # The caller connects again from the last revision it saw.
+        with closing(answer), suppress(urllib3.exceptions.HTTPError):
+            yield from _json_lines(answer)
+
+    def _request(self, method: str, target: str, body: Any) -> Any:
+        return decode(self._open(method, target, body))
+
+    def _open(
+        self, method: str, target: str, body: Any = None
+    ) -> urllib3.BaseHTTPResponse:
+        give_up_at = time.monotonic() + self._timeout_s
+        while time.monotonic() < give_up_at:
+            for address in tuple(self._addresses):
+                left_s = give_up_at - time.monotonic()
+                answer = self._try(method, address, target, body, left_s)
+                if answer is not None:
+                    return answer
+            time.sleep(_RETRY_WAIT_S)
+        waited = f'{self._timeout_s} s'
+        raise UnavailableError(
+            f'no control host answered in {waited} (last: {self._failure})',
+        )
+
+    def _try(
+        self,
+        method: str,
+        address: str,
+        target: str,
+        body: Any,
+        left_s: float,
+    ) -> urllib3.BaseHTTPResponse | None:
+        try:
+            answer = self._send(method, f'{address}{target}', body, left_s)
+        except urllib3.exceptions.HTTPError as exc:
+            self._failure = f'{address}: {type(exc).__name__}'
+            return None
+        if not should_try_next(answer):
+            return answer
+        self._failure = f'{address}: answered {answer.status}'
+        self._follow(address, answer)
+        return None
+
+    def _send(
+        self, method: str, url: str, body: Any, left_s: float
+    ) -> urllib3.BaseHTTPResponse:
+        is_watch = _WATCH_PATH in url
+        answer_s = max(_RETRY_WAIT_S, min(_ANSWER_TIMEOUT_S, left_s))
+        return self._pool.request(
+            method,
+            url,
+            headers=self._headers,
+            body=None if body is None else json.dumps(body).encode(),
+            timeout=urllib3.Timeout(
+                connect=_CONNECT_TIMEOUT_S,
+                read=_WATCH_TIMEOUT_S if is_watch else answer_s,
+            ),
+            preload_content=not is_watch,
+            redirect=False,
+        )
+
+    def _follow(self, address: str, answer: urllib3.BaseHTTPResponse) -> None:
+        leader = leader_url(answer)
+        # The token is not sent without TLS because of an answer.
+        scheme = address.partition(':')[0]
+        if leader is None or leader.partition(':')[0] != scheme:
+            return
+        if leader in self._addresses:
+            self._addresses.remove(leader)
+        self._addresses.insert(0, leader)
+
+
+def new_op_id() -> str:
+    """Give an id under which a change is made at most once."""
+    return uuid.uuid4().hex
+
+
+def resource_path(kind: str, name: str | None = None) -> str:
+    """Give the path of a resource or of a kind's list."""
+    parts = [kind] if name is None else [kind, name]
+    quoted = '/'.join(quote(part, safe='') for part in parts)
+    return f'/v1/resources/{quoted}'
+
+
+def _target(path: str, query: Mapping[str, Any]) -> str:
+    return f'{path}?{urlencode(query)}' if query else path
+
+
+def _json_lines(
+    answer: urllib3.BaseHTTPResponse,
+) -> Iterator[dict[str, Any]]:
+    if answer.status != HTTPStatus.OK:
+        decode(answer)
+    waiting = b''
+    for chunk in answer.stream():
+        *lines, waiting = (waiting + chunk).split(b'\n')
+        for line in filter(None, lines):
+            yield json.loads(line)
--- /dev/null
+++ b/src/apricotcart/commands/serving.py
@@ -0,0 +1,63 @@
+"""Base of the subcommands that run a process until it is stopped."""
+
+from __future__ import annotations
+
+import importlib
+import logging
+import signal
+import sys
+from abc import abstractmethod
+from argparse import ArgumentParser, Namespace
+from contextlib import closing
+from typing import Any, ClassVar
+
+from apricotcart.commands.api import Command
+from apricotcart.commands.console import Console
+from apricotcart.commands.exit_codes import FAILURE, OK
+from apricotcart.errors.tree import ApricotcartError
+from apricotcart.observability.logs import Log
+
+_log = logging.getLogger(__name__)
+
+
+class ServeCommand(Command):
+    """Reads the settings, sets up the log and runs a server."""
+
+    server_module: ClassVar[str]
+    server_class: ClassVar[str]
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Declare the settings file."""
+        parser.add_argument(
+            '--settings', required=True, metavar='FILE', help='settings file'
+        )
+
+    @abstractmethod
+    def read_settings(self, path: str) -> Any:
+        """Read and check the settings file."""
+
+    def run(self, args: Namespace, console: Console) -> int:
+        """Run the server until SIGTERM and give its exit code."""
+        # The server replaces this once it can stop gracefully.
+        signal.signal(signal.SIGTERM, _exit_now)
+        cfg = self.read_settings(args.settings)
+        with closing(Log.from_config(cfg.log, cfg.host.name)):
+            return self._serve(cfg)
+
+    def _serve(self, cfg: Any) -> int:
+        # Imported here because other subcommands do not need a server.
+        module = importlib.import_module(self.server_module)
+        try:
+            server = getattr(module, self.server_class).from_config(cfg)
+        except ApricotcartError as exc:
+            _log.error('start failed: %s', exc.message)
+            raise
+        try:
+            return int(server.run())
+        except Exception:
+            _log.exception('stopped by an unexpected error')
+            return FAILURE
+
+
+def _exit_now(signal_number: int, frame: Any) -> None:
+    sys.exit(OK)
--- /dev/null
+++ b/src/apricotcart/run.py
@@ -0,0 +1,55 @@
+"""Entry point of the ``apricotcart`` program."""
+
+from __future__ import annotations
+
+import argparse
+import inspect
+from collections.abc import Sequence
+
+from apricotcart.commands.api import Command
+from apricotcart.commands.console import Console
+from apricotcart.commands.exit_codes import EXPLANATION, OK, exit_code_of
+from apricotcart.commands.registry import COMMANDS
+from apricotcart.errors.tree import ApricotcartError
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Run the subcommand that the arguments name, and give its exit code."""
+    args = build_parser().parse_args(arguments)
+    command: Command = args.command
+    console = Console()
+    try:
+        return command.run(args, console)
+    except ApricotcartError as exc:
+        console.error(exc.message)
+        return exit_code_of(exc)
+    except (KeyboardInterrupt, BrokenPipeError):
+        # The operator or the reader of the output has seen enough.
+        return OK
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of all subcommands."""
+    parser = argparse.ArgumentParser(
+        prog='apricotcart',
+        description='Route language-model traffic by service level.',
+        epilog=EXPLANATION,
+    )
+    subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
+    for command_class in COMMANDS:
+        _add_command(subparsers, command_class())
+    return parser
+
+
+def _add_command(
+    subparsers: argparse._SubParsersAction[argparse.ArgumentParser],
+    command: Command,
+) -> None:
+    parser = subparsers.add_parser(
+        command.name,
+        help=command.summary,
+        description=inspect.getdoc(type(command)),
+        epilog=EXPLANATION,
+    )
+    command.add_arguments(parser)
+    parser.set_defaults(command=command)
--- a/src/apricotcart/settings/document.py
+++ b/src/apricotcart/settings/document.py
@@ -167,7 +167,8 @@
         try:
             parser.read_string(Path(path).read_text('utf-8'), source=path)
         except (OSError, UnicodeDecodeError, configparser.Error) as exc:
-            fault = Fault(file=path, section='', key='', message=str(exc))
+            reason = ' '.join(str(exc).split())
+            fault = Fault(file=path, section='', key='', message=reason)
             raise settings_error([fault]) from exc
         titles = parser.sections()
         return cls(path, {title: dict(parser[title]) for title in titles})
