--- a/src/apricotcart/control/bootstrap.py
+++ b/src/apricotcart/control/bootstrap.py
@@ -6,7 +6,7 @@
 
 from apricotcart.consensus.members import Members
 from apricotcart.control.identity import FIRST_INCARNATION, first_node_id
-from apricotcart.errors.tree import SettingsError
+from apricotcart.errors.tree import SettingsError, VersionConflictError
 from apricotcart.settings.control import ControlConfig
 from apricotcart.storage.identity import Identity
 from apricotcart.storage.log_store import initialise
@@ -20,14 +20,19 @@
     ------
     SettingsError
         If the settings do not list this host among the voters.
+    VersionConflictError
+        If the data folder holds anything.
     StorageError
-        If the folder is in use, has an identity or cannot be written.
+        If the folder is in use or cannot be written.
     """
     name = cfg.host.name
     if name not in cfg.peers.voters:
         raise SettingsError(f'[peers] does not list {name}')
+    folder = Path(cfg.data.folder)
+    if folder.is_dir() and any(folder.iterdir()):
+        raise VersionConflictError(f'{folder} is not empty')
     members = Members(voters=[first_node_id(peer) for peer in cfg.peers.voters])
-    disk = RealDisk(Path(cfg.data.folder))
+    disk = RealDisk(folder)
     identity = Identity(name=name, incarnation=FIRST_INCARNATION)
     initialise(disk, identity, members)
     disk.close()
