Write a span for each hop and count requests

Cause: nothing showed where a request spends its time. Change: spans for the request, queue, order record, commit and endpoint under one W3C trace context; metrics by class.

--- a/src/apricotcart/control/rpc.py
+++ b/src/apricotcart/control/rpc.py
@@ -9,7 +9,9 @@
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.distribution.responder import SyncResponder
 from apricotcart.endpoints.records import Endpoint
-from apricotcart.errors.tree import CodecError
+from apricotcart.errors.tree import ApricotcartError, CodecError
+from apricotcart.observability.catalogue import COMMIT_S
+from apricotcart.observability.telemetry import Telemetry
 from apricotcart.scheduling.shares import divide
 from apricotcart.settings.control import ControlConfig
 from apricotcart.state.machine import ClusterState
@@ -36,15 +38,17 @@
         The entry hosts.
     """
 
-    __slots__ = ('_hosts', '_loop', '_responder', '_state')
+    __slots__ = ('_hosts', '_loop', '_responder', '_state', '_telemetry')
 
     def __init__(
         self,
         loop: ConsensusLoop,
         state: ClusterState,
         hosts: HostTable,
+        telemetry: Telemetry,
     ) -> None:
         """Keep the parts."""
+        self._telemetry = telemetry
         self._loop = loop
         self._state = state
         self._hosts = hosts
@@ -56,9 +60,11 @@
         cfg: ControlConfig,
         loop: ConsensusLoop,
         state: ClusterState,
+        telemetry: Telemetry,
     ) -> Self:
         """Build the handler from checked settings."""
-        return cls(loop, state, HostTable(cfg.timing.host_timeout_s))
+        hosts = HostTable(cfg.timing.host_timeout_s)
+        return cls(loop, state, hosts, telemetry)
 
     def answer(self, message: WireMessage) -> WireMessage:
         """Answer one request.
@@ -75,13 +81,28 @@
             return self._sync(message)
         command = message.get('command')
         if kind == 'command' and isinstance(command, dict):
-            return self._commit(command)
+            return self._commit(command, message.get('traceparent'))
         raise CodecError(f'unknown request {kind!r}')
 
-    def _commit(self, command: WireMessage) -> WireMessage:
-        if command.get(_KIND) not in _COMMANDS:
+    def _commit(
+        self,
+        command: WireMessage,
+        traceparent: str | None,
+    ) -> WireMessage:
+        kind = command.get(_KIND)
+        if kind not in _COMMANDS:
             raise CodecError('the command is not for entry hosts')
-        return self._loop.propose(command, _COMMIT_TIMEOUT_S)
+        hop = self._telemetry.open_hop('commit', traceparent, {_KIND: kind})
+        started_at = time.monotonic()
+        try:
+            reply = self._loop.propose(command, _COMMIT_TIMEOUT_S)
+        except ApricotcartError as exc:
+            hop.end(exc.code)
+            raise
+        hop.end()
+        seconds = time.monotonic() - started_at
+        self._telemetry.metrics.observe(COMMIT_S, seconds)
+        return reply
 
     def _sync(self, message: WireMessage) -> WireMessage:
         # Without the barrier a leader that was replaced without noticing
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -21,6 +21,9 @@
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.reports import Reports
 from apricotcart.control.rpc import ControlRequests
+from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.telemetry import Telemetry
+from apricotcart.observability.tracing import Tracer
 from apricotcart.settings.control import ControlConfig
 from apricotcart.storage.identity import open_identity
 from apricotcart.storage.log_store import DurableLogStore
@@ -62,6 +65,10 @@
         self._sealer = Sealer(cfg.cluster.read_secret())
         self._tls = _tls_files(cfg)
         self._machine = ReplicatedMachine()
+        self._telemetry = Telemetry(
+            Tracer.from_config(cfg.tracing, 'control', cfg.host.name),
+            Metrics(),
+        )
         self._build_consensus()
 
     @classmethod
@@ -119,7 +126,12 @@
         self._loop.start()
         self._receiver.start()
         self._joiner.start()
-        self._requests = ControlRequests.from_config(cfg, self._loop, state)
+        self._requests = ControlRequests.from_config(
+            cfg,
+            self._loop,
+            state,
+            self._telemetry,
+        )
         self._rpc = NngRequestServer(
             cfg.rpc.listen,
             self._requests,
@@ -163,6 +175,7 @@
         self._loop.stop()
         self._links.close()
         cherrypy.engine.exit()
+        self._telemetry.tracer.close()
         _LOG.info('control host %s has stopped', self._cfg.host.name)
 
     def _on_signal(self, *_args: Any) -> None:
--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -4,6 +4,7 @@
 
 import time
 import uuid
+from typing import Self
 
 from apricotcart.entry.configuration import Configuration, Grant, RouteView
 from apricotcart.entry.dispatcher import Dispatcher
@@ -11,9 +12,19 @@
     DeadlineExceededError,
     EndpointUnreachableError,
     KeyWithdrawnError,
+    ShedError,
 )
 from apricotcart.entry.running import RunningRequest, RunningTable
 from apricotcart.entry.upstream import Upstream, UpstreamAnswer, UpstreamCall
+from apricotcart.errors.tree import ApricotcartError
+from apricotcart.observability.catalogue import (
+    QUEUE_WAIT_S,
+    REQUEST_S,
+    REQUESTS,
+    SHED,
+    Metric,
+)
+from apricotcart.observability.telemetry import Telemetry
 from apricotcart.scheduling.records import QueuedRequest
 from apricotcart.web.errors import UnauthorizedError
 from apricotcart.web.request import WebRequest
@@ -21,12 +32,20 @@
 # An endpoint that is silent for this many times its target has frozen.
 _STALL_FACTOR = 10
 _STALL_MIN_S = 3.0
+_CLASS = 'class'
+TRACEPARENT = 'traceparent'
 
 
 class Runtime:
     """What all requests of one entry host share."""
 
-    __slots__ = ('configuration', 'dispatcher', 'running', 'upstream')
+    __slots__ = (
+        'configuration',
+        'dispatcher',
+        'running',
+        'telemetry',
+        'upstream',
+    )
 
     def __init__(
         self,
@@ -34,12 +53,14 @@
         configuration: Configuration,
         dispatcher: Dispatcher,
         running: RunningTable,
+        telemetry: Telemetry,
         upstream: Upstream,
     ) -> None:
         """Keep the parts."""
         self.configuration = configuration
         self.dispatcher = dispatcher
         self.running = running
+        self.telemetry = telemetry
         self.upstream = upstream
 
 
@@ -57,14 +78,19 @@
     """
 
     __slots__ = (
+        'attempts',
         'deadline_at',
+        'endpoint',
         'excluded',
         'grant',
+        'hop',
+        'queued',
         'req',
         'request_id',
         'route',
         'running',
         'runtime',
+        'started_at',
     )
 
     def __init__(
@@ -80,14 +106,23 @@
         self.grant = grant
         self.route = route
         self.request_id = uuid.uuid4().hex
-        self.deadline_at = time.monotonic() + route.total_s
+        self.started_at = time.monotonic()
+        self.deadline_at = self.started_at + route.total_s
+        self.attempts = 0
+        self.endpoint = ''
+        self.queued: QueuedRequest | None = None
+        self.hop = runtime.telemetry.open_hop(
+            route.kind,
+            req.header(TRACEPARENT) or None,
+            self._attributes(),
+        )
         self.excluded: list[str] = []
         self.running: RunningRequest = runtime.running.add(
             self.request_id,
             grant.key_name,
         )
 
-    def queued(self, **sizes: object) -> QueuedRequest:
+    def describe(self, **sizes: object) -> QueuedRequest:
         """Describe the request for the scheduler."""
         return QueuedRequest(
             request_id=self.request_id,
@@ -109,7 +144,14 @@
             If the key was withdrawn while the request waited.
         """
         dispatcher = self.runtime.dispatcher
-        endpoint = dispatcher.acquire(queued, self.req.is_disconnected)
+        self.queued = queued
+        self.attempts += 1
+        waits_since = time.monotonic()
+        with self.hop.child('queue') as hop:
+            endpoint = self._dispatched(queued)
+            hop.fields['endpoint'] = endpoint
+        self.endpoint = endpoint
+        self.observe(QUEUE_WAIT_S, time.monotonic() - waits_since)
         if self.running.is_revoked:
             dispatcher.finish(self.request_id, 'cancelled')
             raise UnauthorizedError('the key was withdrawn')
@@ -146,9 +188,43 @@
         if outcome != 'ok':
             self.excluded.append(endpoint)
 
-    def close(self) -> None:
-        """Remove the request from the table of running requests."""
+    def __enter__(self) -> Self:
+        """Run the request."""
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: object,
+    ) -> None:
+        """End the request."""
+        self.close(exc)
+
+    def close(self, failure: BaseException | None = None) -> None:
+        """Remove the request from the running ones and note how it ended."""
         self.runtime.running.remove(self.request_id)
+        code = _failure_code(failure)
+        self.hop.fields['attempt'] = self.attempts
+        self.hop.end(code)
+        self.observe(REQUEST_S, time.monotonic() - self.started_at)
+        self.count(REQUESTS, 'outcome', code or 'ok')
+
+    def observe(self, metric: Metric, seconds: float) -> None:
+        """Add an observation under the request's class."""
+        labels = {_CLASS: self.route.class_name}
+        self.runtime.telemetry.metrics.observe(metric, seconds, labels)
+
+    def count(
+        self,
+        metric: Metric,
+        label: str,
+        label_value: str,
+        amount: int = 1,
+    ) -> None:
+        """Count something under the request's class and one more label."""
+        labels = {_CLASS: self.route.class_name, label: label_value}
+        self.runtime.telemetry.metrics.count(metric, labels, amount)
 
     def left_s(self) -> float:
         """Give the time to the deadline in seconds.
@@ -177,3 +253,27 @@
         """
         if self.running.is_revoked:
             raise KeyWithdrawnError('the key was withdrawn')
+
+    def _attributes(self) -> dict[str, str]:
+        return {
+            'request_id': self.request_id,
+            'customer': self.grant.customer,
+            'route': self.route.name,
+            _CLASS: self.route.class_name,
+        }
+
+    def _dispatched(self, queued: QueuedRequest) -> str:
+        dispatcher = self.runtime.dispatcher
+        try:
+            return dispatcher.acquire(queued, self.req.is_disconnected)
+        except ShedError as exc:
+            self.count(SHED, 'reason', str(exc.context['reason']))
+            raise
+
+
+def _failure_code(failure: BaseException | None) -> str | None:
+    if failure is None:
+        return None
+    if isinstance(failure, ApricotcartError):
+        return failure.code
+    return 'cancelled'
--- a/src/apricotcart/entry/chat.py
+++ b/src/apricotcart/entry/chat.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from contextlib import closing
 from http import HTTPStatus
 from itertools import chain
 from typing import Any
@@ -67,7 +66,7 @@
         caller = EngineCaller(job, chat)
         if chat.is_streamed:
             return self._streamed(caller)
-        with closing(job):
+        with job:
             return self._whole(caller)
 
     def _whole(self, caller: EngineCaller) -> WebResponse:
@@ -87,8 +86,8 @@
                 self._gate.require(caller.job, exc)
 
     def _read(self, caller: EngineCaller, endpoint: str) -> bytes:
-        with attempt_outcome(caller.job, endpoint):
-            answer = caller.send(endpoint)
+        with attempt_outcome(caller.job, endpoint) as hop:
+            answer = caller.send(endpoint, hop)
             body = answer.read(_MAX_ANSWER_BYTES)
             answer.release()
             _document(body, caller.job)
@@ -99,9 +98,8 @@
         events = stream.events()
         try:
             first = next(events)
-        except BaseException:
-            caller.job.close()
-            raise
+        except StopIteration:
+            raise EndpointCrashedError('the stream is empty') from None
         headers = [
             ('Content-Type', EVENT_STREAM_TYPE),
             ('Cache-Control', 'no-store'),
--- a/src/apricotcart/entry/chat_stream.py
+++ b/src/apricotcart/entry/chat_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -30,6 +31,8 @@
 from apricotcart.entry.upstream import UpstreamAnswer
 from apricotcart.entry.usage import UsageCounter
 from apricotcart.errors.tree import ApricotcartError
+from apricotcart.observability.catalogue import FIRST_TOKEN_S
+from apricotcart.observability.telemetry import Hop
 from apricotcart.web.response import error_document
 
 _FAILURES = (EndpointError, EndpointRefusedError, EndpointUnreachableError)
@@ -70,14 +73,19 @@
         Failures before the first event are raised; later ones become a
         typed error event, since the response has begun.
         """
+        with self._caller.job:
+            yield from self._counted()
+
+    def _counted(self) -> Iterator[bytes]:
         try:
             yield from self._attempts()
         except ApricotcartError as exc:
             if not self.tokens:
                 raise
+            job = self._caller.job
+            job.hop.fields['outcome'] = exc.code
             yield event_bytes(orjson.dumps(error_document(exc)))
         finally:
-            self._caller.job.close()
             self._usage.count_stream(
                 self._caller.job,
                 self._reported,
@@ -100,31 +108,31 @@
                 return
 
     def _attempt(self, endpoint: str) -> Iterator[bytes]:
-        with attempt_outcome(self._caller.job, endpoint):
+        with attempt_outcome(self._caller.job, endpoint) as hop:
             try:
-                yield from self._exchange(endpoint)
+                yield from self._exchange(endpoint, hop)
             except EndpointError as exc:
                 if not self.tokens:
                     raise
                 self._caller.job.check_key()
                 self._gate.require(self._caller.job, exc)
-                yield from self._resume(endpoint)
+                yield from self._resume(endpoint, hop)
 
-    def _resume(self, endpoint: str) -> Iterator[bytes]:
+    def _resume(self, endpoint: str, hop: Hop) -> Iterator[bytes]:
         """Go on with a broken stream on the engine that holds its state.
 
         Another engine would sample other tokens, and the caller would get
         an answer spliced from two.
         """
         try:
-            yield from self._exchange(endpoint)
+            yield from self._exchange(endpoint, hop)
         except _NOT_RESUMED as exc:
             raise TruncatedAnswerError(
                 'the stream broke and could not be resumed',
             ) from exc
 
-    def _exchange(self, endpoint: str) -> Iterator[bytes]:
-        answer = self._caller.send(endpoint, self.tokens)
+    def _exchange(self, endpoint: str, hop: Hop) -> Iterator[bytes]:
+        answer = self._caller.send(endpoint, hop, self.tokens)
         try:
             yield from self._forward(answer)
         except BaseException:
@@ -162,6 +170,11 @@
             dispatcher = self._caller.job.runtime.dispatcher
             if self.tokens == 1:
                 dispatcher.notify(self._first_byte)
+                since = self._caller.job.started_at
+                self._caller.job.observe(
+                    FIRST_TOKEN_S,
+                    time.monotonic() - since,
+                )
             dispatcher.count_tokens(self._caller.job.request_id, 1)
 
     def _first_byte(self, scheduler: Any, now: float) -> None:
--- a/src/apricotcart/entry/control_link.py
+++ b/src/apricotcart/entry/control_link.py
@@ -38,15 +38,32 @@
         self._leader = self._addresses[0]
         self._lock = threading.Lock()
 
-    def command(self, command: WireMessage, timeout_s: float) -> WireMessage:
+    def command(
+        self,
+        command: WireMessage,
+        timeout_s: float,
+        traceparent: str = '',
+    ) -> WireMessage:
         """Commit a command of the replicated state.
 
+        Parameters
+        ----------
+        command : dict
+            The command.
+        timeout_s : float
+            Time for the answer in seconds.
+        traceparent : str
+            Trace context of the request that the command belongs to.
+
         Raises
         ------
         UnavailableError
             If the command may or may not have been committed in time.
         """
-        return self.call({'kind': 'command', 'command': command}, timeout_s)
+        message = {'kind': 'command', 'command': command}
+        if traceparent:
+            message['traceparent'] = traceparent
+        return self.call(message, timeout_s)
 
     def call(self, message: WireMessage, timeout_s: float) -> WireMessage:
         """Ask the leader, following the control hosts' hints.
--- a/src/apricotcart/entry/engine_call.py
+++ b/src/apricotcart/entry/engine_call.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 from http import HTTPStatus
 
-from apricotcart.entry.attempt import Job
+from apricotcart.entry.attempt import TRACEPARENT, Job
 from apricotcart.entry.chat_request import ChatRequest
 from apricotcart.entry.errors import (
     EndpointError,
@@ -15,6 +15,7 @@
 )
 from apricotcart.entry.headers import PRIORITY, endpoint_headers
 from apricotcart.entry.upstream import UpstreamAnswer, UpstreamCall
+from apricotcart.observability.telemetry import Hop
 from apricotcart.web.errors import RequestError
 
 _PATH = '/v1/chat/completions'
@@ -45,7 +46,7 @@
     def acquire(self) -> str:
         """Wait for an endpoint."""
         chat = self.chat
-        queued = self.job.queued(
+        queued = self.job.describe(
             prompt_tokens=chat.prompt_tokens,
             max_tokens=chat.max_tokens,
             prefix_hash=chat.prefix_hash,
@@ -54,7 +55,12 @@
         )
         return self.job.acquire(queued)
 
-    def send(self, endpoint: str, resume_from: int = 0) -> UpstreamAnswer:
+    def send(
+        self,
+        endpoint: str,
+        hop: Hop,
+        resume_from: int = 0,
+    ) -> UpstreamAnswer:
         """Send the request to an engine.
 
         Raises
@@ -66,7 +72,9 @@
         EndpointError
             If the request may have run in part.
         """
-        answer = self.job.send(endpoint, self._call(endpoint, resume_from))
+        call = self._call(endpoint, resume_from)
+        call.headers[TRACEPARENT] = hop.traceparent()
+        answer = self.job.send(endpoint, call)
         if answer.status == HTTPStatus.OK:
             return answer
         answer.close()
@@ -100,11 +108,12 @@
 
 
 @contextmanager
-def attempt_outcome(job: Job, endpoint: str) -> Iterator[None]:
+def attempt_outcome(job: Job, endpoint: str) -> Iterator[Hop]:
     """Free the slot when the attempt ends and note how it ended."""
     outcome = _CANCELLED
     try:
-        yield
+        with job.hop.child('endpoint', {'endpoint': endpoint}) as hop:
+            yield hop
         outcome = _OK
     except (
         EndpointError,
--- a/src/apricotcart/entry/headers.py
+++ b/src/apricotcart/entry/headers.py
@@ -5,7 +5,6 @@
 from apricotcart.entry.upstream import REQUEST_ID
 from apricotcart.web.request import WebRequest
 
-TRACEPARENT = 'traceparent'
 PRIORITY = 'X-Priority'
 ORDER_KEY = 'X-Order-Key'
 _FORWARDED = ('Content-Type', 'Accept', 'Accept-Language')
--- a/src/apricotcart/entry/orders.py
+++ b/src/apricotcart/entry/orders.py
@@ -88,6 +88,7 @@
         self,
         attempt: OrderAttempt,
         body: bytes,
+        traceparent: str,
     ) -> WebResponse | None:
         """Record the attempt; None if it may send now.
 
@@ -111,7 +112,11 @@
             **attempt.fields(),
         }
         try:
-            reply = self._link.command(command, _BEGIN_TIMEOUT_S)
+            reply = self._link.command(
+                command,
+                _BEGIN_TIMEOUT_S,
+                traceparent,
+            )
         except ApricotcartError as exc:
             # The record may be committed all the same; since this attempt
             # will not send, it says so as soon as a leader can be reached.
@@ -122,14 +127,19 @@
             ) from exc
         return _outcome(reply)
 
-    def finish(self, attempt: OrderAttempt, response: WebResponse) -> None:
+    def finish(
+        self,
+        attempt: OrderAttempt,
+        response: WebResponse,
+        traceparent: str,
+    ) -> None:
         """Store the answer; repeated in the background if it fails."""
         body = b''.join(response.chunks)
         command = self._closing(attempt, 'done')
         command['status'] = response.status
         command['content_type'] = dict(response.headers).get('Content-Type', '')
         command['body'] = body
-        self._send(command)
+        self._send(command, traceparent)
 
     def finish_later(self, attempt: OrderAttempt, outcome: str) -> None:
         """Close a record in the background."""
@@ -145,9 +155,9 @@
             **attempt.fields(),
         }
 
-    def _send(self, command: WireMessage) -> None:
+    def _send(self, command: WireMessage, traceparent: str = '') -> None:
         try:
-            self._link.command(command, _FINISH_TIMEOUT_S)
+            self._link.command(command, _FINISH_TIMEOUT_S, traceparent)
         except ApricotcartError as exc:
             _LOG.warning('closing of an order is repeated: %s', exc)
             self._unsent.put(command)
--- a/src/apricotcart/entry/retrying.py
+++ b/src/apricotcart/entry/retrying.py
@@ -1,53 +1,81 @@
-"""Whether a failed request is tried again."""
+"""Whether and when a failed request is tried again."""
 
 from __future__ import annotations
 
-import threading
+import random
 import time
+from typing import Any
 
 from apricotcart.entry.attempt import Job
-from apricotcart.errors.tree import ApricotcartError
-
-MAX_ATTEMPTS = 3
-# Retries are at most this part of recent requests, so that failing
-# endpoints do not multiply the load on the others.
-RETRY_RATIO = 0.2
-# A host with little traffic may still retry a few requests.
-MIN_RETRIES = 10
-_PAUSE_S = 0.05
+from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.errors.tree import NOT_RUN, ApricotcartError
+from apricotcart.observability.catalogue import RETRIES
+from apricotcart.retries.policy import (
+    FailedAttempt,
+    RetryPolicy,
+    RetryVerdict,
+)
+from apricotcart.scheduling.scheduler import Scheduler
 
 
 class RetryGate:
-    """Allows retries within a budget and the request's deadline."""
+    """Asks the retry policy under the scheduler's lock.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Guards the scheduler's table of suspects.
+    rng : random.Random
+        Jitter of the back-off.
+    """
 
-    __slots__ = ('_balance', '_lock')
+    __slots__ = ('_dispatcher', '_policy')
 
-    def __init__(self) -> None:
-        """Start with the smallest budget."""
-        self._balance: float = MIN_RETRIES
-        self._lock = threading.Lock()
+    def __init__(self, dispatcher: Dispatcher, rng: random.Random) -> None:
+        """Build the policy."""
+        self._dispatcher = dispatcher
+        self._policy: RetryPolicy = dispatcher.notify(
+            lambda scheduler, now: RetryPolicy.from_rng(
+                rng,
+                scheduler.suspects,
+            ),
+        )
 
     def on_request(self) -> None:
-        """Earn budget for a first attempt."""
-        with self._lock:
-            self._balance = min(self._balance + RETRY_RATIO, MIN_RETRIES * 10)
+        """Count a first attempt."""
+        self._dispatcher.notify(self._count)
 
     def require(self, job: Job, failure: ApricotcartError) -> None:
-        """Allow one more attempt, or raise the failure.
+        """Wait until one more attempt may start, or raise the failure.
+
+        Only idempotent work comes here.
 
         Raises
         ------
         ApricotcartError
             The failure, if the request may not be tried again.
         """
-        if len(job.excluded) >= MAX_ATTEMPTS or not self._spend():
+        verdict = self._decide(job, failure)
+        if verdict.req is None:
+            job.hop.fields['reason'] = verdict.reason
             raise failure
-        if job.left_s() > _PAUSE_S:
-            time.sleep(_PAUSE_S)
-
-    def _spend(self) -> bool:
-        with self._lock:
-            if self._balance < 1:
-                return False
-            self._balance -= 1
-            return True
+        job.runtime.telemetry.metrics.count(RETRIES, {'reason': failure.code})
+        time.sleep(max(0, verdict.retry_at - time.monotonic()))
+
+    def _count(self, scheduler: Scheduler, now: float) -> None:
+        self._policy.on_request(now)
+
+    def _decide(self, job: Job, failure: Any) -> RetryVerdict:
+        attempt = FailedAttempt(
+            req=job.queued or job.describe(),
+            endpoint=job.endpoint,
+            outcome=failure.outcome,
+            number=job.attempts,
+            deadline_at=job.deadline_at,
+            idempotent=True,
+            bytes_left=failure.run_state != NOT_RUN,
+        )
+        verdict: RetryVerdict = self._dispatcher.notify(
+            lambda scheduler, now: self._policy.decide(now, attempt),
+        )
+        return verdict
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -30,6 +30,9 @@
 from apricotcart.entry.timers import RepeatingTimer
 from apricotcart.entry.upstream import Upstream
 from apricotcart.entry.usage import UsageCounter, UsageSender
+from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.telemetry import Telemetry
+from apricotcart.observability.tracing import Tracer
 from apricotcart.scheduling.config import SchedulerConfig
 from apricotcart.scheduling.scheduler import Scheduler
 from apricotcart.settings.entry import EntryConfig
@@ -66,6 +69,10 @@
         )
         self._link = ControlLink(_clients(cfg))
         self._held = ConfigCopy()
+        self._telemetry = Telemetry(
+            Tracer.from_config(cfg.tracing, 'entry', cfg.host.name),
+            Metrics(),
+        )
         self._build_requests()
         self._build_timers()
 
@@ -101,6 +108,7 @@
             configuration=self._configuration,
             dispatcher=self._dispatcher,
             running=self._running,
+            telemetry=self._telemetry,
             upstream=Upstream(cfg.limits.threads),
         )
         self._usage = UsageCounter(WINDOW_MS / _MS_PER_S)
@@ -147,7 +155,7 @@
 
     def _application(self) -> EntryApplication:
         access = Access(self._configuration)
-        gate = RetryGate()
+        gate = RetryGate(self._dispatcher, random.Random())
         max_body_bytes = self._cfg.limits.max_body_bytes
         return EntryApplication(
             access=access,
@@ -208,6 +216,7 @@
             timer.stop()
         flush(self._sender, self._orders)
         self._dispatcher.stop()
+        self._telemetry.tracer.close()
         _LOG.info('entry host %s has stopped', cfg.host.name)
 
     def _on_signal(self, *_args: Any) -> None:
--- a/src/apricotcart/entry/services.py
+++ b/src/apricotcart/entry/services.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from contextlib import closing
-
 from apricotcart.entry.access import Access
-from apricotcart.entry.attempt import Job, Runtime
+from apricotcart.entry.attempt import TRACEPARENT, Job, Runtime
 from apricotcart.entry.engine_call import attempt_outcome
 from apricotcart.entry.errors import (
     EndpointError,
@@ -66,7 +64,7 @@
         body = req.body(self._max_body_bytes)
         job = Job(self._runtime, req, grant, route)
         call = ServiceCall(job, path, body)
-        with closing(job):
+        with job:
             return self._answer(call)
 
     def _answer(self, call: ServiceCall) -> WebResponse:
@@ -99,7 +97,12 @@
             call.job.grant.customer,
             _idempotency_key(call.job),
         )
-        stored = self._orders.begin(attempt, call.order_content())
+        with call.job.hop.child('order_begin') as hop:
+            stored = self._orders.begin(
+                attempt,
+                call.order_content(),
+                hop.traceparent(),
+            )
         if stored is not None:
             return stored
         response = self._sent_once(call, attempt)
@@ -124,7 +127,8 @@
         except ApricotcartError:
             self._orders.finish_later(attempt, 'unknown')
             raise
-        self._orders.finish(attempt, response)
+        with call.job.hop.child('order_finish') as hop:
+            self._orders.finish(attempt, response, hop.traceparent())
         return response
 
 
@@ -141,7 +145,7 @@
 
     def acquire(self) -> str:
         """Wait for an endpoint."""
-        return self.job.acquire(self.job.queued())
+        return self.job.acquire(self.job.describe())
 
     def order_content(self) -> bytes:
         """Give what two calls with one idempotency key must share."""
@@ -164,10 +168,11 @@
             If the call may have run.
         """
         job = self.job
-        with attempt_outcome(job, endpoint):
+        with attempt_outcome(job, endpoint) as hop:
+            call = self._upstream_call(endpoint, order_key, hop.traceparent())
             answer = job.send(
                 endpoint,
-                self._upstream_call(endpoint, order_key),
+                call,
                 fresh=order_key is not None,
             )
             body = answer.read(_MAX_ANSWER_BYTES)
@@ -178,10 +183,12 @@
         self,
         endpoint: str,
         order_key: OrderAttempt | None,
+        traceparent: str,
     ) -> UpstreamCall:
         job = self.job
         url = job.runtime.configuration.endpoint_url(endpoint)
         headers = endpoint_headers(job.req, job.request_id)
+        headers[TRACEPARENT] = traceparent
         if order_key is not None:
             headers[ORDER_KEY] = order_key.order_key()
         return UpstreamCall(
--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import NoReturn
 
 import urllib3
@@ -58,7 +58,7 @@
         *,
         method: str,
         url: str,
-        headers: Mapping[str, str],
+        headers: dict[str, str],
         body: bytes,
         request_id: str,
         read_timeout_s: float,
--- a/tests/support/demo.py
+++ b/tests/support/demo.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from apricotcart.run import run
 from support.cluster import Cluster
 from support.processes import wait_until
 
@@ -173,7 +174,14 @@
 
 def _print_trace(path: Path) -> None:
     spans = [json.loads(line) for line in path.read_text().splitlines()]
-    _say('spans', spans)
+    trace_id = next(
+        span['context']['trace_id']
+        for span in spans
+        if span['name'] == 'service'
+    )
+    sys.stdout.write('one trace, a span for each hop:\n')
+    sys.stdout.flush()
+    run(['trace', '--file', str(path), trace_id.removeprefix('0x')])
 
 
 def _say(title: str, content: Any) -> None:
