--- a/src/apricotcart/endpoints/outcomes.py
+++ b/src/apricotcart/endpoints/outcomes.py
@@ -10,3 +10,5 @@
 CANCELLED = 'cancelled'
 # The connection broke after the request was sent, before the end marker.
 CRASHED = 'crashed'
+# No connection could be made, so that nothing of the request was sent.
+UNREACHABLE = 'unreachable'
--- a/src/apricotcart/endpoints/rows.py
+++ b/src/apricotcart/endpoints/rows.py
@@ -81,7 +81,7 @@
             self.limit.on_refused()
         elif outcome == outcomes.FAILED:
             self.limit.on_failed(now)
-        elif outcome == outcomes.CRASHED:
+        elif outcome in (outcomes.CRASHED, outcomes.UNREACHABLE):
             self.limit.on_crashed(now)
 
     def on_report(self, report: LoadReport) -> None:
--- a/src/apricotcart/endpoints/suspects.py
+++ b/src/apricotcart/endpoints/suspects.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 from apricotcart.codec.record import Record
 
@@ -37,47 +38,47 @@
 
 
 class SuspectTable:
-    """Suspects of this host and, through sync, of all hosts."""
+    """Suspects that this host saw, and those that other hosts reported.
 
-    __slots__ = ('_suspects',)
+    Only the host that saw a crash reports it, so that a request that later
+    finishes is cleared everywhere. A quarantined request stays in the table
+    of every host, since the host that saw the crashes may go away.
+    """
+
+    __slots__ = ('_own', '_remote')
 
     def __init__(self) -> None:
         """Start empty."""
-        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self._own: OrderedDict[str, _Suspect] = OrderedDict()
+        self._remote: dict[str, _Suspect] = {}
 
     def __len__(self) -> int:
-        """Count the fingerprints."""
-        return len(self._suspects)
+        """Count the fingerprints that this host reports."""
+        return len(self._own)
 
     def on_crash(self, now: float, fingerprint: str, endpoint: str) -> None:
         """Note that the request ran on an endpoint when it crashed."""
-        suspect = self._suspects.setdefault(fingerprint, _Suspect())
-        suspect.endpoints.add(endpoint)
-        suspect.crashed_at = max(suspect.crashed_at, now)
-        self._suspects.move_to_end(fingerprint)
-        self._trim(now)
+        self._add(now, fingerprint, (endpoint,))
+        remote = self._remote.get(fingerprint)
+        if remote is not None:
+            self._add(now, fingerprint, remote.endpoints)
 
     def on_finished(self, fingerprint: str) -> None:
         """Clear a suspect that finished without a crash."""
         if self.is_suspect(fingerprint):
-            self._suspects.pop(fingerprint)
+            self._own.pop(fingerprint, None)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether the request ran on one crashed endpoint."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None:
-            return False
-        return len(suspect.endpoints) < CRASHES_TO_QUARANTINE
+        return 0 < len(self._endpoints(fingerprint)) < CRASHES_TO_QUARANTINE
 
     def is_quarantined(self, now: float, fingerprint: str) -> bool:
         """Tell whether the request must not run again."""
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or now - suspect.crashed_at > QUARANTINE_S:
-            return False
-        return len(suspect.endpoints) >= CRASHES_TO_QUARANTINE
+        self._trim(now)
+        return len(self._endpoints(fingerprint)) >= CRASHES_TO_QUARANTINE
 
     def reports(self, now: float) -> list[SuspectReport]:
-        """Give all suspects for the sync message."""
+        """Give this host's suspects for the sync message."""
         self._trim(now)
         return [
             SuspectReport(
@@ -85,28 +86,49 @@
                 endpoints=suspect.endpoints,
                 age_s=now - suspect.crashed_at,
             )
-            for fingerprint, suspect in self._suspects.items()
+            for fingerprint, suspect in self._own.items()
         ]
 
     def merge(self, now: float, reports: Iterable[SuspectReport]) -> None:
-        """Take in suspects that other hosts reported."""
+        """Replace what other hosts reported by the last sync reply."""
+        self._remote = {}
         for report in reports:
-            for endpoint in report.endpoints:
-                self.on_crash(now - report.age_s, report.fingerprint, endpoint)
+            suspect = self._remote.setdefault(report.fingerprint, _Suspect())
+            suspect.endpoints.update(report.endpoints)
+            suspect.crashed_at = now - report.age_s
+        for fingerprint, merged in self._remote.items():
+            if len(merged.endpoints) >= CRASHES_TO_QUARANTINE:
+                self._add(merged.crashed_at, fingerprint, merged.endpoints)
 
     def merge_wire(
-        self, now: float, reports: Iterable[Mapping[str, object]]
+        self, now: float, reports: Iterable[Mapping[str, Any]]
     ) -> None:
         """Take in suspects in their wire form."""
         self.merge(now, [SuspectReport.from_wire(entry) for entry in reports])
 
+    def _add(
+        self, now: float, fingerprint: str, endpoints: Iterable[str]
+    ) -> None:
+        suspect = self._own.setdefault(fingerprint, _Suspect())
+        suspect.endpoints.update(endpoints)
+        suspect.crashed_at = max(suspect.crashed_at, now)
+        self._trim(now)
+
+    def _endpoints(self, fingerprint: str) -> set[str]:
+        endpoints: set[str] = set()
+        for table in (self._own, self._remote):
+            suspect = table.get(fingerprint)
+            if suspect is not None:
+                endpoints |= suspect.endpoints
+        return endpoints
+
     def _trim(self, now: float) -> None:
-        while self._suspects:
-            fingerprint, oldest = next(iter(self._suspects.items()))
+        while self._own:
+            fingerprint, oldest = next(iter(self._own.items()))
             lifetime = SUSPICION_S
             if len(oldest.endpoints) >= CRASHES_TO_QUARANTINE:
                 lifetime = QUARANTINE_S
             expired = now - oldest.crashed_at > lifetime
-            if not expired and len(self._suspects) <= MAX_SUSPECTS:
+            if not expired and len(self._own) <= MAX_SUSPECTS:
                 return
-            self._suspects.pop(fingerprint)
+            self._own.pop(fingerprint)
--- a/src/apricotcart/retries/policy.py
+++ b/src/apricotcart/retries/policy.py
@@ -24,7 +24,14 @@
 REASON_DEADLINE = 'deadline'
 REASON_BUDGET = 'budget'
 
-_RETRIABLE = frozenset((outcomes.FAILED, outcomes.REFUSED, outcomes.CRASHED))
+_RETRIABLE = frozenset(
+    (
+        outcomes.FAILED,
+        outcomes.REFUSED,
+        outcomes.CRASHED,
+        outcomes.UNREACHABLE,
+    )
+)
 
 
 class FailedAttempt(Record):
--- /dev/null
+++ b/tests/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policy measurement: the scheduler against baselines on fake engines."""
--- /dev/null
+++ b/tests/policy/simulation.py
@@ -0,0 +1,301 @@
+"""Drives the hosts' schedulers and the fake engines under a scripted clock."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from typing import Any
+
+from apricotcart.endpoints import outcomes
+from apricotcart.endpoints.records import Endpoint, LoadReport
+from apricotcart.retries.policy import FailedAttempt, RetryPolicy
+from apricotcart.scheduling.config import SchedulerConfig
+from apricotcart.scheduling.decisions import Decision, Dispatch
+from apricotcart.scheduling.scheduler import Scheduler
+from apricotcart.scheduling.shares import divide
+from policy.baselines import FifoRoundRobin, LeastInFlight
+from policy.deployment import Deployment
+from policy.engines import Engine, Job
+from policy.measures import Counts, Record, measure
+
+STEP_S = 0.05
+# A failing endpoint breaks all its connections this often.
+FAILING_PERIOD_S = 2.0
+
+POLICIES = ('apricotcart', 'fifo-round-robin', 'least-in-flight')
+
+
+_TimedReports = tuple[float, dict[str, LoadReport]]
+
+
+class Simulation:
+    """One run of one policy on one deployment and seed."""
+
+    def __init__(self, deployment: Deployment, policy: str, seed: int) -> None:
+        """Build hosts and engines."""
+        self.deployment = deployment
+        self.now: float = 0
+        self.rng = random.Random(f'{deployment.name}-{seed}-faults')
+        self.engines = {
+            entry.name: Engine(entry, slow=entry.name in deployment.slow)
+            for entry in deployment.endpoints
+        }
+        self.hosts = [
+            self._host(policy, number) for number in range(deployment.hosts)
+        ]
+        self.retries = [
+            RetryPolicy.from_rng(random.Random(number), host.suspects)
+            for number, host in enumerate(self.hosts)
+        ]
+        self.records = {
+            entry.req.request_id: Record(entry)
+            for entry in deployment.arrivals(seed)
+        }
+        self.jobs: dict[str, Job] = {}
+        self.resubmit: list[tuple[float, str, Any]] = []
+        self.reports: deque[_TimedReports] = deque()
+        self.failing = self._failing_endpoints()
+        self.next_sync: float = 0
+        self.leaving: set[str] = set()
+        self.crash_counts: dict[str, int] = {}
+        self._configure()
+
+    def run(self) -> list[Record]:
+        """Run to the end of the script and until all requests ended."""
+        script = deque(self.records.values())
+        deadlines = deque(sorted(script, key=Record.deadline))
+        while script or deadlines:
+            self.now += STEP_S
+            self._callers(script, deadlines)
+            self._faults()
+            self._step_engines()
+            if self.now >= self.next_sync:
+                self.next_sync += self.deployment.base['sync_s']
+                self._sync()
+            for number, _ in enumerate(self.hosts):
+                self._tick(number)
+        return list(self.records.values())
+
+    def _callers(self, script: deque[Record], deadlines: deque[Record]) -> None:
+        while script and script[0].arrival.at <= self.now:
+            self._arrive(script.popleft())
+        while self.resubmit and self.resubmit[0][0] <= self.now:
+            self._submit(heapq.heappop(self.resubmit)[2])
+        while deadlines and deadlines[0].deadline() <= self.now:
+            self._give_up(deadlines.popleft())
+
+    def _host(self, policy: str, number: int) -> Any:
+        max_queue = int(self.deployment.base['max_queue'])
+        if policy == 'fifo-round-robin':
+            return FifoRoundRobin(max_queue)
+        if policy == 'least-in-flight':
+            return LeastInFlight(max_queue)
+        zones = self.deployment.zones
+        cfg = SchedulerConfig(
+            zone=zones[number % len(zones)],
+            max_queue=max_queue,
+            reclaim_notice_s=self.deployment.span('reclaim_notice_s')[0],
+        )
+        return Scheduler.from_config(cfg, random.Random(number))
+
+    def _failing_endpoints(self) -> list[str]:
+        names = [
+            entry.name
+            for entry in self.deployment.endpoints
+            if entry.pool == self.deployment.endpoints[0].pool
+        ]
+        part = self.deployment.span('failing')[2]
+        return self.rng.sample(names, round(len(names) * part + 0.49))
+
+    def _configure(self) -> None:
+        endpoints = []
+        for entry in self.deployment.endpoints:
+            fields = entry.to_wire()
+            fields['leaving'] = entry.name in self.leaving
+            endpoints.append(Endpoint.from_wire(fields))
+        for host in self.hosts:
+            host.configure(
+                self.now,
+                self.deployment.classes,
+                self.deployment.customers,
+                endpoints,
+            )
+        self.configured = endpoints
+
+    def _arrive(self, record: Record) -> None:
+        arrival = record.arrival
+        self.retries[arrival.host].on_request(self.now)
+        self._submit(arrival.req)
+
+    def _submit(self, req: Any) -> None:
+        record = self.records[req.request_id]
+        if record.ended_at:
+            return
+        record.req = req
+        number = record.arrival.host
+        self.hosts[number].submit(self.now, req)
+        self._tick(number)
+
+    def _give_up(self, record: Record) -> None:
+        if record.ended_at:
+            return
+        name = record.arrival.req.request_id
+        self.hosts[record.arrival.host].cancel(self.now, name)
+        job = self.jobs.pop(name, None)
+        if job is not None:
+            self.engines[job.endpoint].remove(job)
+        record.end(self.now, 'deadline')
+
+    def _tick(self, number: int) -> None:
+        made: list[Decision] = self.hosts[number].tick(self.now)
+        for decision in made:
+            record = self.records[decision.request_id]
+            if isinstance(decision, Dispatch):
+                self._start(record, decision.endpoint, number)
+            else:
+                record.end(self.now, 'shed')
+
+    def _start(self, record: Record, endpoint: str, number: int) -> None:
+        record.attempts += 1
+        engine = self.engines[endpoint]
+        kept = record.kept
+        job = Job(record.arrival, number, self.now, kept)
+        job.endpoint = endpoint
+        self.jobs[record.arrival.req.request_id] = job
+        if self.now < engine.down_until:
+            self._fail(job, outcomes.UNREACHABLE)
+        else:
+            engine.add(job)
+
+    def _step_engines(self) -> None:
+        for engine in self.engines.values():
+            for job in engine.step(self.now, STEP_S):
+                self.records[job.arrival.req.request_id].start(self.now)
+            for running in list(engine.running):
+                self._progress(engine, running)
+            if engine.is_poisoned():
+                self._crash(engine, self.now + self._restart_s(), 'poison')
+
+    def _progress(self, engine: Engine, job: Job) -> None:
+        record = self.records[job.arrival.req.request_id]
+        host = self.hosts[job.host]
+        name = job.arrival.req.request_id
+        fresh = int(job.produced) - job.reported
+        if fresh and not job.arrival.poison:
+            host.on_first_byte(self.now, name)
+            host.on_tokens(self.now, name, fresh)
+            job.reported += fresh
+            record.first_byte(self.now + self._delay(engine, job.host))
+        if job.produced >= job.arrival.length and not job.arrival.poison:
+            engine.remove(job)
+            self.jobs.pop(name)
+            record.on_endpoint(engine.endpoint, job)
+            record.end(self.now + self._delay(engine, job.host), 'answered')
+            host.on_finish(self.now, name, outcomes.OK)
+            self._tick(job.host)
+
+    def _delay(self, engine: Engine, host: int) -> float:
+        zones = self.deployment.zones
+        delay = self.deployment.base['client_delay_s']
+        if engine.endpoint.zone != zones[host % len(zones)]:
+            delay += 2 * self.deployment.base['zone_delay_s']
+        return delay
+
+    def _restart_s(self) -> float:
+        return self.deployment.span('restart_s')[0]
+
+    def _crash(self, engine: Engine, until: float, cause: str) -> None:
+        self.crash_counts[cause] = self.crash_counts.get(cause, 0) + 1
+        for job in engine.crash(until):
+            record = self.records[job.arrival.req.request_id]
+            record.on_endpoint(engine.endpoint, job)
+            record.hit(cause)
+            self._fail(job, outcomes.CRASHED)
+
+    def _fail(self, job: Job, outcome: str) -> None:
+        name = job.arrival.req.request_id
+        record = self.records[name]
+        self.jobs.pop(name)
+        traffic = job.arrival.traffic
+        if traffic.resumable and not job.arrival.poison:
+            record.kept = job.reported
+        self.hosts[job.host].on_finish(self.now, name, outcome)
+        attempt = FailedAttempt(
+            req=record.req,
+            endpoint=job.endpoint,
+            outcome=outcome,
+            number=record.attempts,
+            deadline_at=record.deadline(),
+            idempotent=traffic.idempotent,
+            bytes_left=outcome != outcomes.UNREACHABLE,
+        )
+        verdict = self.retries[job.host].decide(self.now, attempt)
+        if verdict.req is None:
+            record.end(self.now, verdict.reason)
+            return
+        heapq.heappush(self.resubmit, (verdict.retry_at, name, verdict.req))
+
+    def _faults(self) -> None:
+        start, end = self.deployment.span('reclaim')
+        notice_s = self.deployment.span('reclaim_notice_s')[0]
+        cheap = [
+            entry for entry in self.engines.values() if entry.endpoint.cheap
+        ]
+        if self._passed(start):
+            self.leaving = {entry.endpoint.name for entry in cheap}
+        if self._passed(start + notice_s):
+            for engine in cheap:
+                self._crash(engine, end, 'reclaim')
+        if self._passed(end):
+            self.leaving = set()
+        if self.deployment.active('failing', self.now):
+            for position, name in enumerate(self.failing):
+                phase = self.now + position / 2
+                if phase % FAILING_PERIOD_S < STEP_S:
+                    self._crash(self.engines[name], self.now, 'failing')
+
+    def _passed(self, at: float) -> bool:
+        return self.now - STEP_S < at <= self.now
+
+    def _sync(self) -> None:
+        leaving = {entry.name for entry in self.configured if entry.leaving}
+        if leaving != self.leaving:
+            self._configure()
+        demands = {
+            f'h{number}': host.demand()
+            for number, host in enumerate(self.hosts)
+        }
+        division = divide(demands, self.configured)
+        for number, host in enumerate(self.hosts):
+            host.set_share(self.now, division[f'h{number}'])
+            others = [
+                report
+                for other in self.hosts
+                if other is not host
+                for report in other.suspects.reports(self.now)
+            ]
+            host.suspects.merge(self.now, others)
+        self._report_loads()
+
+    def _report_loads(self) -> None:
+        measured = {
+            name: engine.report(self.now)
+            for name, engine in self.engines.items()
+        }
+        self.reports.append((self.now, measured))
+        lag_s = self.deployment.base['report_lag_s']
+        while self.reports and self.reports[0][0] <= self.now - lag_s:
+            _, late = self.reports.popleft()
+            for host in self.hosts:
+                for name, report in late.items():
+                    host.on_load_report(self.now, name, report)
+
+
+def simulate(
+    name: str, policy: str, seed: int
+) -> tuple[dict[str, float], Counts]:
+    """Run once and give the measures."""
+    simulation = Simulation(Deployment(name), policy, seed)
+    simulation.run()
+    return measure(simulation)
