Use the membership tables in both processes

Cause: the processes carried simpler copies of the host list. Change: the leader's host table, host directory and endpoint drain come from membership; a new leader gives no shares until it has heard all hosts, since the first host to sync would get every slot.

--- /dev/null
+++ b/src/apricotcart/control/entry_hosts.py
@@ -0,0 +1,132 @@
+"""What the leader learns from the syncs of entry hosts."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from apricotcart.endpoints.records import Endpoint
+from apricotcart.membership.records import HostList, HostReport
+from apricotcart.membership.table import LEARN_S, HostTable
+from apricotcart.scheduling.decisions import Demand
+from apricotcart.scheduling.shares import Division, divide
+
+# Shares are computed anew at most this often; a sync in between gets the
+# last division, so that 340 hosts do not each divide all slots.
+_DIVIDE_INTERVAL_S = 0.1
+
+Suspects = list[Mapping[str, Any]]
+
+
+class EntryHosts:
+    """Hosts, their demand and their suspects; not replicated.
+
+    A new leader starts empty and learns everything from the next syncs.
+    """
+
+    __slots__ = (
+        '_demands',
+        '_divided_at',
+        '_division',
+        '_leads_since',
+        '_lock',
+        '_suspects',
+        '_table',
+        '_term',
+    )
+
+    def __init__(self, now: float) -> None:
+        """Start empty."""
+        self._lock = threading.Lock()
+        self._term = -1
+        self._table = HostTable(now)
+        self._leads_since = now
+        self._divided_at = now
+        self._demands: dict[str, Demand] = {}
+        self._suspects: dict[str, Suspects] = {}
+        self._division: Division = {}
+
+    def on_sync(self, now: float, term: int, message: dict[str, Any]) -> bool:
+        """Take a sync; False if a later process of the host replaced it."""
+        report = HostReport(
+            host=message['host'],
+            incarnation=message['incarnation'],
+            address=message['address'],
+            zone=message['zone'],
+            state=message['state'],
+        )
+        with self._lock:
+            if term != self._term:
+                self._term = term
+                self._table.reset(now)
+                self._start(now)
+            self._table.tick(now)
+            if not self._table.on_sync(now, report):
+                return False
+            self._demands[report.host] = Demand.from_wire(message['demand'])
+            self._suspects[report.host] = message['suspects']
+            return True
+
+    def list_for(self, now: float, held: str | None) -> HostList:
+        """Give the list of hosts for callers."""
+        with self._lock:
+            return self._table.list_for(now, held)
+
+    def share_of(
+        self,
+        now: float,
+        host: str,
+        endpoints: Iterable[Endpoint],
+    ) -> dict[str, int] | None:
+        """Give a host's slots by endpoint; None while hosts are unknown.
+
+        A leader that has not heard all hosts yet would give their slots to
+        those that it has heard.
+        """
+        with self._lock:
+            if now < self._leads_since + LEARN_S:
+                return None
+            if now >= self._divided_at + _DIVIDE_INTERVAL_S:
+                self._division = divide(self._live_demands(now), endpoints)
+                self._divided_at = now
+            return self._division.get(host, {})
+
+    def suspects_for(self, host: str) -> list[Mapping[str, Any]]:
+        """Give what other hosts know of requests that crash endpoints."""
+        with self._lock:
+            return [
+                report
+                for other, reports in self._suspects.items()
+                if other != host
+                for report in reports
+            ]
+
+    def on_hint(self, now: float, host: str) -> None:
+        """Take note that the platform lists a host as draining or gone."""
+        with self._lock:
+            self._table.on_hint(now, host)
+
+    def reports(self, now: float) -> list[dict[str, Any]]:
+        """Give the live hosts for the operators' status."""
+        with self._lock:
+            return [report.to_wire() for report in self._table.live_hosts(now)]
+
+    def demands(self, now: float) -> dict[str, Demand]:
+        """Give the demand of each live host."""
+        with self._lock:
+            return self._live_demands(now)
+
+    def _start(self, now: float) -> None:
+        self._leads_since = now
+        self._divided_at = now
+        self._demands = {}
+        self._division = {}
+        self._suspects = {}
+
+    def _live_demands(self, now: float) -> dict[str, Demand]:
+        return {
+            report.host: self._demands[report.host]
+            for report in self._table.live_hosts(now)
+            if report.host in self._demands
+        }
--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -152,6 +152,10 @@
         with self.lock:
             return self._node.lease_valid_until()
 
+    def term(self) -> int:
+        """Give the current term."""
+        return self._node.term
+
     def leader_name(self) -> str:
         """Give the name of the leading control host, or an empty string."""
         return host_name(self._node.leader_id)
--- a/src/apricotcart/control/rpc.py
+++ b/src/apricotcart/control/rpc.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import time
-from typing import Self
 
-from apricotcart.control.hosts import HostTable
+from apricotcart.control.entry_hosts import EntryHosts
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.distribution.responder import SyncResponder
 from apricotcart.endpoints.records import Endpoint
-from apricotcart.errors.tree import ApricotcartError, CodecError
+from apricotcart.errors.tree import ApricotcartError, ClusterError, CodecError
 from apricotcart.observability.catalogue import COMMIT_S
 from apricotcart.observability.telemetry import Telemetry
-from apricotcart.scheduling.shares import divide
-from apricotcart.settings.control import ControlConfig
 from apricotcart.state.machine import ClusterState
 from apricotcart.transport.api import RequestHandler, WireMessage
 
@@ -25,6 +22,13 @@
 _KIND = 'kind'
 
 
+class ReplacedHostError(ClusterError):
+    """A later process of the same entry host has taken its place."""
+
+    code = 'host_replaced'
+    http_status = 409
+
+
 class ControlRequests(RequestHandler):
     """Answers syncs and commands while this host leads.
 
@@ -34,7 +38,7 @@
         Commits commands and confirms the leadership.
     state : ClusterState
         Read under the loop's lock.
-    hosts : HostTable
+    hosts : EntryHosts
         The entry hosts.
     """
 
@@ -44,7 +48,7 @@
         self,
         loop: ConsensusLoop,
         state: ClusterState,
-        hosts: HostTable,
+        hosts: EntryHosts,
         telemetry: Telemetry,
     ) -> None:
         """Keep the parts."""
@@ -54,18 +58,6 @@
         self._hosts = hosts
         self._responder = SyncResponder(state)
 
-    @classmethod
-    def from_config(
-        cls,
-        cfg: ControlConfig,
-        loop: ConsensusLoop,
-        state: ClusterState,
-        telemetry: Telemetry,
-    ) -> Self:
-        """Build the handler from checked settings."""
-        hosts = HostTable(cfg.timing.host_timeout_s)
-        return cls(loop, state, hosts, telemetry)
-
     def answer(self, message: WireMessage) -> WireMessage:
         """Answer one request.
 
@@ -109,17 +101,18 @@
         # would prove an old configuration fresh.
         self._loop.barrier(_READ_TIMEOUT_S)
         now = time.monotonic()
+        host = message['host']
+        if not self._hosts.on_sync(now, self._loop.term(), message):
+            raise ReplacedHostError(f'a later process serves as {host}')
         with self._loop.lock:
-            self._hosts.observe(now, message)
             update = self._responder.respond(message['revision'])
             endpoints = self._endpoints()
-        shares = divide(self._hosts.demands(now), endpoints)
         return {
             'ok': True,
             'update': update.to_wire(),
-            'hosts': self._hosts.serving(now),
-            'shares': shares.get(message['host'], {}),
-            'suspects': self._hosts.suspects(now, message['host']),
+            'hosts': self._hosts.list_for(now, message['hosts']).to_wire(),
+            'shares': self._hosts.share_of(now, host, endpoints),
+            'suspects': self._hosts.suspects_for(host),
         }
 
     def _endpoints(self) -> list[Endpoint]:
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import threading
+import time
 from pathlib import Path
 from typing import Any, Self
 
@@ -14,6 +15,7 @@
 from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.node import Node
+from apricotcart.control.entry_hosts import EntryHosts
 from apricotcart.control.joining import Joiner
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.control.machine import ReplicatedMachine
@@ -69,6 +71,7 @@
             Tracer.from_config(cfg.tracing, 'control', cfg.host.name),
             Metrics(),
         )
+        self._hosts = EntryHosts(time.monotonic())
         self._build_consensus()
 
     @classmethod
@@ -126,10 +129,10 @@
         self._loop.start()
         self._receiver.start()
         self._joiner.start()
-        self._requests = ControlRequests.from_config(
-            cfg,
+        self._requests = ControlRequests(
             self._loop,
             state,
+            self._hosts,
             self._telemetry,
         )
         self._rpc = NngRequestServer(
@@ -149,7 +152,7 @@
                 self._loop,
                 self._machine.state,
                 cfg.operators.read_token(),
-                Reports(self._loop, self._machine.state),
+                Reports(self._loop, self._machine.state, self._hosts),
             ),
         )
         add_server(
--- a/src/apricotcart/entry/app.py
+++ b/src/apricotcart/entry/app.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any, Protocol
+from typing import Any
 
 from apricotcart.entry.access import Access
 from apricotcart.entry.chat import CHAT_KIND, ChatHandler
 from apricotcart.entry.services import PREFIX, ServiceHandler
 from apricotcart.entry.stopping import ActiveRequests
+from apricotcart.membership.directory import HostDirectory
 from apricotcart.web.application import WebApplication
 from apricotcart.web.errors import MethodError, UnknownPathError
 from apricotcart.web.request import Environ, WebRequest
@@ -20,13 +23,6 @@
 Responder = Callable[[WebRequest], WebResponse]
 
 
-class HostsAnswer(Protocol):
-    """Answers which entry hosts callers should use."""
-
-    def document(self) -> dict[str, Any]:
-        """Give addresses and their time to live."""
-
-
 class CountedChunks:
     """A body; its request counts as active until the server closes it."""
 
@@ -62,14 +58,15 @@
         access: Access,
         chat: ChatHandler,
         services: ServiceHandler,
-        hosts: HostsAnswer,
+        directory: HostDirectory,
         active: ActiveRequests,
     ) -> None:
         """Keep the handlers."""
         self._access = access
         self._active = active
         self._services = services
-        self._hosts = hosts
+        self._directory = directory
+        self._lock = threading.Lock()
         self._routes: dict[str, tuple[str, Responder]] = {
             '/v1/chat/completions': (_POST, chat.respond),
             '/v1/models': (_GET, self._models),
@@ -116,7 +113,12 @@
         return WebResponse.from_json({'object': 'list', 'data': models})
 
     def _which_host(self, req: WebRequest) -> WebResponse:
-        return WebResponse.from_json(self._hosts.document())
+        zone = req.query('zone') or None
+        with self._lock:
+            answer = self._directory.answer(time.monotonic(), zone)
+        return WebResponse.from_json(
+            {'hosts': list(answer.addresses), 'ttl_s': answer.ttl_s},
+        )
 
     def _health(self, req: WebRequest) -> WebResponse:
         return WebResponse.from_json({'ok': True})
--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -176,6 +176,7 @@
         # A host that was frozen after the decision must not send on what it
         # knew before.
         self.runtime.configuration.require_fresh()
+        self.runtime.configuration.require_dispatchable(endpoint)
         if not call.url:
             raise EndpointUnreachableError(f'endpoint {endpoint} is gone')
         answer = self.runtime.upstream.send(call, fresh=fresh)
--- a/src/apricotcart/entry/configuration.py
+++ b/src/apricotcart/entry/configuration.py
@@ -97,6 +97,16 @@
             If the copy is older than the freshness bound.
         """
 
+    @abstractmethod
+    def require_dispatchable(self, endpoint: str) -> None:
+        """Check right before a send that the endpoint takes new work.
+
+        Raises
+        ------
+        EndpointDrainingError
+            If the endpoint is draining, or may be.
+        """
+
     @abstractmethod
     def grant_of(self, token: str) -> Grant | None:
         """Give the grant of a key's secret, None if it is not valid."""
--- a/src/apricotcart/entry/errors.py
+++ b/src/apricotcart/entry/errors.py
@@ -115,6 +115,12 @@
     outcome = 'refused'
 
 
+class EndpointDrainingError(EndpointRefusedError):
+    """The endpoint is draining, or may be; nothing was sent."""
+
+    code = 'endpoint_draining'
+
+
 class EndpointCrashedError(EndpointError):
     """The connection broke before the end of the answer."""
 
--- a/src/apricotcart/entry/held.py
+++ b/src/apricotcart/entry/held.py
@@ -9,7 +9,11 @@
 from apricotcart.distribution.configcopy import ConfigCopy
 from apricotcart.distribution.view import ConfigView
 from apricotcart.entry.configuration import Configuration, Grant, RouteView
-from apricotcart.entry.errors import StaleConfigurationError
+from apricotcart.entry.errors import (
+    EndpointDrainingError,
+    StaleConfigurationError,
+)
+from apricotcart.membership.drain import EndpointDrain
 from apricotcart.state.records import Resource
 
 _RETRY_AFTER_S = 1.0
@@ -23,19 +27,23 @@
     ----------
     held : ConfigCopy
         The copy; the synchronizer applies updates to it.
+    drain : EndpointDrain
+        Endpoints that are known not to be draining.
     clock : callable
         Monotonic clock in seconds.
     """
 
-    __slots__ = ('_clock', '_held')
+    __slots__ = ('_clock', '_drain', '_held')
 
     def __init__(
         self,
         held: ConfigCopy,
+        drain: EndpointDrain,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Keep the copy."""
         self._held = held
+        self._drain = drain
         self._clock = clock
 
     def require_fresh(self) -> None:
@@ -46,6 +54,11 @@
                 retry_after_s=_RETRY_AFTER_S,
             )
 
+    def require_dispatchable(self, endpoint: str) -> None:
+        """Refuse an endpoint that may be draining."""
+        if not self._drain.may_dispatch(self._clock(), endpoint):
+            raise EndpointDrainingError(f'{endpoint} may be draining')
+
     def is_key_valid(self, key_name: str) -> bool:
         """Tell whether requests with the key may go on."""
         if not self._held.is_fresh(self._clock()):
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -21,7 +21,6 @@
 from apricotcart.entry.dispatcher import Dispatcher
 from apricotcart.entry.held import HeldConfiguration
 from apricotcart.entry.orders import OrderLedger
-from apricotcart.entry.peers import PeerTable
 from apricotcart.entry.retrying import RetryGate
 from apricotcart.entry.running import CHECK_INTERVAL_S, RunningTable
 from apricotcart.entry.services import ServiceHandler
@@ -30,6 +29,8 @@
 from apricotcart.entry.timers import RepeatingTimer
 from apricotcart.entry.upstream import Upstream
 from apricotcart.entry.usage import UsageCounter, UsageSender
+from apricotcart.membership.directory import HostDirectory
+from apricotcart.membership.drain import EndpointDrain
 from apricotcart.observability.metrics import Metrics
 from apricotcart.observability.telemetry import Telemetry
 from apricotcart.observability.tracing import Tracer
@@ -50,6 +51,7 @@
 
 _LOG = logging.getLogger(__name__)
 _MS_PER_S = 1000
+_DRAIN_CHECK_S = 0.05
 _NS_A_MS = 1_000_000
 EXIT_OK = 0
 
@@ -103,7 +105,8 @@
         )
         self._dispatcher = Dispatcher(scheduler)
         self._running = RunningTable()
-        self._configuration = HeldConfiguration(self._held)
+        self._drain = EndpointDrain()
+        self._configuration = HeldConfiguration(self._held, self._drain)
         self._runtime = Runtime(
             configuration=self._configuration,
             dispatcher=self._dispatcher,
@@ -117,7 +120,11 @@
             cfg.host.name,
             self._identity.incarnation,
         )
-        self._peers = PeerTable(cfg.host.zone, cfg.hosts_answer.ttl_s, rng)
+        self._directory = HostDirectory(
+            zone=cfg.host.zone,
+            rng=rng,
+            ttl_s=cfg.hosts_answer.ttl_s,
+        )
         self._active = ActiveRequests()
 
     def _build_timers(self) -> None:
@@ -127,7 +134,8 @@
             link=self._link,
             held=self._held,
             dispatcher=self._dispatcher,
-            peers=self._peers,
+            directory=self._directory,
+            drain=self._drain,
         )
         self._sender = UsageSender(
             self._usage,
@@ -141,6 +149,11 @@
                 cfg.control.sync_interval_s,
                 self._synchronizer.sync,
             ),
+            RepeatingTimer(
+                'drain',
+                _DRAIN_CHECK_S,
+                self._synchronizer.hold_if_unsure,
+            ),
             RepeatingTimer(
                 'usage',
                 cfg.usage.flush_interval_s,
@@ -174,7 +187,7 @@
                 orders=self._orders,
                 max_body_bytes=max_body_bytes,
             ),
-            hosts=self._peers,
+            directory=self._directory,
             active=self._active,
         )
 
@@ -209,8 +222,7 @@
             self._active,
             cfg.hosts_answer.ttl_s,
         )
-        # The other hosts hear of it with their next sync.
-        drain.leave(cfg.control.sync_interval_s)
+        drain.leave()
         cherrypy.engine.exit()
         for timer in self._timers:
             timer.stop()
--- a/src/apricotcart/entry/services.py
+++ b/src/apricotcart/entry/services.py
@@ -7,6 +7,7 @@
 from apricotcart.entry.engine_call import attempt_outcome
 from apricotcart.entry.errors import (
     EndpointError,
+    EndpointRefusedError,
     EndpointUnreachableError,
     IdempotencyKeyRequiredError,
 )
@@ -83,6 +84,7 @@
                 response = call.exchange(endpoint)
             except (
                 EndpointError,
+                EndpointRefusedError,
                 EndpointUnreachableError,
             ) as exc:
                 call.job.check_key()
--- a/src/apricotcart/entry/stopping.py
+++ b/src/apricotcart/entry/stopping.py
@@ -7,18 +7,17 @@
 import time
 
 from apricotcart.entry.orders import OrderLedger
-from apricotcart.entry.synchronizer import (
-    LEAVING,
-    HostIdentity,
-    Synchronizer,
-)
+from apricotcart.entry.synchronizer import HostIdentity, Synchronizer
 from apricotcart.entry.usage import UsageSender
+from apricotcart.membership.directory import leave_at
+from apricotcart.membership.records import LEAVING
 
 _LOG = logging.getLogger(__name__)
 _POLL_S = 0.05
 # Time without any request after which nobody uses a cached address.
 _QUIET_S = 0.5
 _FLUSH_S = 10.0
+_REPORT_S = 5.0
 
 
 class ActiveRequests:
@@ -81,23 +80,27 @@
         self._active = active
         self._ttl_s = ttl_s
 
-    def leave(self, other_hosts_ttl_s: float) -> None:
-        """Wait until callers have forgotten this host and nothing runs.
-
-        Parameters
-        ----------
-        other_hosts_ttl_s : float
-            Time in seconds until the other hosts' answers no longer name
-            this host.
-        """
+    def leave(self) -> None:
+        """Wait until callers have forgotten this host and nothing runs."""
         self._identity.state = LEAVING
-        self._synchronizer.sync()
+        self._report()
         _LOG.info('leaving: waiting for callers to use other hosts')
-        time.sleep(other_hosts_ttl_s + self._ttl_s)
+        left_at = leave_at(time.monotonic(), self._ttl_s)
+        time.sleep(max(0, left_at - time.monotonic()))
         while not self._active.is_quiet():
             time.sleep(_POLL_S)
         _LOG.info('leaving: nothing runs any more')
 
+    def _report(self) -> None:
+        # Without a leader no answer names a host for longer than the time
+        # to live, so waiting any longer would gain nothing.
+        ends_at = time.monotonic() + _REPORT_S
+        while not self._synchronizer.sync():
+            if time.monotonic() > ends_at:
+                _LOG.warning('leaving: no control host was told')
+                return
+            time.sleep(_POLL_S)
+
 
 def flush(sender: UsageSender, orders: OrderLedger) -> None:
     """Hand the last usage figures and order closings to the control hosts."""
--- a/src/apricotcart/entry/synchronizer.py
+++ b/src/apricotcart/entry/synchronizer.py
@@ -12,15 +12,15 @@
 from apricotcart.endpoints.records import Endpoint
 from apricotcart.entry.control_link import ControlLink
 from apricotcart.entry.dispatcher import Dispatcher
-from apricotcart.entry.peers import PeerTable
 from apricotcart.errors.tree import ApricotcartError
+from apricotcart.membership.directory import HostDirectory
+from apricotcart.membership.drain import EndpointDrain
+from apricotcart.membership.records import SERVING, HostList
 from apricotcart.scheduling.records import Customer, ServiceClass
 from apricotcart.scheduling.scheduler import Scheduler
 
 _LOG = logging.getLogger(__name__)
 _SYNC_TIMEOUT_S = 1.5
-SERVING = 'serving'
-LEAVING = 'leaving'
 
 
 class HostIdentity:
@@ -77,18 +77,22 @@
         The configuration copy.
     dispatcher : Dispatcher
         Gets the new tables and this host's shares.
-    peers : PeerTable
+    directory : HostDirectory
         Gets the list of entry hosts.
+    drain : EndpointDrain
+        Gets the endpoints that may have new work.
     """
 
     __slots__ = (
         '_applied_revision',
+        '_directory',
         '_dispatcher',
+        '_drain',
         '_held',
         '_identity',
         '_link',
         '_lock',
-        '_peers',
+        '_paused',
         'failures',
     )
 
@@ -99,14 +103,17 @@
         link: ControlLink,
         held: ConfigCopy,
         dispatcher: Dispatcher,
-        peers: PeerTable,
+        directory: HostDirectory,
+        drain: EndpointDrain,
     ) -> None:
         """Keep the parts."""
         self._identity = identity
         self._link = link
         self._held = held
         self._dispatcher = dispatcher
-        self._peers = peers
+        self._directory = directory
+        self._drain = drain
+        self._paused = False
         self._applied_revision = -1
         self._lock = threading.Lock()
         self.failures = 0
@@ -125,10 +132,21 @@
                 return False
             return self._apply(reply, started_at)
 
+    def hold_if_unsure(self) -> None:
+        """Let requests wait while endpoints may be draining unknown to us."""
+        now = time.monotonic()
+        if self._paused or self._drain.eligible(now):
+            return
+        self._paused = True
+        self._dispatcher.notify(
+            lambda scheduler, at: scheduler.set_share(at, {}),
+        )
+
     def _message(self) -> dict[str, Any]:
         message = self._identity.to_wire()
         message['kind'] = 'sync'
         message['revision'] = self._held.held
+        message['hosts'] = self._directory.held
         message.update(self._dispatcher.notify(_measured))
         return message
 
@@ -140,10 +158,13 @@
         self._held.apply(update, started_at)
         if self._held.view.revision != self._applied_revision:
             self._configure()
-        self._peers.update(reply['hosts'])
+        hosts = HostList.from_wire(reply['hosts'])
+        self._directory.apply(hosts, started_at)
+        self._drain.confirm(self._held.synced_from)
         self._dispatcher.notify(
             lambda scheduler, now: _apply_shares(scheduler, now, reply),
         )
+        self._paused = False
         return True
 
     def _configure(self) -> None:
@@ -173,6 +194,10 @@
                 queues,
             ),
         )
+        self._drain.update(
+            view.all_of('endpoint').values(),
+            self._held.synced_from,
+        )
         self._applied_revision = view.revision
 
 
@@ -191,4 +216,5 @@
     reply: dict[str, Any],
 ) -> None:
     scheduler.suspects.merge_wire(now, reply['suspects'])
-    scheduler.set_share(now, reply['shares'])
+    if reply['shares'] is not None:
+        scheduler.set_share(now, reply['shares'])
--- a/src/apricotcart/membership/directory.py
+++ b/src/apricotcart/membership/directory.py
@@ -24,7 +24,7 @@
 _Hosts = dict[str, HostEntry]
 
 
-def leave_at(acknowledged_at: float) -> float:
+def leave_at(acknowledged_at: float, ttl_s: float = TTL_S) -> float:
     """Give the time from which no caller uses a leaving host's address.
 
     Parameters
@@ -32,8 +32,10 @@
     acknowledged_at : float
         Monotonic time, in s, of the reply to the first sync that reported
         the state ``leaving``.
+    ttl_s : float
+        Time to live of the answers, equal on all entry hosts.
     """
-    return acknowledged_at + TTL_S + LEAVE_MARGIN_S
+    return acknowledged_at + ttl_s + LEAVE_MARGIN_S
 
 
 class HostDirectory:
@@ -45,6 +47,8 @@
         Zone of this entry host, for callers that name none.
     rng : random.Random
         Varies where the rotation starts.
+    ttl_s : float
+        Time to live of the answers, equal on all entry hosts.
     """
 
     __slots__ = (
@@ -53,12 +57,20 @@
         '_positions',
         '_rng',
         '_synced_from',
+        '_ttl_s',
         '_zone',
         'held',
     )
 
-    def __init__(self, *, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str,
+        rng: random.Random,
+        ttl_s: float = TTL_S,
+    ) -> None:
         """Start without a list."""
+        self._ttl_s = ttl_s
         self._zone = zone
         self._hosts: _Hosts = {}
         self._synced_from = -math.inf
@@ -114,7 +126,7 @@
         HostsUnknownError
             If there is no host or the list is too old.
         """
-        ttl_s = self._synced_from + TTL_S - now
+        ttl_s = self._synced_from + self._ttl_s - now
         if ttl_s < MIN_TTL_S or not self._hosts:
             raise HostsUnknownError('no entry host is known')
         chosen: list[HostEntry] = []
--- a/tests/support/demo.py
+++ b/tests/support/demo.py
@@ -148,9 +148,9 @@
 
 def _demonstrate(cluster: Cluster, secret: str) -> None:
     first = next(iter(cluster.entry.values()))
-    hosts = cluster.http.request('GET', f'{first.url}/v1/hosts').json()
+    hosts = _hosts(cluster, first.url)
     _say('hosts to use', hosts)
-    url = hosts['hosts'][0]['address']
+    url = hosts['hosts'][0]
     headers = {'Authorization': f'Bearer {secret}'}
     chat = cluster.http.request(
         'POST',
@@ -172,6 +172,18 @@
     _say('order answer', order.json())
 
 
+def _hosts(cluster: Cluster, url: str) -> Any:
+    """Ask which hosts to use; a new leader needs a moment to hear of them."""
+    answers: list[Any] = []
+
+    def answered() -> bool:
+        answers.append(cluster.http.request('GET', f'{url}/v1/hosts'))
+        return bool(answers[-1].status == 200)
+
+    wait_until(answered, 'the list of entry hosts')
+    return answers[-1].json()
+
+
 def _print_trace(path: Path) -> None:
     spans = [json.loads(line) for line in path.read_text().splitlines()]
     trace_id = next(
