Test entry hosts as processes from a caller's side

Guards: unchanged openai client, refusals, key containment, orders over two hosts at once, withdrawal in a running stream, graceful stop.

--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,107 @@
+"""A cluster of real processes shared by the tests of entry hosts."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import urllib3
+from support.cluster import Cluster
+from support.demo import start
+
+
+class Caller:
+    """Calls one entry host with one key."""
+
+    def __init__(self, cluster: Cluster, entry: str, secret: str) -> None:
+        """Keep host and key."""
+        self.cluster = cluster
+        self.url = cluster.entry[entry].url
+        self.secret = secret
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        **headers: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request."""
+        named = {name.replace('_', '-'): headers[name] for name in headers}
+        return self.cluster.http.request(
+            method,
+            f'{self.url}{path}',
+            json=body,
+            headers={'Authorization': f'Bearer {self.secret}', **named},
+            timeout=30,
+        )
+
+    def chat(self, prompt: str, **fields: Any) -> urllib3.BaseHTTPResponse:
+        """Ask for a chat answer."""
+        message = {'role': 'user', 'content': prompt}
+        body = {'model': 'draft', 'messages': [message], **fields}
+        return self.request('POST', '/v1/chat/completions', body)
+
+    def stream(self, tokens: int) -> urllib3.BaseHTTPResponse:
+        """Start a stream of many tokens without reading it."""
+        return self.cluster.http.request(
+            'POST',
+            f'{self.url}/v1/chat/completions',
+            json={
+                'model': 'draft',
+                'messages': [{'role': 'user', 'content': 'a long answer'}],
+                'stream': True,
+                'max_tokens': tokens,
+                'ignore_eos': True,
+            },
+            headers={'Authorization': f'Bearer {self.secret}'},
+            preload_content=False,
+            timeout=30,
+        )
+
+    def book(self, key: str, body: Any) -> urllib3.BaseHTTPResponse:
+        """Book an order."""
+        return self.request(
+            'POST',
+            '/v1/services/dies/bookings',
+            body,
+            Idempotency_Key=key,
+        )
+
+
+@pytest.fixture(scope='session')
+def running(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[tuple[Cluster, str]]:
+    """Run a cluster for the whole session."""
+    folder: Path = tmp_path_factory.mktemp('cluster')
+    cluster, secret = start(folder)
+    yield cluster, secret
+    cluster.stop()
+
+
+@pytest.fixture
+def caller(running: tuple[Cluster, str]) -> Caller:
+    """Give a caller of the first entry host."""
+    cluster, secret = running
+    return Caller(cluster, 'e1', secret)
+
+
+@pytest.fixture
+def other_caller(running: tuple[Cluster, str]) -> Caller:
+    """Give the same customer at the second entry host."""
+    cluster, secret = running
+    return Caller(cluster, 'e2', secret)
+
+
+def until(condition: Any, timeout_s: float) -> float:
+    """Wait for a condition and give the seconds that it took."""
+    started = time.monotonic()
+    while not condition():
+        if time.monotonic() - started > timeout_s:
+            pytest.fail(f'not reached within {timeout_s} s')
+        time.sleep(0.02)
+    return time.monotonic() - started
--- /dev/null
+++ b/tests/entry/test_server.py
@@ -0,0 +1,198 @@
+"""Tests of entry hosts as processes, from a caller's side."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import orjson
+import pytest
+from entry.conftest import Caller, until
+from openai import OpenAI
+from support.cluster import Cluster
+
+pytestmark = pytest.mark.xdist_group('cluster')
+
+
+def _error(reply: Any) -> Any:
+    return reply.json()['error']
+
+
+def test_openai_client_unchanged(running: tuple[Cluster, str]) -> None:
+    """Guards against an interface that the usual client cannot use."""
+    cluster, secret = running
+    client = OpenAI(base_url=f'{cluster.entry["e1"].url}/v1', api_key=secret)
+    assert [model.id for model in client.models.list()] == ['draft']
+    messages: Any = [{'role': 'user', 'content': 'A motto'}]
+    whole = client.chat.completions.create(
+        model='draft',
+        messages=messages,
+        max_tokens=6,
+    )
+    streamed = client.chat.completions.create(
+        model='draft',
+        messages=messages,
+        max_tokens=6,
+        stream=True,
+    )
+    pieces = [
+        chunk.choices[0].delta.content or ''
+        for chunk in streamed
+        if chunk.choices
+    ]
+    assert whole.choices[0].message.content == ''.join(pieces)
+
+
+def test_chat_refusals(caller: Caller) -> None:
+    """Guards against refusals that do not say what is wrong."""
+    unknown = caller.request(
+        'POST',
+        '/v1/chat/completions',
+        {'model': 'nothing', 'messages': [{'role': 'user'}]},
+    )
+    assert (unknown.status, _error(unknown)['code']) == (404, 'unknown_route')
+    faulty = caller.chat('x', max_tokens=-1, max_completion_tokens='many')
+    paths = [fault['path'] for fault in _error(faulty)['faults']]
+    assert paths == ['max_completion_tokens', 'max_tokens']
+    caller.secret = ''
+    assert caller.chat('x').status == 401
+    caller.secret = 'guess'
+    refused = caller.chat('x')
+    assert (refused.status, _error(refused)['run_state']) == (401, 'not_run')
+
+
+def test_key_stays_inside(caller: Caller) -> None:
+    """Guards against a caller's key that reaches an endpoint."""
+    caller.chat('no key for the engine')
+    caller.book(secrets.token_hex(8), {'die': 'oak'})
+    for site in caller.cluster.standins.values():
+        received = caller.cluster.http.request('GET', f'{site.url}/received')
+        assert caller.secret.encode() not in received.data
+
+
+def test_order_once_over_hosts(caller: Caller, other_caller: Caller) -> None:
+    """Guards against an order that runs once on each host."""
+    key = secrets.token_hex(8)
+    with ThreadPoolExecutor(8) as pool:
+        replies = list(
+            pool.map(
+                lambda who: who.book(key, {'n': 1}),
+                (caller, other_caller) * 4,
+            ),
+        )
+    statuses = {reply.status for reply in replies}
+    assert 200 in statuses
+    assert statuses <= {200, 409}
+    again = other_caller.book(key, {'n': 1})
+    assert again.json() == {'n': 1}
+    assert _count(caller.cluster, f'guild/{key}') == 1
+    conflict = other_caller.book(key, {'n': 2})
+    assert _error(conflict)['code'] == 'idempotency_key_reused'
+
+
+def test_order_without_key(caller: Caller) -> None:
+    """Guards against a non-idempotent call that cannot be recognised."""
+    reply = caller.request('POST', '/v1/services/dies/bookings', {})
+    assert _error(reply)['code'] == 'idempotency_key_required'
+    assert _error(reply)['run_state'] == 'not_run'
+
+
+def test_key_of_other_customer(caller: Caller) -> None:
+    """Guards against a route that is open to customers it does not name."""
+    secret = _declare_key(caller.cluster, 'school')
+    caller.cluster.apply(
+        (
+            'route',
+            'guild-only',
+            {
+                'kind': 'chat',
+                'class': 'drafts',
+                'pool': 'drafting',
+                'model': 'writer',
+                'public': False,
+                'idempotent': True,
+                'customers': ['guild'],
+            },
+        ),
+    )
+    until(lambda: len(_models(caller)) == 2, 8)
+    stranger = Caller(caller.cluster, 'e1', secret)
+    until(lambda: _models(stranger) == ['draft'], 8)
+    reply = stranger.request(
+        'POST',
+        '/v1/chat/completions',
+        {'model': 'guild-only', 'messages': [{'role': 'user'}]},
+    )
+    assert (reply.status, _error(reply)['code']) == (404, 'unknown_route')
+
+
+def test_key_withdrawal(running: tuple[Cluster, str]) -> None:
+    """Guards against a withdrawn key that outlives 5 s, also in a stream."""
+    cluster, _ = running
+    secret = _declare_key(cluster, 'charity')
+    callers = [Caller(cluster, entry, secret) for entry in cluster.entry]
+    for caller in callers:
+        _wait_models(caller)
+    stream = callers[0].stream(2000)
+    events = stream.stream(4096)
+    next(events)
+    spec = cluster.operator('GET', '/v1/resources/key/charity-key')['spec']
+    cluster.apply(('key', 'charity-key', {**spec, 'withdrawn': True}))
+    for caller in callers:
+        _wait_refused(caller)
+    rest = b''.join(events)
+    assert b'[DONE]' not in rest
+    last = orjson.loads(rest.strip().rpartition(b'data: ')[2])
+    assert last['error']['code'] == 'key_withdrawn'
+
+
+def test_graceful_stop(running: tuple[Cluster, str]) -> None:
+    """Guards against a planned stop that cuts a running stream off."""
+    cluster, secret = running
+    stream = Caller(cluster, 'e2', secret).stream(400)
+    codes: list[int] = []
+    stopper = threading.Thread(
+        target=lambda: codes.append(cluster.children['e2'].stop()),
+    )
+    stopper.start()
+    body = b''.join(stream.stream(65536))
+    stopper.join()
+    assert body.rstrip().endswith(b'[DONE]')
+    assert codes == [0]
+    cluster.start_entry('e2')
+    cluster.wait_serving('e2', cluster.entry['e2'])
+
+
+def _wait_models(caller: Caller) -> None:
+    until(lambda: _models(caller) == ['draft'], 8)
+
+
+def _wait_refused(caller: Caller) -> None:
+    until(lambda: caller.chat('x').status == 401, 5)
+
+
+def _models(caller: Caller) -> list[str]:
+    reply = caller.request('GET', '/v1/models')
+    if reply.status != 200:
+        return []
+    return [model['id'] for model in reply.json()['data']]
+
+
+def _count(cluster: Cluster, order_key: str) -> int:
+    site = cluster.standins['service-1']
+    counts = cluster.http.request('GET', f'{site.url}/counts').json()
+    count: int = counts['counts'][order_key]
+    return count
+
+
+def _declare_key(cluster: Cluster, customer: str) -> str:
+    secret = secrets.token_urlsafe()
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    cluster.apply(
+        ('customer', customer, {'weight': 1}),
+        ('key', f'{customer}-key', {'customer': customer, 'sha256': digest}),
+    )
+    return secret
