--- /dev/null
+++ b/scripts/apricotcart.spec
@@ -0,0 +1,27 @@
+# PyInstaller description of the program: a folder, which scripts/build packs.
+import os
+from pathlib import Path
+
+from PyInstaller.utils.hooks import collect_submodules
+
+SOURCE = Path(SPECPATH).parent / 'src'
+
+analysis = Analysis(
+    [str(SOURCE / 'apricotcart' / '__main__.py')],
+    pathex=[str(SOURCE)],
+    # Servers are imported by name, so PyInstaller does not see them.
+    hiddenimports=collect_submodules('apricotcart'),
+    excludes=['tkinter', 'unittest.mock', 'pytest', 'IPython', 'setuptools', 'pip'],
+    optimize=0,
+)
+pyz = PYZ(analysis.pure)
+exe = EXE(
+    pyz,
+    analysis.scripts,
+    exclude_binaries=True,
+    name='apricotcart',
+    console=True,
+    strip=True,
+    upx=False,
+)
+COLLECT(exe, analysis.binaries, analysis.datas, name='apricotcart', strip=True, upx=False)
--- a/src/apricotcart/commands/answers.py
+++ b/src/apricotcart/commands/answers.py
@@ -27,6 +27,8 @@
     )
 )
 
+_NO_FAULT: Final = MappingProxyType({'path': '', 'message': ''})
+
 
 class AccessDeniedError(ApricotcartError):
     """The control host does not accept the operator token."""
@@ -76,7 +78,10 @@
     error = _error_of(body)
     message = str(error.get('message') or f'answered {answer.status}')
     faults = error.get('faults') or []
-    lines = [message, *map(_fault_line, faults)]
+    lines = [message]
+    lines.extend(
+        line for line in map(_fault_line, faults) if line not in message
+    )
     kind = _ERRORS.get(answer.status, ClusterError)
     raise kind('\n'.join(lines), faults=faults)
 
@@ -99,5 +104,5 @@
 
 def _fault_line(fault: Any) -> str:
     if isinstance(fault, dict):
-        return f'  {fault.get("path", "")}: {fault.get("message", "")}'
-    return f'  {fault}'
+        return '{path}: {message}'.format_map({**_NO_FAULT, **fault})
+    return str(fault)
--- a/src/apricotcart/commands/changes.py
+++ b/src/apricotcart/commands/changes.py
@@ -42,7 +42,7 @@
         """Tell whether applying it would change anything."""
         if self._held is None:
             return True
-        return _full(self._held['spec']) != _full(self._declared.spec)
+        return self._comparable(self._held['spec']) != self._declared.spec
 
     def to_wire(self) -> dict[str, Any]:
         """Give the change as the operator API takes it."""
@@ -59,14 +59,24 @@
         title = f'{declared.kind}/{declared.name}'
         held = self._held or {'spec': {}, 'version': 0}
         lines = difflib.unified_diff(
-            _lines(held['spec']),
-            _lines(self._declared.spec),
+            _lines(self._comparable(held['spec'])),
+            _lines(declared.spec),
             f'{title} (version {held["version"]})',
             f'{title} (declared)',
             lineterm='',
         )
         return '\n'.join(lines)
 
+    def _comparable(self, spec: dict[str, Any]) -> dict[str, Any]:
+        # The control host fills in defaults, and every default is empty:
+        # false, 0, none or no names. The file need not repeat them.
+        declared = self._declared.spec
+        return {
+            name: field
+            for name, field in spec.items()
+            if field or name in declared
+        }
+
 
 def needed_changes(
     client: OperatorClient, declared: Iterable[DeclaredResource]
@@ -84,13 +94,7 @@
     return [change for change in changes if change.is_needed()]
 
 
-def _full(spec: dict[str, Any]) -> dict[str, Any]:
-    # The control host fills in defaults, and every default is empty: false,
-    # 0, none or no names.
-    return {name: field for name, field in spec.items() if field}
-
-
 def _lines(spec: dict[str, Any]) -> list[str]:
     if not spec:
         return []
-    return json.dumps(_full(spec), indent=2, sort_keys=True).splitlines()
+    return json.dumps(spec, indent=2, sort_keys=True).splitlines()
--- a/src/apricotcart/commands/exit_codes.py
+++ b/src/apricotcart/commands/exit_codes.py
@@ -12,6 +12,10 @@
     UnavailableError,
     VersionConflictError,
 )
+from apricotcart.storage.failures import (
+    DirectoryInUseError,
+    IdentityMismatchError,
+)
 
 OK: Final = 0
 FAILURE: Final = 1
@@ -30,6 +34,8 @@
     (SettingsError, INVALID),
     (InvalidResourceError, INVALID),
     (VersionConflictError, CONFLICT),
+    (IdentityMismatchError, CONFLICT),
+    (DirectoryInUseError, CONFLICT),
     (UnavailableError, UNREACHABLE),
     (NotLeaderError, UNREACHABLE),
 )
--- a/src/apricotcart/commands/init.py
+++ b/src/apricotcart/commands/init.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from argparse import ArgumentParser, Namespace
-from pathlib import Path
 
 from apricotcart.commands.api import Command
 from apricotcart.commands.console import Console
 from apricotcart.commands.exit_codes import OK
-from apricotcart.errors.tree import SettingsError, VersionConflictError
+from apricotcart.control.bootstrap import bootstrap_voter
 from apricotcart.settings.control import ControlConfig
-from apricotcart.settings.identity import HostIdentity
 
 
 class InitCommand(Command):
@@ -35,20 +33,9 @@
         )
 
     def run(self, args: Namespace, console: Console) -> int:
-        """Write the identity unless the folder holds anything."""
+        """Write the identity unless the folder is in use."""
         cfg = ControlConfig.from_file(args.settings)
-        identity = HostIdentity.first(cfg)
-        if identity.name not in identity.voters:
-            raise SettingsError(
-                f'{args.settings} [peers]: does not list {identity.name}',
-            )
-        folder = Path(cfg.data.folder)
-        if folder.is_dir() and any(folder.iterdir()):
-            raise VersionConflictError(f'{folder} is not empty')
-        identity.save(cfg.data.folder)
-        voters = ', '.join(sorted(identity.voters))
-        console.write(
-            f'{identity.name} is a first voter of {identity.cluster}'
-            f' with the voters {voters}',
-        )
+        voters = ', '.join(bootstrap_voter(cfg))
+        cluster = cfg.cluster.name
+        console.write(f'{cluster}: the first voters are {voters}')
         return OK
--- a/src/apricotcart/commands/members.py
+++ b/src/apricotcart/commands/members.py
@@ -1,4 +1,4 @@
-"""``apricotcart members``: show the control hosts and entry hosts."""
+"""``apricotcart members``: show or remove control hosts."""
 
 from __future__ import annotations
 
@@ -10,28 +10,35 @@
 from apricotcart.commands.operating import OperatorCommand, add_output_argument
 from apricotcart.commands.operator_client import OperatorClient
 
-_PARTS: Final = ('leader', 'members', 'hosts')
+_PARTS: Final = ('leader', 'members')
 
 
 class MembersCommand(OperatorCommand):
-    """Shows who votes, who learns, who leads, and the entry hosts.
+    """Shows which control hosts vote, learn and lead, or removes one.
 
-    Members change by themselves: a control host that starts on an empty
-    data folder joins and replaces its earlier incarnation.
+    A control host that starts on an empty data folder joins by itself and
+    replaces its earlier incarnation. Only one that will not return has to be
+    removed, by its node id (name and incarnation).
     """
 
     name = 'members'
-    summary = 'show the control hosts and entry hosts'
+    summary = 'show the control hosts, or remove one that will not return'
 
     def add_arguments(self, parser: ArgumentParser) -> None:
-        """Declare the form of the answer."""
+        """Declare the member to remove and the form of the answer."""
+        parser.add_argument(
+            '--remove', metavar='NODE_ID', help='remove this control host'
+        )
         add_output_argument(parser)
         super().add_arguments(parser)
 
     def operate(
         self, client: OperatorClient, args: Namespace, console: Console
     ) -> int:
-        """Show these parts of the leader's status."""
+        """Remove the member, if one is given, and show the members."""
+        if args.remove:
+            console.show(client.remove_member(args.remove), args.output)
+            return OK
         status = client.read('/v1/status')
         parts = {name: status[name] for name in _PARTS if name in status}
         console.show(parts, args.output)
--- a/src/apricotcart/commands/operator_client.py
+++ b/src/apricotcart/commands/operator_client.py
@@ -98,7 +98,7 @@
     def list_resources(self, kind: str) -> list[dict[str, Any]]:
         """Give every resource of a kind."""
         document = self.read(resource_path(kind))
-        resources: list[dict[str, Any]] = document['resources']
+        resources: list[dict[str, Any]] = document['items']
         return resources
 
     def apply(self, changes: list[dict[str, Any]]) -> dict[str, Any]:
@@ -132,6 +132,11 @@
         answer: dict[str, Any] = self._request('DELETE', path, None)
         return answer
 
+    def remove_member(self, node_id: str) -> Any:
+        """Take a control host that will not return out of the cluster."""
+        body = {'kind': 'remove', 'node_id': node_id}
+        return self._request('POST', '/v1/members', body)
+
     def watch(self, revision: int) -> Iterator[dict[str, Any]]:
         """Give events of one connection, until it ends.
 
--- a/src/apricotcart/commands/version.py
+++ b/src/apricotcart/commands/version.py
@@ -4,14 +4,11 @@
 
 import platform
 from argparse import Namespace
-from importlib.metadata import PackageNotFoundError
-from importlib.metadata import version as installed_version
 
 from apricotcart.commands.api import Command
 from apricotcart.commands.console import Console
 from apricotcart.commands.exit_codes import OK
-
-_PACKAGE = 'apricotcart'
+from apricotcart.package_version import VERSION
 
 
 class VersionCommand(Command):
@@ -23,15 +20,6 @@
     def run(self, args: Namespace, console: Console) -> int:
         """Print the version."""
         console.write(
-            f'{_PACKAGE} {package_version()}'
-            f' (Python {platform.python_version()})',
+            f'apricotcart {VERSION} (Python {platform.python_version()})',
         )
         return OK
-
-
-def package_version() -> str:
-    """Give the version of the installed package."""
-    try:
-        return installed_version(_PACKAGE)
-    except PackageNotFoundError:
-        return 'development'
--- a/src/apricotcart/commands/watch.py
+++ b/src/apricotcart/commands/watch.py
@@ -15,10 +15,13 @@
 from apricotcart.commands.operator_client import OperatorClient
 
 _RECONNECT_WAIT_S: Final = 0.2
+_SNAPSHOT: Final = 'snapshot'
 
 
 class EventCursor:
-    """Remembers what was printed, so that a reconnect repeats nothing.
+    """Remembers what was printed, so that a reconnect repeats no event.
+
+    A snapshot is printed whole whenever the control host sends one.
 
     Parameters
     ----------
@@ -45,7 +48,12 @@
     def take(self, event: dict[str, Any]) -> str | None:
         """Give the event's line, or None if it was printed already."""
         line = json.dumps(event, sort_keys=True)
-        revision = int(event.get('revision', self._revision))
+        revision = int(event['resource']['revision'])
+        if event['op'] == _SNAPSHOT:
+            # All resources, of any revision, because the history no longer
+            # reaches back to the revision asked for.
+            self._revision = max(self._revision, revision)
+            return line
         if revision < self._revision or line in self._printed:
             return None
         if revision > self._revision:
