--- a/scripts/apricotcart.spec
+++ b/scripts/apricotcart.spec
@@ -11,7 +11,8 @@
     pathex=[str(SOURCE)],
     # Servers are imported by name, so PyInstaller does not see them.
     hiddenimports=collect_submodules('apricotcart'),
-    excludes=['tkinter', 'unittest.mock', 'pytest', 'IPython', 'setuptools', 'pip'],
+    # Optional parts of the libraries, which only other programs use.
+    excludes=['psutil', 'tkinter', 'setuptools', 'pip'],
     optimize=0,
 )
 pyz = PYZ(analysis.pure)
