--- a/src/apricotcart/commands/init.py
+++ b/src/apricotcart/commands/init.py
@@ -33,8 +33,9 @@
         )
 
     def run(self, args: Namespace, console: Console) -> int:
-        """Write the identity unless the folder holds anything."""
+        """Write the identity unless the folder is in use."""
         cfg = ControlConfig.from_file(args.settings)
         voters = ', '.join(bootstrap_voter(cfg))
-        console.write(f'first voter of a cluster with the voters {voters}')
+        cluster = cfg.cluster.name
+        console.write(f'{cluster}: the first voters are {voters}')
         return OK
