--- /dev/null
+++ b/tests/state/driven.py
@@ -0,0 +1,98 @@
+"""A replicated state under hypothesis, with a replica beside it."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from apricotcart.codec.packing import pack, unpack
+from apricotcart.state.limits import Limits
+from apricotcart.state.machine import ClusterState
+
+_run_untyped: Any = run_state_machine_as_test
+RUN = settings(max_examples=60, stateful_step_count=40)
+#: A run that is to fail needs no shortest example.
+FAULTY_RUN = settings(
+    max_examples=400,
+    stateful_step_count=40,
+    phases=(Phase.generate,),
+    report_multiple_bugs=False,
+)
+
+
+class Driven(RuleBasedStateMachine):
+    """Applies each command to a state and to a replica.
+
+    The state is replaced by one restored from its snapshot at any point;
+    the replica is never restored.
+    """
+
+    limits = Limits()
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = ClusterState(self.limits)
+        self.replica = ClusterState(self.limits)
+        self.at_ms = 1000
+
+    def send(self, kind: str, **fields: Any) -> dict[str, Any]:
+        """Apply a command to both and give the reply."""
+        command = pack({'kind': kind, 'at_ms': self.at_ms, **fields})
+        index = self.state.tables.applied_index + 1
+        reply = self.state.apply(index, command)
+        assert self.replica.apply(index, command) == reply
+        unpacked: dict[str, Any] = unpack(reply)
+        return unpacked
+
+    @rule()
+    def restore(self) -> None:
+        """Go on from a snapshot."""
+        blob = self.state.snapshot()
+        assert blob == self.replica.snapshot()
+        self.state = ClusterState(self.limits)
+        self.state.restore(blob)
+
+    @rule(seconds=st.sampled_from((1, 30, 130)))
+    def wait(self, seconds: int) -> None:
+        """Let time pass."""
+        self.at_ms += 1000 * seconds
+
+    def teardown(self) -> None:
+        """Compare both at the end."""
+        assert self.state.snapshot() == self.replica.snapshot()
+
+
+def run_machine(machine: type[RuleBasedStateMachine]) -> None:
+    """Run a state machine that must hold."""
+    _run_untyped(machine, settings=RUN)
+
+
+@contextlib.contextmanager
+def _patched(target: object, name: str, faulty: Any) -> Iterator[None]:
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(target, name, faulty)
+        yield
+
+
+def run_faulty(
+    machine: type[RuleBasedStateMachine],
+    target: object,
+    name: str,
+    faulty: Any,
+) -> None:
+    """Run a state machine that must fail with a mechanism replaced."""
+    with (
+        _patched(target, name, faulty),
+        pytest.raises((AssertionError, KeyError)),
+    ):
+        _run_untyped(machine, settings=FAULTY_RUN)
