--- /dev/null
+++ b/tests/distribution/test_configcopy.py
@@ -0,0 +1,191 @@
+"""Tests of the configuration copy and of the replies that feed it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from state.conftest import SITE
+
+from apricotcart.codec.packing import pack, unpack
+from apricotcart.distribution.configcopy import FRESH_FOR_S, ConfigCopy
+from apricotcart.distribution.errors import (
+    ConfigStaleError,
+    KeyWithdrawnError,
+    RouteUnknownError,
+    RunningConfigStaleError,
+    RunningKeyWithdrawnError,
+    UnauthorizedError,
+)
+from apricotcart.distribution.responder import SyncResponder
+from apricotcart.distribution.updates import ConfigUpdate
+from apricotcart.state.machine import ClusterState
+
+SECRET = 'a' * 64
+Put = Callable[[str, str, dict[str, Any]], None]
+
+
+@pytest.fixture
+def state() -> ClusterState:
+    """Give a state with one resource of each kind."""
+    state = ClusterState()
+    changes = [
+        {'kind': kind, 'name': name, 'spec': spec} for kind, name, spec in SITE
+    ]
+    _send(state, kind='apply', changes=changes)
+    return state
+
+
+@pytest.fixture
+def put(state: ClusterState) -> Put:
+    """Give a function that puts one resource."""
+
+    def applied(kind: str, name: str, spec: dict[str, Any]) -> None:
+        change = {'kind': kind, 'name': name, 'spec': spec}
+        _send(state, kind='apply', changes=[change])
+
+    return applied
+
+
+@pytest.fixture
+def copy(state: ClusterState) -> ConfigCopy:
+    """Give a copy that synced at time 0."""
+    made = ConfigCopy()
+    made.apply(SyncResponder(state).respond(None), 0)
+    return made
+
+
+def admit(
+    copy: ConfigCopy,
+    route: str,
+    *,
+    now: float = 0,
+    kind: str = 'chat',
+    sha256: str | None = SECRET,
+) -> Any:
+    """Admit a request."""
+    return copy.admit(now, sha256=sha256, route_kind=kind, route_name=route)
+
+
+def test_admit_looks_up_route(copy: ConfigCopy) -> None:
+    """Guards against a request that runs with what is not its route's."""
+    admission = admit(copy, 'draft')
+    assert admission.customer == 'acme'
+    assert admission.route.spec['model'] == 'small'
+    assert admission.service_class.name == 'gold'
+    assert admission.pool.name == 'gpu'
+    endpoints = copy.view.endpoints_of('gpu')
+    assert [endpoint.name for endpoint in endpoints] == ['e1']
+    assert not copy.view.endpoints_of('press')
+
+
+def test_admit_refusals(
+    copy: ConfigCopy, state: ClusterState, put: Put
+) -> None:
+    """Guards against a request that its key does not allow."""
+    with pytest.raises(UnauthorizedError):
+        admit(copy, 'draft', sha256=None)
+    with pytest.raises(UnauthorizedError):
+        admit(copy, 'draft', sha256='b' * 64)
+    with pytest.raises(RouteUnknownError):
+        admit(copy, 'booking')
+    with pytest.raises(RouteUnknownError):
+        admit(copy, 'nothing')
+    put('customer', 'mill', {'weight': 1})
+    put('key', 'k2', {'customer': 'mill', 'sha256': 'c' * 64})
+    copy.apply(SyncResponder(state).respond(copy.held), 0)
+    assert admit(copy, 'booking', kind='service', sha256='c' * 64)
+    with pytest.raises(RouteUnknownError):
+        admit(copy, 'draft', sha256='c' * 64)
+    routes = copy.view.routes_for('mill')
+    assert [route.name for route in routes] == ['booking']
+
+
+def test_admit_public_route(
+    copy: ConfigCopy,
+    state: ClusterState,
+    put: Put,
+) -> None:
+    """Guards against a revoked key on a route that needs none."""
+    spec = {'kind': 'service', 'class': 'gold', 'pool': 'press'}
+    put('route', 'stock', {**spec, 'public': True, 'idempotent': True})
+    key = {'customer': 'acme', 'sha256': SECRET, 'withdrawn': True}
+    put('key', 'k1', key)
+    copy.apply(SyncResponder(state).respond(copy.held), 0)
+    assert admit(copy, 'stock', kind='service', sha256=None).customer is None
+    with pytest.raises(KeyWithdrawnError):
+        admit(copy, 'stock', kind='service')
+
+
+def test_host_that_skips_syncs(
+    copy: ConfigCopy,
+    state: ClusterState,
+    put: Put,
+) -> None:
+    """Guards against a revoked key on a host that does not hear of it."""
+    put('key', 'k1', {'customer': 'acme', 'sha256': SECRET, 'withdrawn': True})
+    assert admit(copy, 'draft', now=FRESH_FOR_S - 0.1)
+    copy.check_running(FRESH_FOR_S - 0.1, SECRET, 'acme')
+    with pytest.raises(ConfigStaleError):
+        admit(copy, 'draft', now=FRESH_FOR_S)
+    with pytest.raises(RunningConfigStaleError):
+        copy.check_running(FRESH_FOR_S, SECRET, 'acme')
+    copy.apply(SyncResponder(state).respond(copy.held), 5)
+    with pytest.raises(KeyWithdrawnError):
+        admit(copy, 'draft', now=5)
+    with pytest.raises(RunningKeyWithdrawnError):
+        copy.check_running(5, SECRET, 'acme')
+
+
+def test_check_running_moved_key(
+    copy: ConfigCopy,
+    state: ClusterState,
+    put: Put,
+) -> None:
+    """Guards against a stream that goes on for a key's former customer."""
+    put('customer', 'mill', {'weight': 1})
+    put('key', 'k1', {'customer': 'mill', 'sha256': SECRET})
+    copy.apply(SyncResponder(state).respond(copy.held), 0)
+    with pytest.raises(RunningKeyWithdrawnError):
+        copy.check_running(0, SECRET, 'acme')
+    copy.check_running(0, SECRET, 'mill')
+
+
+def test_apply_gap(copy: ConfigCopy, state: ClusterState, put: Put) -> None:
+    """Guards against changes applied to an earlier revision than theirs."""
+    put('customer', 'acme', {'weight': 2})
+    held = state.revision
+    put('customer', 'acme', {'weight': 3})
+    delta = SyncResponder(state).respond(held)
+    assert copy.apply(delta, 3) == 'gap'
+    assert copy.held is None
+    assert not copy.is_fresh(FRESH_FOR_S)
+    assert copy.apply(SyncResponder(state).respond(copy.held), 3) == 'applied'
+    assert copy.held == state.revision
+
+
+def test_responder_replies(state: ClusterState, put: Put) -> None:
+    """Guards against a reply that lacks or repeats changes."""
+    responder = SyncResponder(state)
+    held = state.revision
+    idle = responder.respond(held)
+    assert (idle.base, idle.revision) == (held, held)
+    assert not idle.resources
+    put('customer', 'mill', {'weight': 1})
+    put('customer', 'mill', {'weight': 2})
+    put('customer', 'farm', {'weight': 1})
+    _send(state, kind='delete', resource_kind='customer', name='farm')
+    status = {'name': 'e1', 'status': {'load': 'x' * 500}}
+    _send(state, kind='set_status', resource_kind='endpoint', **status)
+    blob = responder.packed(held)
+    delta = ConfigUpdate.from_bytes(blob)
+    assert [each.spec for each in delta.resources] == [{'weight': 2}]
+    assert delta.deleted == [('customer', 'farm')]
+    assert delta.revision == state.revision
+    assert b'load' not in responder.packed(None)
+    assert responder.respond(state.revision + 1).base is None
+
+
+def _send(state: ClusterState, **command: Any) -> None:
+    assert unpack(state.apply(1, pack({'at_ms': 1, **command})))['ok']
