--- a/src/apricotcart/membership/directory.py
+++ b/src/apricotcart/membership/directory.py
@@ -21,7 +21,7 @@
 DEFAULT_COUNT: Final = 3
 MAX_COUNT: Final = 8
 
-_Hosts = dict[str, HostEntry]
+_Weights = dict[str, float]
 
 
 def leave_at(acknowledged_at: float) -> float:
@@ -54,13 +54,16 @@
         '_rng',
         '_synced_from',
         '_zone',
+        '_zones',
         'held',
     )
 
     def __init__(self, *, zone: str, rng: random.Random) -> None:
         """Start without a list."""
         self._zone = zone
-        self._hosts: _Hosts = {}
+        self._hosts: dict[str, HostEntry] = {}
+        #: Weights of the hosts of each zone.
+        self._zones: dict[str, _Weights] = {}
         self._synced_from = -math.inf
         self._own_credit: dict[str, float] = {}
         # Hosts and zones take turns at each position of its own. With one
@@ -118,7 +121,7 @@
         if ttl_s < MIN_TTL_S or not self._hosts:
             raise HostsUnknownError('no entry host is known')
         chosen: list[HostEntry] = []
-        own = self._in_zone(zone or self._zone)
+        own = self._zones.get(zone or self._zone)
         if own and self._own_zone_leads(zone or self._zone, own):
             _, hosts = self._rotations(0)
             chosen.append(self._hosts[hosts.choose(own)])
@@ -132,19 +135,14 @@
     def _replace(self, listed: HostList) -> None:
         self._hosts = {entry.host: entry for entry in listed.entries or ()}
         self.held = listed.digest
-        zones = {entry.zone for entry in self._hosts.values()}
+        self._zones = {}
+        for host, entry in self._hosts.items():
+            self._zones.setdefault(entry.zone, {})[host] = entry.weight
         for position_zones, position_hosts in self._positions:
-            position_zones.keep(zones)
+            position_zones.keep(self._zones)
             position_hosts.keep(self._hosts)
 
-    def _in_zone(self, zone: str) -> dict[str, float]:
-        return {
-            host: entry.weight
-            for host, entry in self._hosts.items()
-            if entry.zone == zone
-        }
-
-    def _own_zone_leads(self, zone: str, own: dict[str, float]) -> bool:
+    def _own_zone_leads(self, zone: str, own: _Weights) -> bool:
         weight = min(1, sum(own.values()))
         credit = self._own_credit.get(zone, 0) + weight
         leads = credit >= 1
@@ -154,40 +152,34 @@
     def _next(self, chosen: list[HostEntry]) -> HostEntry:
         free = self._free(chosen)
         zones, hosts = self._rotations(len(chosen))
-        zone = zones.choose(_zone_weights(free))
-        weights = {
-            host: entry.weight
-            for host, entry in free.items()
-            if entry.zone == zone
-        }
-        return self._hosts[hosts.choose(weights)]
-
-    def _rotations(self, position: int) -> tuple[Rotation, Rotation]:
-        while len(self._positions) <= position:
-            pair = (Rotation(self._rng), Rotation(self._rng))
-            self._positions.append(pair)
-        return self._positions[position]
+        zone = zones.choose(
+            {name: sum(weights.values()) for name, weights in free.items()},
+        )
+        return self._hosts[hosts.choose(free[zone])]
 
-    def _free(self, chosen: list[HostEntry]) -> _Hosts:
+    def _free(self, chosen: list[HostEntry]) -> dict[str, _Weights]:
         used_zones = {entry.zone for entry in chosen}
         free = {
-            host: entry
-            for host, entry in self._hosts.items()
-            if entry.zone not in used_zones
+            zone: weights
+            for zone, weights in self._zones.items()
+            if zone not in used_zones
         }
         if free:
             return free
         # With fewer zones than addresses, further hosts of a zone follow.
         used = {entry.host for entry in chosen}
-        return {
-            host: entry
-            for host, entry in self._hosts.items()
-            if host not in used
-        }
+        for zone, weights in self._zones.items():
+            left = {
+                host: weight
+                for host, weight in weights.items()
+                if host not in used
+            }
+            if left:
+                free[zone] = left
+        return free
 
-
-def _zone_weights(hosts: _Hosts) -> dict[str, float]:
-    weights: dict[str, float] = {}
-    for entry in hosts.values():
-        weights[entry.zone] = weights.get(entry.zone, 0) + entry.weight
-    return weights
+    def _rotations(self, position: int) -> tuple[Rotation, Rotation]:
+        while len(self._positions) <= position:
+            pair = (Rotation(self._rng), Rotation(self._rng))
+            self._positions.append(pair)
+        return self._positions[position]
--- a/src/apricotcart/membership/table.py
+++ b/src/apricotcart/membership/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from typing import Final
 
 from apricotcart.codec.packing import pack
@@ -55,10 +56,7 @@
 
         A hint can only shorten the time of a host that is already silent.
         """
-        limit_s = LOST_AFTER_S
-        if self.hinted_at is not None and now < self.hinted_at + HINT_KEPT_S:
-            limit_s = HINTED_LOST_AFTER_S
-        return now >= self.last_seen + limit_s
+        return now >= self._lost_at(now)
 
     def weight(self, now: float) -> float:
         """Give the share of callers, from one step up to 1."""
@@ -66,6 +64,24 @@
         step = int((1 - missing) * RAMP_STEPS) + 1
         return min(step, RAMP_STEPS) / RAMP_STEPS
 
+    def next_change(self, now: float) -> float:
+        """Give the earliest time at which loss or weight may change."""
+        lost_at = self._lost_at(now)
+        if now >= lost_at:
+            return math.inf
+        ramp_from = self.full_at - RAMP_S
+        for step in range(1, RAMP_STEPS):
+            step_at = ramp_from + RAMP_S * step / RAMP_STEPS
+            if now < step_at < lost_at:
+                return step_at
+        return lost_at
+
+    def _lost_at(self, now: float) -> float:
+        limit_s = LOST_AFTER_S
+        if self.hinted_at is not None and now < self.hinted_at + HINT_KEPT_S:
+            limit_s = HINTED_LOST_AFTER_S
+        return self.last_seen + limit_s
+
 
 class HostTable:
     """Entry hosts by their syncs.
@@ -74,7 +90,13 @@
     the leader's loop before the syncs that arrived in it.
     """
 
-    __slots__ = ('_known_from', '_rows', '_ticked_at')
+    __slots__ = (
+        '_valid_until',
+        '_known_from',
+        '_listed',
+        '_rows',
+        '_ticked_at',
+    )
 
     def __init__(self, now: float) -> None:
         """Start as a new leader."""
@@ -85,6 +107,8 @@
         self._rows: dict[str, HostRow] = {}
         self._known_from = now + LEARN_S
         self._ticked_at = now
+        self._listed = HostList(digest=None, entries=None)
+        self._valid_until = -math.inf
 
     def tick(self, now: float) -> None:
         """Forget hosts, and allow for a pause of this process."""
@@ -105,15 +129,11 @@
         row = self._rows.get(report.host)
         if row is None or report.incarnation > row.report.incarnation:
             self._rows[report.host] = HostRow(report, now, self._full_at(now))
+            self._valid_until = -math.inf
             return True
         if report.incarnation < row.report.incarnation:
             return False
-        if row.is_lost(now):
-            row.full_at = self._full_at(now)
-        row.last_seen = max(row.last_seen, now)
-        # A delayed sync must not bring back a host that is leaving.
-        if row.report.state != LEAVING:
-            row.report = report
+        self._renew(now, row, report)
         return True
 
     def on_hint(self, now: float, host: str) -> None:
@@ -121,6 +141,7 @@
         row = self._rows.get(host)
         if row:
             row.hinted_at = now
+            self._valid_until = -math.inf
 
     def rows(self) -> dict[str, HostRow]:
         """Give all rows by host, for the operators' status."""
@@ -144,12 +165,27 @@
         """
         if now < self._known_from:
             return HostList(digest=None, entries=None)
-        entries = self._entries(now)
-        digest = _digest(entries)
-        return HostList(
-            digest=digest,
-            entries=None if digest == held else entries,
-        )
+        # A build takes about 1 ms for 340 hosts, too long for each sync.
+        if now >= self._valid_until:
+            entries = self._entries(now)
+            self._listed = HostList(digest=_digest(entries), entries=entries)
+            self._valid_until = min(
+                (row.next_change(now) for row in self._rows.values()),
+                default=math.inf,
+            )
+        if self._listed.digest == held:
+            return HostList(digest=held, entries=None)
+        return self._listed
+
+    def _renew(self, now: float, row: HostRow, report: HostReport) -> None:
+        if row.is_lost(now):
+            row.full_at = self._full_at(now)
+            self._valid_until = -math.inf
+        row.last_seen = max(row.last_seen, now)
+        # A delayed sync must not bring back a host that is leaving.
+        if row.report.state != LEAVING and row.report != report:
+            row.report = report
+            self._valid_until = -math.inf
 
     def _entries(self, now: float) -> list[HostEntry]:
         serving = [
--- a/src/apricotcart/state/limits.py
+++ b/src/apricotcart/state/limits.py
@@ -59,11 +59,11 @@
         max_events: int = 4096,
         max_operations: int = 4096,
         max_operation_bytes: int = 1_048_576,
-        max_orders: int = 50_000,
+        max_orders: int = 100_000,
         max_order_bytes: int = 16_777_216,
         max_customer_orders: int = 10_000,
         max_body_bytes: int = 65_536,
-        max_usage_rows: int = 50_000,
+        max_usage_rows: int = 30_000,
     ) -> None:
         """Keep the bounds."""
         self.max_resources = max_resources
--- a/src/apricotcart/state/order_records.py
+++ b/src/apricotcart/state/order_records.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import Any, Final
 
+from apricotcart.codec.packing import pack, unpack
 from apricotcart.codec.record import Record
 from apricotcart.state.errors import OrderRecordsFullError
 from apricotcart.state.limits import ORDER_UNKNOWN_AFTER_MS, Limits
@@ -14,7 +17,13 @@
 NOT_RUN: Final = 'not_run'
 UNKNOWN: Final = 'unknown'
 
-OrderKey = tuple[str, str]
+_DIGEST_BYTES: Final = 16
+
+
+def digest(*parts: str) -> bytes:
+    """Give a digest that stands for strings of any length."""
+    packed = pack(parts)
+    return hashlib.blake2b(packed, digest_size=_DIGEST_BYTES).digest()
 
 
 class OrderRecord(Record):
@@ -22,6 +31,10 @@
 
     Attributes
     ----------
+    key : bytes
+        Digest of customer and idempotency key.
+    attempt, body_hash : bytes
+        Digests of what the attempt's host sent.
     state : str
         ``in_progress``, ``done`` or ``unknown``.
     begun_ms, changed_ms : int
@@ -31,15 +44,15 @@
     """
 
     __slots__ = (
+        'key',
         'customer',
-        'idempotency_key',
-        'attempt_id',
+        'attempt',
         'body_hash',
         'host',
         'incarnation',
-        'state',
         'begun_ms',
         'changed_ms',
+        'state',
         'status',
         'content_type',
         'body',
@@ -49,10 +62,10 @@
     def __init__(
         self,
         *,
+        key: bytes,
         customer: str,
-        idempotency_key: str,
-        attempt_id: str,
-        body_hash: str,
+        attempt: bytes,
+        body_hash: bytes,
         host: str,
         incarnation: int,
         begun_ms: int,
@@ -64,9 +77,9 @@
         body_kept: bool = True,
     ) -> None:
         """Keep the fields."""
+        self.key = key
         self.customer = customer
-        self.idempotency_key = idempotency_key
-        self.attempt_id = attempt_id
+        self.attempt = attempt
         self.body_hash = body_hash
         self.host = host
         self.incarnation = incarnation
@@ -78,10 +91,29 @@
         self.body = body
         self.body_kept = body_kept
 
-    @property
-    def key(self) -> OrderKey:
-        """Give customer and idempotency key."""
-        return self.customer, self.idempotency_key
+    @classmethod
+    def from_begin(cls, full: Mapping[str, Any], now_ms: int) -> OrderRecord:
+        """Build the record of a valid ``order_begin``."""
+        return cls(
+            key=digest(full['customer'], full['idempotency_key']),
+            customer=full['customer'],
+            attempt=digest(full['attempt_id']),
+            body_hash=digest(full['body_hash']),
+            host=full['host'],
+            incarnation=full['incarnation'],
+            begun_ms=now_ms,
+            changed_ms=now_ms,
+        )
+
+    @classmethod
+    def from_bytes(cls, blob: bytes) -> OrderRecord:
+        """Build the record from ``to_bytes``."""
+        named = zip(cls.__slots__, unpack(blob), strict=True)
+        return cls(**dict(named))
+
+    def to_bytes(self) -> bytes:
+        """Give the fields in their order."""
+        return pack([getattr(self, name) for name in self.__slots__])
 
     def state_at(self, now_ms: int) -> str:
         """Give the state; without an outcome for long it is unknown."""
@@ -98,6 +130,9 @@
     customer may hold at most as many of either as are free, so that no
     customer can use up the table: one alone gets half of it, and n of them
     get 1/(n+1) each.
+
+    Records are kept packed: most are never read again, and the packed form
+    takes less than half of the memory and is the one of the snapshot.
     """
 
     __slots__ = ('_held', '_limits', '_records', 'stored_bytes')
@@ -106,7 +141,7 @@
         """Start empty."""
         self._limits = limits
         # Ordered, since removal from the front of a dict is not O(1).
-        self._records: OrderedDict[OrderKey, OrderRecord] = OrderedDict()
+        self._records: OrderedDict[bytes, bytes] = OrderedDict()
         #: Count and bytes of each customer.
         self._held: dict[str, tuple[int, int]] = {}
         self.stored_bytes = 0
@@ -117,11 +152,13 @@
 
     def get(self, customer: str, idempotency_key: str) -> OrderRecord | None:
         """Give a record, or None if there is none."""
-        return self._records.get((customer, idempotency_key))
+        blob = self._records.get(digest(customer, idempotency_key))
+        return OrderRecord.from_bytes(blob) if blob else None
 
     def oldest(self) -> OrderRecord | None:
         """Give the record whose last change is the longest ago."""
-        return next(iter(self._records.values()), None)
+        blob = next(iter(self._records.values()), None)
+        return OrderRecord.from_bytes(blob) if blob else None
 
     def count_of(self, customer: str) -> int:
         """Count the records of a customer."""
@@ -150,7 +187,7 @@
 
     def add(self, record: OrderRecord) -> None:
         """Add a record as the last changed."""
-        self._records[record.key] = record
+        self._records[record.key] = record.to_bytes()
         self._count(record, 1)
 
     def remove(self, record: OrderRecord) -> None:
@@ -158,18 +195,21 @@
         self._records.pop(record.key)
         self._count(record, -1)
 
-    def to_wire(self) -> list[Any]:
-        """Give the records as lists of their fields."""
-        return [
-            [getattr(record, name) for name in OrderRecord.__slots__]
-            for record in self._records.values()
-        ]
-
-    def load(self, wire: list[Any]) -> None:
-        """Fill an empty store from ``to_wire``."""
-        for fields in wire:
-            named = zip(OrderRecord.__slots__, fields, strict=True)
-            self.add(OrderRecord.from_wire(dict(named)))
+    def to_wire(self) -> dict[str, Any]:
+        """Give the packed records and what is counted of them."""
+        return {
+            'keys': list(self._records),
+            'records': list(self._records.values()),
+            'held': [[name, *held] for name, held in self._held.items()],
+        }
+
+    def load(self, wire: Mapping[str, Any]) -> None:
+        """Fill an empty store from ``to_wire``; no record is unpacked."""
+        named = zip(wire['keys'], wire['records'], strict=True)
+        self._records = OrderedDict(named)
+        for customer, count, held_bytes in wire['held']:
+            self._held[customer] = (count, held_bytes)
+            self.stored_bytes += held_bytes
 
     def _count(self, record: OrderRecord, sign: int) -> None:
         size = sign * len(record.body)
--- a/src/apricotcart/state/orders.py
+++ b/src/apricotcart/state/orders.py
@@ -15,6 +15,7 @@
     NOT_RUN,
     OrderRecord,
     OrderStore,
+    digest,
 )
 from apricotcart.state.replies import invalid
 
@@ -61,9 +62,7 @@
         if full['attempt_id'] in self._closed:
             raise StaleAttemptError('the attempt was closed as not run')
         self.store.check_room(full['customer'])
-        self.store.add(
-            OrderRecord(begun_ms=now_ms, changed_ms=now_ms, **full),
-        )
+        self.store.add(OrderRecord.from_begin(full, now_ms))
         return {_OUTCOME: 'start'}
 
     def finish(self, fields: Any, now_ms: int) -> dict[str, Any]:
@@ -86,7 +85,7 @@
         if faults:
             raise invalid(faults)
         record = self.store.get(full['customer'], full['idempotency_key'])
-        if record and record.attempt_id != full['attempt_id']:
+        if record and record.attempt != digest(full['attempt_id']):
             record = None
         if full['result'] == NOT_RUN:
             self._close(full['attempt_id'], record)
@@ -146,7 +145,7 @@
     full: Mapping[str, Any],
     now_ms: int,
 ) -> dict[str, Any]:
-    if record.body_hash != full['body_hash']:
+    if record.body_hash != digest(full['body_hash']):
         return {_OUTCOME: 'conflict'}
     state = record.state_at(now_ms)
     if state == DONE:
@@ -157,6 +156,7 @@
             'body': record.body,
             'body_kept': record.body_kept,
         }
-    if state == IN_PROGRESS and record.attempt_id == full['attempt_id']:
+    is_own = record.attempt == digest(full['attempt_id'])
+    if state == IN_PROGRESS and is_own:
         return {_OUTCOME: 'start'}
     return {_OUTCOME: state}
--- a/src/apricotcart/state/schema.py
+++ b/src/apricotcart/state/schema.py
@@ -37,11 +37,20 @@
         """
         if not isinstance(given, Mapping):
             return {}, [Fault(path=path, message='must be a mapping')]
-        full = {
-            name: given.get(name, field.default)
-            for name, field in self._fields.items()
-        }
-        return full, list(self._faults(full, given, path))
+        full: dict[str, Any] = {}
+        faults: list[Fault] = []
+        for name, field in self._fields.items():
+            full[name] = given.get(name, field.default)
+            message = _fault_of(field, full[name])
+            if message:
+                faults.append(_fault_at(path, name, message))
+        if not given.keys() <= self._fields.keys():
+            faults.extend(
+                _fault_at(path, str(extra), 'unknown field')
+                for extra in given
+                if extra not in self._fields
+            )
+        return full, faults
 
     def references(self, full: Mapping[str, Any]) -> Iterator[Identity]:
         """Give the resources that a valid mapping names."""
@@ -57,23 +66,13 @@
             for target in field.references(full[name]):
                 yield name, (str(field.ref_kind), target)
 
-    def _faults(
-        self,
-        full: Mapping[str, Any],
-        given: Mapping[str, Any],
-        path: str,
-    ) -> Iterator[Fault]:
-        prefix = f'{path}.' if path else ''
-        for name, field in self._fields.items():
-            message = _fault_of(field, full[name])
-            if message:
-                yield Fault(path=prefix + name, message=message)
-        for extra in given:
-            if extra not in self._fields:
-                yield Fault(path=f'{prefix}{extra}', message='unknown field')
-
 
 def _fault_of(field: Field, given: Any) -> str | None:
     if given is REQUIRED:
         return 'is required'
     return field.fault(given)
+
+
+def _fault_at(path: str, name: str, message: str) -> Fault:
+    full_path = f'{path}.{name}' if path else name
+    return Fault(path=full_path, message=message)
