Check first starts at once and refused runtime folders

Cause: the check did not cover several first starts at once, and failed when a thread ended while its children were read. Change: scripts/check_program.py covers both.

--- a/scripts/check_program.py
+++ b/scripts/check_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import re
 import shutil
@@ -23,6 +24,7 @@
 CONTROL_MEMORY_LIMIT_MIB = 64.0
 WARM_STARTS = 5
 POLL_S = 0.002
+FIRST_STARTS = 8
 
 
 class CheckFailedError(Exception):
@@ -40,7 +42,9 @@
     """Give the ids of a process's children."""
     found: list[str] = []
     for task in Path(f'/proc/{pid}/task').iterdir():
-        found.extend((task / 'children').read_text().split())
+        # A thread may end while it is read; its children move to another.
+        with contextlib.suppress(FileNotFoundError, ProcessLookupError):
+            found.extend((task / 'children').read_text().split())
     return found
 
 
@@ -106,6 +110,38 @@
         )
 
 
+def check_unpacking(program: Path, scratch: Path) -> None:
+    """Check many first starts at once, and places that must be refused."""
+    runtime = scratch / 'shared'
+    env = {**os.environ, 'APRICOTCART_RUNTIME_DIR': str(runtime)}
+    started = [
+        subprocess.Popen([program, 'version'], env=env, stdout=-3)
+        for _ in range(FIRST_STARTS)
+    ]
+    codes = {process.wait() for process in started}
+    require(
+        codes == {0} and len(list(runtime.iterdir())) == 1,
+        f'{FIRST_STARTS} first starts at once leave one folder',
+    )
+    env['APRICOTCART_RUNTIME_DIR'] = '/proc/none'
+    done = subprocess.run(
+        [program, 'version'], env=env, capture_output=True, check=False
+    )
+    require(
+        done.returncode == 1 and b'cannot create' in done.stderr,
+        'a runtime folder that cannot be made is reported',
+    )
+    env.pop('APRICOTCART_RUNTIME_DIR')
+    env['HOME'] = str(program.parent)
+    done = subprocess.run(
+        [program, 'version'], env=env, capture_output=True, check=False
+    )
+    require(
+        done.returncode == 1 and b'below the home folder' in done.stderr,
+        'a program below the home folder does not unpack beside itself',
+    )
+
+
 def check_kind(cluster: Cluster, name: str, kind: str) -> None:
     """Check one cold start and several warm ones."""
     cold_s, _ = check_start(cluster, name, kind)
@@ -161,6 +197,7 @@
                 'entry unpacks below APRICOTCART_RUNTIME_DIR',
             )
             check_commands(program, cluster)
+            check_unpacking(program, Path(scratch))
         finally:
             cluster.stop()
         require(not list(home.iterdir()), 'the home folder stays empty')
