Keep suspects apart and deal slots by what is occupied

Cause: requests that did not crash anything were quarantined, since two suspects shared an endpoint or a failing endpoint crashed under them; and a change of shares let hosts overrun an endpoint, seen as a queue inside it. Suspects now run on endpoints that only their host uses for suspects, a draining or repeatedly crashing endpoint blames no request, and a slot that one host still occupies is dealt to another only once it is free. The bound of the wait holds over all attempts of a request.

--- a/src/apricotcart/endpoints/limits.py
+++ b/src/apricotcart/endpoints/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -20,10 +21,36 @@
 CLOSED_MIN_S = 0.5
 CLOSED_MAX_S = 20.0
 _JITTER = 0.25
+# After this many crashes within about a minute the endpoint itself is the
+# probable cause, not the requests that ran on it.
+CRASHES_UNRELIABLE = 2.5
+CRASH_MEMORY_S = 60.0
 _DOUBLINGS = 6
 _EPSILON = 1e-9
 
 
+class Crashes:
+    """A count of crashes that decays with time.
+
+    A success between two crashes does not reset it: short requests succeed
+    on an endpoint that crashes every few seconds.
+    """
+
+    __slots__ = ('count', '_counted_at')
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.count: float = 0
+        self._counted_at: float = 0
+
+    def add(self, now: float) -> None:
+        """Count a crash."""
+        age_s = now - self._counted_at
+        self.count *= math.exp(-age_s / CRASH_MEMORY_S)
+        self.count += 1
+        self._counted_at = now
+
+
 class AdaptiveLimit:
     """The part of an endpoint's slots that this host uses now.
 
@@ -32,7 +59,14 @@
     that recovers gets its load back gradually, starting with one request.
     """
 
-    __slots__ = ('health', 'closed_until', 'failures', 'baseline_s', '_rng')
+    __slots__ = (
+        'health',
+        'closed_until',
+        'failures',
+        'baseline_s',
+        '_crashes',
+        '_rng',
+    )
 
     def __init__(self, rng: random.Random) -> None:
         """Start healthy."""
@@ -40,6 +74,7 @@
         self.closed_until: float = 0
         self.failures = 0
         self.baseline_s: float = 0
+        self._crashes = Crashes()
         self._rng = rng
 
     def allowed(self, now: float, slots: int) -> int:
@@ -84,8 +119,12 @@
         """
         if now < self.closed_until:
             return
-        self.failures += 1
-        self._close(now, self.failures - 1)
+        self._crashes.add(now)
+        self._close(now, int(self._crashes.count))
+
+    def is_unreliable(self) -> bool:
+        """Tell whether the endpoint crashed too often to blame a request."""
+        return self._crashes.count >= CRASHES_UNRELIABLE
 
     def _close(self, now: float, exponent: int) -> None:
         self.health = 0
--- a/src/apricotcart/endpoints/rows.py
+++ b/src/apricotcart/endpoints/rows.py
@@ -73,6 +73,14 @@
             return False
         return bool(self.slots() and self.limit.health)
 
+    def blames_requests(self) -> bool:
+        """Tell whether a crash makes the running requests suspects.
+
+        A draining endpoint goes away by itself, and one that crashes again
+        and again is the probable cause itself.
+        """
+        return not self.endpoint.leaving and not self.limit.is_unreliable()
+
     def on_outcome(self, now: float, outcome: str) -> None:
         """Adapt the limit to the outcome of a request."""
         if outcome == outcomes.OK:
--- a/src/apricotcart/endpoints/suspects.py
+++ b/src/apricotcart/endpoints/suspects.py
@@ -37,6 +37,9 @@
         self.crashed_at: float = 0
 
 
+_Table = OrderedDict[str, _Suspect]
+
+
 class SuspectTable:
     """Suspects that this host saw, and those that other hosts reported.
 
@@ -45,16 +48,17 @@
     of every host, since the host that saw the crashes may go away.
     """
 
-    __slots__ = ('_own', '_remote')
+    __slots__ = ('_own', '_quarantined', '_remote')
 
     def __init__(self) -> None:
         """Start empty."""
-        self._own: OrderedDict[str, _Suspect] = OrderedDict()
+        self._own: _Table = OrderedDict()
+        self._quarantined: _Table = OrderedDict()
         self._remote: dict[str, _Suspect] = {}
 
     def __len__(self) -> int:
         """Count the fingerprints that this host reports."""
-        return len(self._own)
+        return len(self._own) + len(self._quarantined)
 
     def on_crash(self, now: float, fingerprint: str, endpoint: str) -> None:
         """Note that the request ran on an endpoint when it crashed."""
@@ -86,7 +90,8 @@
                 endpoints=suspect.endpoints,
                 age_s=now - suspect.crashed_at,
             )
-            for fingerprint, suspect in self._own.items()
+            for table in (self._own, self._quarantined)
+            for fingerprint, suspect in table.items()
         ]
 
     def merge(self, now: float, reports: Iterable[SuspectReport]) -> None:
@@ -109,26 +114,33 @@
     def _add(
         self, now: float, fingerprint: str, endpoints: Iterable[str]
     ) -> None:
-        suspect = self._own.setdefault(fingerprint, _Suspect())
+        suspect = self._own.pop(fingerprint, None)
+        if suspect is None:
+            suspect = self._quarantined.pop(fingerprint, _Suspect())
         suspect.endpoints.update(endpoints)
         suspect.crashed_at = max(suspect.crashed_at, now)
+        if len(suspect.endpoints) >= CRASHES_TO_QUARANTINE:
+            self._quarantined[fingerprint] = suspect
+        else:
+            self._own[fingerprint] = suspect
         self._trim(now)
 
     def _endpoints(self, fingerprint: str) -> set[str]:
         endpoints: set[str] = set()
-        for table in (self._own, self._remote):
+        for table in (self._own, self._quarantined, self._remote):
             suspect = table.get(fingerprint)
             if suspect is not None:
                 endpoints |= suspect.endpoints
         return endpoints
 
     def _trim(self, now: float) -> None:
-        while self._own:
-            fingerprint, oldest = next(iter(self._own.items()))
-            lifetime = SUSPICION_S
-            if len(oldest.endpoints) >= CRASHES_TO_QUARANTINE:
-                lifetime = QUARANTINE_S
-            expired = now - oldest.crashed_at > lifetime
-            if not expired and len(self._own) <= MAX_SUSPECTS:
-                return
-            self._own.pop(fingerprint)
+        _drop_old(self._own, now - SUSPICION_S)
+        _drop_old(self._quarantined, now - QUARANTINE_S)
+
+
+def _drop_old(table: _Table, since: float) -> None:
+    while table:
+        fingerprint, oldest = next(iter(table.items()))
+        if oldest.crashed_at >= since and len(table) <= MAX_SUSPECTS:
+            return
+        table.pop(fingerprint)
--- a/src/apricotcart/endpoints/table.py
+++ b/src/apricotcart/endpoints/table.py
@@ -146,18 +146,26 @@
     def _constrained(self, need: Need, lanes: list[FreeList]) -> list[str]:
         names = [name for lane in lanes for name in lane.names]
         if need.isolated:
-            names = self._isolated(names)
+            names = self._isolated(need, names)
         others = [name for name in names if name not in need.excluded]
         if others or self._has_alternative(need):
             return others
         return names
 
-    def _isolated(self, names: list[str]) -> list[str]:
+    def _isolated(self, need: Need, names: list[str]) -> list[str]:
         # Two suspects never share an endpoint, so that a second crash
         # shows which of them is the cause.
         names = [name for name in names if not self.rows[name].suspects]
-        own = [name for name in names if name in self.isolation]
-        return own or names
+        own = [
+            name
+            for name in self.isolation
+            if name not in need.excluded
+            and name in self.rows
+            and self.rows[name].may_serve(need)
+        ]
+        if own:
+            return [name for name in names if name in own]
+        return names
 
     def _has_alternative(self, need: Need) -> bool:
         """Tell whether an endpoint that is not excluded may become free."""
--- a/src/apricotcart/scheduling/entries.py
+++ b/src/apricotcart/scheduling/entries.py
@@ -37,15 +37,20 @@
     )
 
     def __init__(
-        self, req: QueuedRequest, service_class: ServiceClass, now: float
+        self,
+        req: QueuedRequest,
+        service_class: ServiceClass,
+        now: float,
+        waited_s: float,
     ) -> None:
-        """Start in the queue at ``now``."""
+        """Start in the queue at ``now`` after earlier waits."""
         self.req = req
         self.tier = service_class.tier
         self.class_name = service_class.name
-        self.enqueued_at = now
+        # The bound of the wait holds over all attempts of the request.
+        self.enqueued_at = now - waited_s
         self.deadline_at = req.deadline_at or now + service_class.total_s
-        self.expire_at = now + service_class.max_wait_s
+        self.expire_at = self.enqueued_at + service_class.max_wait_s
         self.expire_reason = ''
         self.endpoint = ''
         self.dispatched_at: float = 0
--- a/src/apricotcart/scheduling/scheduler.py
+++ b/src/apricotcart/scheduling/scheduler.py
@@ -145,8 +145,25 @@
         if row is not None:
             row.on_report(report)
 
-    def set_share(self, now: float, endpoint_limits: Mapping[str, int]) -> None:
-        """Apply this host's slots by endpoint, from the sync reply."""
+    def set_share(
+        self,
+        now: float,
+        endpoint_limits: Mapping[str, int],
+        isolation: Iterable[str] = (),
+    ) -> None:
+        """Apply the share from the sync reply.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        endpoint_limits : mapping of str to int
+            This host's slots by endpoint, as ``shares.divide`` gives them.
+        isolation : iterable of str, optional
+            The endpoints on which this host may run suspects, as
+            ``isolation.assign_isolation`` gives them.
+        """
+        self._tables.endpoints.isolation = frozenset(isolation)
         self._tables.endpoints.set_share(now, endpoint_limits)
         self._mark_dirty()
 
@@ -175,9 +192,12 @@
 def _learn(tables: Tables, now: float, entry: Entry, outcome: str) -> None:
     fingerprint = entry.req.fingerprint
     if outcome == outcomes.CRASHED:
-        tables.suspects.on_crash(now, fingerprint, entry.endpoint)
         tables.prefixes.forget_endpoint(entry.endpoint)
+        row = tables.endpoints.rows.get(entry.endpoint)
+        if row is not None and row.blames_requests():
+            tables.suspects.on_crash(now, fingerprint, entry.endpoint)
     if outcome != outcomes.OK:
+        tables.keep_wait(entry)
         return
     tables.suspects.on_finished(fingerprint)
     req = entry.req
--- a/src/apricotcart/scheduling/shares.py
+++ b/src/apricotcart/scheduling/shares.py
@@ -5,14 +5,13 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
+from apricotcart.scheduling.dealing import Division, deal
 from apricotcart.scheduling.maxmin import Bid, max_min
 
 if TYPE_CHECKING:
     from apricotcart.endpoints.records import Endpoint
     from apricotcart.scheduling.decisions import Demand, TierDemand
 
-Division = dict[str, dict[str, int]]
-
 
 def divide(
     demands: Mapping[str, Demand], endpoints: Iterable[Endpoint]
@@ -51,7 +50,7 @@
 ) -> None:
     total = sum(endpoint.slots for endpoint in members)
     counts = allot(pool, total, demands)
-    _deal(counts, members, division)
+    deal(counts, members, demands, division)
 
 
 def allot(
@@ -100,33 +99,3 @@
         covered[bid.host] -= used
         wanted.append(Bid(bid.host, bid.asked - used, bid.weight))
     return wanted
-
-
-def _deal(
-    counts: Mapping[str, int],
-    members: Sequence[Endpoint],
-    division: Division,
-) -> None:
-    """Deal the slots so that each host's are spread over the endpoints."""
-    slots = _interleaved(members)
-    position = 0
-    for host in sorted(counts):
-        share = division[host]
-        for name in slots[position : position + counts[host]]:
-            share[name] = share.get(name, 0) + 1
-        position += counts[host]
-
-
-def _interleaved(members: Sequence[Endpoint]) -> list[str]:
-    deepest = max((endpoint.slots for endpoint in members), default=0)
-    ordered = sorted(members, key=_name)
-    return [
-        endpoint.name
-        for level in range(deepest)
-        for endpoint in ordered
-        if level < endpoint.slots
-    ]
-
-
-def _name(endpoint: Endpoint) -> str:
-    return endpoint.name
--- a/src/apricotcart/scheduling/tables.py
+++ b/src/apricotcart/scheduling/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from apricotcart.endpoints.affinity import PrefixTable
@@ -22,6 +23,7 @@
 # Spread of Retry-After, so that refused callers do not return together.
 _RETRY_AFTER_SPREAD = 0.25
 _DEFAULT_WEIGHT = 1.0
+_MAX_WAITS = 4096
 
 
 class Tables:
@@ -41,6 +43,7 @@
         'queued',
         'running',
         'sheds',
+        'waited',
         '_expiry',
         '_sequence',
     )
@@ -60,6 +63,8 @@
         self.queued: dict[str, Entry] = {}
         self.running: dict[str, Entry] = {}
         self.sheds: list[Shed] = []
+        # Seconds in the queue of attempts that may be retried.
+        self.waited: OrderedDict[str, float] = OrderedDict()
         self._expiry: list[tuple[float, int, Entry]] = []
         self._sequence = 0
 
@@ -92,6 +97,13 @@
         self.pools[entry.req.pool].queue.remove(entry)
         self.queued.pop(entry.request_id)
 
+    def keep_wait(self, entry: Entry) -> None:
+        """Remember the time in the queue for a retry of the request."""
+        waited = entry.dispatched_at - entry.enqueued_at
+        self.waited[entry.request_id] = waited
+        if len(self.waited) > _MAX_WAITS:
+            self.waited.popitem(last=False)
+
     def expired(self, now: float) -> Entry | None:
         """Give a queued entry whose time in the queue is over."""
         while self._expiry and self._expiry[0][0] <= now:
--- a/tests/policy/baselines.py
+++ b/tests/policy/baselines.py
@@ -75,7 +75,9 @@
     def on_load_report(self, now: float, endpoint: str, report: Any) -> None:
         """Ignore the event."""
 
-    def set_share(self, now: float, limits: Mapping[str, int]) -> None:
+    def set_share(
+        self, now: float, limits: Mapping[str, int], isolation: Any
+    ) -> None:
         """Ignore the event."""
 
     def on_finish(self, now: float, request_id: str, outcome: str) -> None:
--- a/tests/policy/deployment.py
+++ b/tests/policy/deployment.py
@@ -66,6 +66,7 @@
         ini = configparser.ConfigParser()
         ini.read_string((HERE / f'{name}.ini').read_text())
         self.name = name
+        self.seed = 0
         base = dict(ini['deployment'])
         self.zones = base.pop('zones').split()
         self.base = {key: float(text) for key, text in base.items()}
@@ -104,6 +105,7 @@
 
     def arrivals(self, seed: int) -> list[Arrival]:
         """Give the script of requests of one seed, by time."""
+        self.seed = seed
         rng = random.Random(f'{self.name}-{seed}')
         script: list[Arrival] = []
         for traffic in self.traffic:
@@ -172,7 +174,7 @@
 
     def _host(self, customer: Customer, now: float, rng: random.Random) -> int:
         # A caller keeps two addresses for 30 s before it asks again.
-        choice = random.Random(f'{customer.name}-{int(now / 30)}')
+        choice = random.Random(f'{self.seed}-{customer.name}-{int(now / 30)}')
         return rng.choice(choice.sample(range(self.hosts), 2))
 
     def _arrival(
--- a/tests/policy/engines.py
+++ b/tests/policy/engines.py
@@ -51,6 +51,7 @@
         self.waiting: list[Job] = []
         self.down_until: float = 0
         self.tokens: float = 0
+        self.longest_queue = 0
         self._cache: OrderedDict[str, None] = OrderedDict()
 
     def add(self, job: Job) -> None:
@@ -82,6 +83,7 @@
             job.prefill_left = self._prefill_s(job)
             self.running.append(job)
             started.append(job)
+        self.longest_queue = max(self.longest_queue, len(self.waiting))
         pace = self.token_s * (1 + BATCH_COST * (len(self.running) - 1))
         for running in self.running:
             self._advance(running, span_s, pace)
--- a/tests/policy/measures.py
+++ b/tests/policy/measures.py
@@ -105,6 +105,9 @@
         for entry in records
         if entry.arrival.req.class_name == lowest.name
     )
+    figures['longest engine queue'] = max(
+        engine.longest_queue for engine in simulation.engines.values()
+    )
     figures['crashes by poison'] = simulation.crash_counts.get('poison', 0)
     figures['quarantined innocents'] = sum(
         entry.outcome == 'quarantined' for entry in records
--- a/tests/policy/simulation.py
+++ b/tests/policy/simulation.py
@@ -12,6 +12,7 @@
 from apricotcart.retries.policy import FailedAttempt, RetryPolicy
 from apricotcart.scheduling.config import SchedulerConfig
 from apricotcart.scheduling.decisions import Decision, Dispatch
+from apricotcart.scheduling.isolation import assign_isolation
 from apricotcart.scheduling.scheduler import Scheduler
 from apricotcart.scheduling.shares import divide
 from policy.baselines import FifoRoundRobin, LeastInFlight
@@ -267,8 +268,10 @@
             for number, host in enumerate(self.hosts)
         }
         division = divide(demands, self.configured)
+        owned = assign_isolation(demands, self.configured)
         for number, host in enumerate(self.hosts):
-            host.set_share(self.now, division[f'h{number}'])
+            name = f'h{number}'
+            host.set_share(self.now, division[name], owned[name])
             others = [
                 report
                 for other in self.hosts
