Serve requests that can still meet their first-token target first

Cause: in a burst all requests of a tier waited in order, so that each was served after its first-token target. Ruled out: endpoint overrun, since the longest engine queue was 0. A request whose target has passed now waits behind those of its tier that can still meet it; the bound of its wait is unchanged.

--- a/src/apricotcart/scheduling/admission.py
+++ b/src/apricotcart/scheduling/admission.py
@@ -27,8 +27,8 @@
     if tables.suspects.is_quarantined(now, req.fingerprint):
         tables.shed(now, req, decisions.SHED_QUARANTINED)
         return
-    waited_s = tables.waited.pop(req.request_id, 0)
-    entry = Entry(req, service_class, now, waited_s)
+    entry = Entry(req, service_class, now)
+    entry.follow(tables.earlier.pop(req.request_id, None))
     _estimate(tables, entry)
     if entry.expire_at <= now:
         tables.shed(now, req, decisions.SHED_DEADLINE)
--- a/src/apricotcart/scheduling/entries.py
+++ b/src/apricotcart/scheduling/entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -34,21 +35,18 @@
         'charged',
         'cheap_allowed',
         'suspect',
+        'late_at',
+        'late',
     )
 
     def __init__(
-        self,
-        req: QueuedRequest,
-        service_class: ServiceClass,
-        now: float,
-        waited_s: float,
+        self, req: QueuedRequest, service_class: ServiceClass, now: float
     ) -> None:
-        """Start in the queue at ``now`` after earlier waits."""
+        """Start in the queue at ``now``."""
         self.req = req
         self.tier = service_class.tier
         self.class_name = service_class.name
-        # The bound of the wait holds over all attempts of the request.
-        self.enqueued_at = now - waited_s
+        self.enqueued_at = now
         self.deadline_at = req.deadline_at or now + service_class.total_s
         self.expire_at = self.enqueued_at + service_class.max_wait_s
         self.expire_reason = ''
@@ -59,6 +57,24 @@
         self.charged: float = 0
         self.cheap_allowed = req.resumable
         self.suspect = False
+        # After this time the first token misses the target of the class.
+        self.late_at = self.enqueued_at + service_class.first_token_s
+        self.late = False
+
+    def follow(self, earlier: Entry | None) -> None:
+        """Continue after an earlier attempt.
+
+        The bound of the wait holds over all attempts. A stream that has
+        started can no longer miss its first-token target.
+        """
+        if earlier is None:
+            return
+        waited_s = earlier.dispatched_at - earlier.enqueued_at
+        self.enqueued_at -= waited_s
+        self.expire_at -= waited_s
+        self.late_at -= waited_s
+        if earlier.first_byte_at or earlier.late_at == math.inf:
+            self.late_at = math.inf
 
     def cost(self) -> float:
         """Give the tokens used so far, prompt tokens at a lower cost."""
--- a/src/apricotcart/scheduling/queues.py
+++ b/src/apricotcart/scheduling/queues.py
@@ -12,7 +12,7 @@
     from apricotcart.scheduling.entries import Entry
 
 _Fifo = OrderedDict[str, 'Entry']
-_LaneKey = tuple[str, bool, bool, tuple[str, ...]]
+_LaneKey = tuple[bool, str, bool, bool, tuple[str, ...]]
 
 
 def _lane_key(entry: Entry) -> _LaneKey:
@@ -22,6 +22,7 @@
     """
     req = entry.req
     return (
+        entry.late,
         req.model,
         entry.cheap_allowed,
         entry.suspect,
@@ -121,10 +122,14 @@
                 lane.order.put(customer, rank)
 
     def lanes_in_order(self) -> list[Lane]:
-        """Give the lanes, the one with the customer that is due first."""
+        """Give the lanes in the order of dispatch.
+
+        Requests that already miss their first-token target come after those
+        that can still meet it; then by the customer that is due.
+        """
         if len(self.lanes) < 2:
             return list(self.lanes.values())
-        return sorted(self.lanes.values(), key=Lane.rank)
+        return [self.lanes[key] for key in sorted(self.lanes, key=self._rank)]
 
     def newest(self) -> Entry | None:
         """Give the newest request of the customer most over its share."""
@@ -133,6 +138,9 @@
             return None
         return next(reversed(self.customers[customer].values()))
 
+    def _rank(self, key: _LaneKey) -> tuple[bool, float]:
+        return key[0], self.lanes[key].rank()
+
 
 class PoolQueue:
     """All queued requests of one pool.
--- a/src/apricotcart/scheduling/scheduler.py
+++ b/src/apricotcart/scheduling/scheduler.py
@@ -171,6 +171,7 @@
         """Run the systems and give the decisions."""
         tables = self._tables
         admission.expire(tables, now)
+        tables.mark_late(now)
         if tables.endpoints.tick(now):
             self._mark_dirty()
         made: list[Decision] = list(tables.sheds)
@@ -197,7 +198,7 @@
         if row is not None and row.blames_requests():
             tables.suspects.on_crash(now, fingerprint, entry.endpoint)
     if outcome != outcomes.OK:
-        tables.keep_wait(entry)
+        tables.keep_attempt(entry)
         return
     tables.suspects.on_finished(fingerprint)
     req = entry.req
--- a/src/apricotcart/scheduling/tables.py
+++ b/src/apricotcart/scheduling/tables.py
@@ -23,7 +23,9 @@
 # Spread of Retry-After, so that refused callers do not return together.
 _RETRY_AFTER_SPREAD = 0.25
 _DEFAULT_WEIGHT = 1.0
-_MAX_WAITS = 4096
+_MAX_EARLIER = 4096
+
+_Timers = list[tuple[float, int, 'Entry']]
 
 
 class Tables:
@@ -43,8 +45,9 @@
         'queued',
         'running',
         'sheds',
-        'waited',
+        'earlier',
         '_expiry',
+        '_lateness',
         '_sequence',
     )
 
@@ -63,9 +66,10 @@
         self.queued: dict[str, Entry] = {}
         self.running: dict[str, Entry] = {}
         self.sheds: list[Shed] = []
-        # Seconds in the queue of attempts that may be retried.
-        self.waited: OrderedDict[str, float] = OrderedDict()
-        self._expiry: list[tuple[float, int, Entry]] = []
+        # What is known of attempts that may be retried.
+        self.earlier: OrderedDict[str, Entry] = OrderedDict()
+        self._expiry: _Timers = []
+        self._lateness: _Timers = []
         self._sequence = 0
 
     def weight(self, customer: str) -> float:
@@ -91,26 +95,33 @@
         self.queued[entry.request_id] = entry
         self._sequence += 1
         heapq.heappush(self._expiry, (entry.expire_at, self._sequence, entry))
+        heapq.heappush(self._lateness, (entry.late_at, self._sequence, entry))
 
     def dequeue(self, entry: Entry) -> None:
         """Take the entry out of its queue."""
         self.pools[entry.req.pool].queue.remove(entry)
         self.queued.pop(entry.request_id)
 
-    def keep_wait(self, entry: Entry) -> None:
-        """Remember the time in the queue for a retry of the request."""
-        waited = entry.dispatched_at - entry.enqueued_at
-        self.waited[entry.request_id] = waited
-        if len(self.waited) > _MAX_WAITS:
-            self.waited.popitem(last=False)
+    def keep_attempt(self, entry: Entry) -> None:
+        """Remember the attempt for a retry of the request."""
+        self.earlier[entry.request_id] = entry
+        if len(self.earlier) > _MAX_EARLIER:
+            self.earlier.popitem(last=False)
 
     def expired(self, now: float) -> Entry | None:
         """Give a queued entry whose time in the queue is over."""
-        while self._expiry and self._expiry[0][0] <= now:
-            entry = heapq.heappop(self._expiry)[2]
-            if self.queued.get(entry.request_id) is entry:
-                return entry
-        return None
+        return self._due(self._expiry, now)
+
+    def mark_late(self, now: float) -> None:
+        """Put requests that miss their first-token target behind others."""
+        entry = self._due(self._lateness, now)
+        while entry is not None:
+            pool = self.pools[entry.req.pool]
+            pool.queue.remove(entry)
+            entry.late = True
+            ledger = pool.ledger(entry.tier)
+            pool.queue.add(entry, ledger.used(entry.req.customer))
+            entry = self._due(self._lateness, now)
 
     def shed(self, now: float, req: QueuedRequest, reason: str) -> None:
         """Note the decision to refuse a request that has not run."""
@@ -123,3 +134,10 @@
                 retry_after_s=retry_after_s * spread,
             )
         )
+
+    def _due(self, timers: _Timers, now: float) -> Entry | None:
+        while timers and timers[0][0] <= now:
+            entry = heapq.heappop(timers)[2]
+            if self.queued.get(entry.request_id) is entry:
+                return entry
+        return None
