--- a/src/apricotcart/scheduling/admission.py
+++ b/src/apricotcart/scheduling/admission.py
@@ -28,6 +28,7 @@
         tables.shed(now, req, decisions.SHED_QUARANTINED)
         return
     entry = Entry(req, service_class, now)
+    entry.follow(tables.earlier.pop(req.request_id, None))
     _estimate(tables, entry)
     if entry.expire_at <= now:
         tables.shed(now, req, decisions.SHED_DEADLINE)
