Add the platform package: authority, reports, capacity, loading

Cause: only one process may order endpoints, command engines and report usage, also while an old holder is frozen, cut off or has a paused clock. Change: sans-io modules behind LeaderDuties, and a urllib3 client that asks for a permit between connect and write and drops the connection by its deadline. The platform stand-in's logic runs without HTTP, so that the same code serves scripted tests.

--- /dev/null
+++ b/src/apricotcart/platform/capacity.py
@@ -0,0 +1,175 @@
+"""Keeps each pool at the size its demand needs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from apricotcart.platform.api import System
+from apricotcart.platform.inventory import RECLAIMING, RUNNING, STARTING
+from apricotcart.platform.placement import release_order
+from apricotcart.platform.proposals import set_status
+from apricotcart.platform.sizing import PoolSizer
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from apricotcart.platform.api import FleetView
+    from apricotcart.platform.fleet import Fleet
+    from apricotcart.platform.inventory import Inventory
+    from apricotcart.platform.orders import OrderBook
+    from apricotcart.platform.outbox import Outbox
+    from apricotcart.platform.placement import Placement
+    from apricotcart.platform.sizing import SizingRule
+
+NEVER = float('-inf')
+
+
+class Capacity(System):
+    """Orders missing endpoints and retires surplus ones, by pool.
+
+    Orders are made on a list read after the last order of the pool was
+    answered, so that no endpoint is ordered twice. Endpoints are retired
+    only after the demand was watched for the time of the release rule, so
+    that a new leader does not release what its predecessor still needed.
+
+    Parameters
+    ----------
+    rules : mapping
+        Sizing rule by pool.
+    fleet_view : FleetView
+        Demand and endpoint resources.
+    inventory : Inventory
+        Endpoints and prices at the platform.
+    placement : Placement
+        Chooses places.
+    orders : OrderBook
+        Orders under way.
+    fleet : Fleet
+        Retires endpoints.
+    outbox : Outbox
+        Where statuses go.
+    """
+
+    __slots__ = (
+        '_fleet',
+        '_fleet_view',
+        '_inventory',
+        '_orders',
+        '_outbox',
+        '_placement',
+        '_rules',
+        '_since',
+        '_sizers',
+        '_statuses',
+    )
+
+    def __init__(
+        self,
+        rules: Mapping[str, SizingRule],
+        fleet_view: FleetView,
+        inventory: Inventory,
+        placement: Placement,
+        orders: OrderBook,
+        fleet: Fleet,
+        outbox: Outbox,
+    ) -> None:
+        """Start without history."""
+        self._rules = rules
+        self._fleet_view = fleet_view
+        self._inventory = inventory
+        self._placement = placement
+        self._orders = orders
+        self._fleet = fleet
+        self._outbox = outbox
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget the history of the demand and all orders."""
+        self._orders.clear()
+        self._since: float | None = None
+        self._statuses: dict[str, dict[str, Any]] = {}
+        self._sizers = {
+            pool: PoolSizer(rule) for pool, rule in self._rules.items()
+        }
+
+    def tick(self, now: float) -> None:
+        """Compare each pool with its demand and act on the difference."""
+        if self._since is None:
+            self._since = now
+        for pool, sizer in self._sizers.items():
+            sizer.observe(now, self._fleet_view.slots_needed(pool))
+            if self._is_settled(now, pool):
+                self._adjust(now, pool, sizer.size())
+        self._orders.tick(now)
+
+    def _is_settled(self, now: float, pool: str) -> bool:
+        if self._orders.is_waiting(pool):
+            return False
+        changed_at = self._orders.changed_at.get(pool, NEVER)
+        return self._inventory.is_fresh(now, changed_at)
+
+    def _adjust(self, now: float, pool: str, size: int) -> None:
+        present = self._present(pool)
+        missing = size - len(present)
+        if missing > 0:
+            self._order(now, pool, present, size)
+        elif missing < 0 and self._may_release(now, pool):
+            ordered = release_order(present, self._inventory.prices)
+            for endpoint in ordered[:-missing]:
+                self._fleet.retire(endpoint)
+        self._show(pool, size, present)
+
+    def _order(
+        self,
+        now: float,
+        pool: str,
+        present: list[dict[str, Any]],
+        size: int,
+    ) -> None:
+        chosen = self._placement.choose(
+            now,
+            [(endpoint['zone'], endpoint['cheap']) for endpoint in present],
+            self._inventory.prices,
+            size,
+            size - len(present),
+        )
+        for place, amount in chosen.items():
+            self._orders.add(now, pool, place, amount)
+
+    def _present(self, pool: str) -> list[dict[str, Any]]:
+        return [
+            endpoint
+            for endpoint in self._inventory.endpoints
+            if endpoint['pool'] == pool
+            and endpoint['state'] != RECLAIMING
+            and not self._fleet.is_retired(endpoint['name'])
+        ]
+
+    def _may_release(self, now: float, pool: str) -> bool:
+        watched_s = now - (self._since or now)
+        return watched_s >= self._rules[pool].release_after_s
+
+    def _show(
+        self,
+        pool: str,
+        size: int,
+        present: list[dict[str, Any]],
+    ) -> None:
+        states = [endpoint['state'] for endpoint in present]
+        status = {
+            'desired': size,
+            RUNNING: states.count(RUNNING),
+            STARTING: states.count(STARTING),
+            'cheap': sum(endpoint['cheap'] for endpoint in present),
+        }
+        if status == self._statuses.get(pool):
+            return
+        self._statuses[pool] = status
+        self._outbox.propose(
+            set_status('pool', pool, status),
+            lambda _now, reply: self._on_shown(pool, is_set=bool(reply)),
+        )
+
+    def _on_shown(self, pool: str, *, is_set: bool) -> None:
+        if not is_set:
+            self._statuses.pop(pool, None)
--- /dev/null
+++ b/src/apricotcart/platform/reporter.py
@@ -0,0 +1,185 @@
+"""Closes usage windows and reports them at the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from apricotcart.codec.record import Record
+from apricotcart.platform.api import System
+
+if TYPE_CHECKING:
+    from apricotcart.platform.api import Answer, UsageFigures, UsageView
+    from apricotcart.platform.authority import Authority
+    from apricotcart.platform.backoff import Backoff
+    from apricotcart.platform.outbox import Outbox, Reply
+
+WINDOW_S = 60
+# Entry hosts send figures every second; figures of the last second and of
+# one lost message still make it into their own window.
+CLOSE_DELAY_S = 3
+MAX_REPORTS_AT_ONCE = 8
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 30.0
+
+
+class ReporterTiming(Record):
+    """Windows and bounds of the reporter.
+
+    Attributes
+    ----------
+    window_s : float
+        Length of a window, in seconds.
+    close_delay_s : float
+        Time from the end of a window to its close, in seconds.
+    at_once : int
+        Reports that may wait for their answers at the same time.
+    """
+
+    __slots__ = ('at_once', 'close_delay_s', 'window_s')
+
+    def __init__(
+        self,
+        *,
+        window_s: float = WINDOW_S,
+        close_delay_s: float = CLOSE_DELAY_S,
+        at_once: int = MAX_REPORTS_AT_ONCE,
+    ) -> None:
+        """Keep the figures."""
+        self.window_s = window_s
+        self.close_delay_s = close_delay_s
+        self.at_once = at_once
+
+
+class Reporter(System):
+    """Reports each customer's figures of each closed window.
+
+    A window is closed by a committed ``usage_close``, after which its
+    figures never change. Each figure is then reported until the platform has
+    accepted it, and marked by a committed ``usage_reported``. A report whose
+    answer was lost, and one whose mark was lost with a leader, is sent again
+    with the same figures, because they are read from the committed table.
+
+    Parameters
+    ----------
+    authority : Authority
+        Gives the fencing number.
+    outbox : Outbox
+        Where commands and reports go.
+    usage : UsageView
+        The committed usage table.
+    backoff : Backoff
+        Pauses after failed reports.
+    timing : ReporterTiming
+        Windows and bounds.
+    """
+
+    __slots__ = (
+        '_authority',
+        '_backoff',
+        '_busy',
+        '_closing',
+        '_outbox',
+        '_timing',
+        '_usage',
+        'wall_s',
+    )
+
+    def __init__(
+        self,
+        authority: Authority,
+        outbox: Outbox,
+        usage: UsageView,
+        backoff: Backoff,
+        timing: ReporterTiming | None = None,
+    ) -> None:
+        """Start with nothing under way."""
+        self._authority = authority
+        self._outbox = outbox
+        self._usage = usage
+        self._backoff = backoff
+        self._timing = timing or ReporterTiming()
+        self._closing: set[int] = set()
+        self._busy: set[tuple[int, str]] = set()
+        self.wall_s: float = 0
+
+    def tick(self, now: float) -> None:
+        """Close the windows that have ended and report closed ones."""
+        for window in self._usage.open_windows():
+            self._close_if_ended(window)
+        for figures in self._usage.unreported():
+            self._report_if_due(now, figures)
+
+    def reset(self) -> None:
+        """Forget what is under way."""
+        self._closing.clear()
+        self._busy.clear()
+        self._backoff.clear()
+
+    def _close_if_ended(self, window: int) -> None:
+        end_s = (window + 1) * self._timing.window_s
+        is_ended = self.wall_s >= end_s + self._timing.close_delay_s
+        if not is_ended or window in self._closing:
+            return
+        self._closing.add(window)
+        self._outbox.propose(
+            {
+                'kind': 'usage_close',
+                'window': window,
+                'op_id': f'usage-close-{window}',
+            },
+            lambda _now, _reply: self._closing.discard(window),
+        )
+
+    def _report_if_due(self, now: float, figures: UsageFigures) -> None:
+        key = (figures.window, figures.customer)
+        if len(self._busy) >= self._timing.at_once or key in self._busy:
+            return
+        if self._backoff.is_paused(now, key):
+            return
+        self._busy.add(key)
+        report = {
+            'fencing': self._authority.fencing,
+            'holder': self._authority.holder,
+            'op_id': f'usage-{figures.window}-{figures.customer}',
+        }
+        self._outbox.send(
+            lambda at, answer: self._on_answer(at, key, answer),
+            path='/usage',
+            body={**report, **figures.to_wire()},
+        )
+
+    def _on_answer(
+        self,
+        now: float,
+        key: tuple[int, str],
+        answer: Answer,
+    ) -> None:
+        if answer.is_ok:
+            self._backoff.succeed(key)
+            self._mark(key)
+            return
+        self._busy.discard(key)
+        self._backoff.fail(now, key)
+
+    def _mark(self, key: tuple[int, str]) -> None:
+        window, customer = key
+        self._outbox.propose(
+            {
+                'kind': 'usage_reported',
+                'window': window,
+                'customer': customer,
+                'op_id': f'usage-reported-{window}-{customer}',
+            },
+            lambda at, reply: self._on_marked(at, key, reply),
+        )
+
+    def _on_marked(
+        self,
+        now: float,
+        key: tuple[int, str],
+        reply: Reply,
+    ) -> None:
+        self._busy.discard(key)
+        if not (reply and reply.get('ok')):
+            # The report goes out again; the platform has the same figures.
+            self._backoff.fail(now, key)
--- a/src/apricotcart_standins/cloud/lagging.py
+++ b/src/apricotcart_standins/cloud/lagging.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class LaggingDocument:
@@ -15,21 +17,29 @@
         The version before the first write.
     lag_s : float
         Time from a write until readers see it, in seconds.
+    clock : Callable
+        Gives the time, in seconds.
     """
 
-    __slots__ = ('_lag_s', '_versions')
+    __slots__ = ('_clock', '_lag_s', '_versions')
 
-    def __init__(self, first: Any, lag_s: float) -> None:
+    def __init__(
+        self,
+        first: Any,
+        lag_s: float,
+        clock: Callable[[], float],
+    ) -> None:
         """Start with one version that is visible at once."""
         self._lag_s = lag_s
-        self._versions = [(time.monotonic() - lag_s, first)]
+        self._clock = clock
+        self._versions = [(clock() - lag_s, first)]
 
     def write(self, version: Any) -> None:
         """Add a version."""
-        self._versions.append((time.monotonic(), version))
+        self._versions.append((self._clock(), version))
 
     def read(self) -> Any:
         """Give the newest version that is old enough."""
-        latest = time.monotonic() - self._lag_s
+        latest = self._clock() - self._lag_s
         visible = [entry for entry in self._versions if entry[0] <= latest]
         return visible[-1][1]
--- a/src/apricotcart_standins/cloud/records.py
+++ b/src/apricotcart_standins/cloud/records.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import threading
-import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 from apricotcart_standins.fencing import FencingCheck
 from apricotcart_standins.web import STATUS_CONFLICT, STATUS_OK, error_body
@@ -12,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_Fields = dict[str, Any]
+_Fields: TypeAlias = dict[str, Any]
 
 
 class FencedRecords:
@@ -24,12 +23,19 @@
     ----------
     check : FencingCheck
         Highest number seen, shared by all kinds of requests.
+    clock : Callable
+        Gives the time, in seconds.
     """
 
-    __slots__ = ('_answers', '_check', '_lock', 'records')
+    __slots__ = ('_answers', '_check', '_clock', '_lock', 'records')
 
-    def __init__(self, check: FencingCheck) -> None:
+    def __init__(
+        self,
+        check: FencingCheck,
+        clock: Callable[[], float],
+    ) -> None:
         """Start without records."""
+        self._clock = clock
         self._check = check
         self._lock = threading.Lock()
         self._answers: dict[str, tuple[int, _Fields]] = {}
@@ -48,7 +54,7 @@
         with self._lock:
             record = {
                 **fields,
-                'at': time.time(),
+                'at': self._clock(),
                 'highest_before': self._check.highest,
             }
             self.records.append(record)
--- a/src/apricotcart_standins/cloud/zones.py
+++ b/src/apricotcart_standins/cloud/zones.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from itertools import count
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 _SPOT = 'cheap'
 _REGULAR = 'regular'
@@ -25,9 +27,12 @@
         Time from the order to the running endpoint, in seconds.
     urls : list of str
         Base URLs given to endpoints in turn; further ones have none.
+    clock : Callable
+        Gives the time, in seconds.
     """
 
     __slots__ = (
+        '_clock',
         '_endpoints',
         '_numbers',
         '_start_delay_s',
@@ -41,8 +46,10 @@
         capacity: dict[str, dict[str, int]],
         start_delay_s: float,
         urls: list[str],
+        clock: Callable[[], float],
     ) -> None:
         """Start with no endpoints."""
+        self._clock = clock
         self.capacity = capacity
         self.notices: list[dict[str, Any]] = []
         self._start_delay_s = start_delay_s
@@ -72,7 +79,7 @@
 
         The zone has no spot capacity afterwards.
         """
-        gone_at = time.time() + notice_s
+        gone_at = self._clock() + notice_s
         names = [
             name
             for name, fields in self._endpoints.items()
@@ -88,7 +95,7 @@
 
     def list_endpoints(self) -> list[dict[str, Any]]:
         """Give all endpoints that are not gone, with their state."""
-        now = time.time()
+        now = self._clock()
         for name in list(self._endpoints):
             gone_at = self._endpoints[name]['gone_at']
             if (gone_at or now) < now:
@@ -107,7 +114,7 @@
             'pool': fields.get('pool', ''),
             _SPOT: bool(fields.get(_SPOT)),
             'url': self._urls.pop(0) if self._urls else '',
-            'ready_at': time.time() + self._start_delay_s,
+            'ready_at': self._clock() + self._start_delay_s,
             'gone_at': None,
         }
         return name
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,103 @@
+"""Tests of the client against the platform stand-in."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from standin_calls import call
+
+from apricotcart.platform.api import EXPIRED, NO_ANSWER, Request
+from apricotcart.platform.client import PlatformClient
+from apricotcart_standins.options import build_parser
+from apricotcart_standins.run import build
+from apricotcart_standins.web import Server
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LONG_S = 30
+
+
+@pytest.fixture
+def url() -> Iterator[str]:
+    """Give the base URL of a platform stand-in."""
+    server = Server(
+        ('127.0.0.1', 0), build(build_parser().parse_args(['platform']))
+    )
+    threading.Thread(
+        target=server.serve_forever, args=(0.02,), daemon=True
+    ).start()
+    yield server.url
+    server.shutdown()
+    server.server_close()
+
+
+def _report(fencing: int = 1) -> Request:
+    body: dict[str, Any] = {'fencing': fencing, 'customer': 'a', 'window': 1}
+    return Request(ticket=1, path='/usage', body=body)
+
+
+def _client(url: str, duration_s: float = LONG_S) -> PlatformClient:
+    return PlatformClient(url, lambda now, _: now + duration_s)
+
+
+def test_client_sends(url: str) -> None:
+    """Guards against a request that loses its fields."""
+    assert _client(url).send(_report()).is_ok
+    records = call('GET', f'{url}/usage')['usage']
+    assert records[0]['customer'] == 'a'
+
+
+def test_client_reads(url: str) -> None:
+    """Guards against reads that are sent as writes."""
+    request = Request(
+        ticket=1, path='/prices', method='GET', body={}, fenced=False
+    )
+    answer = _client(url).send(request)
+    assert answer.body['zones']['a']['cheap'] == pytest.approx(0.3)
+
+
+def test_client_without_permit(url: str) -> None:
+    """Guards against a request sent after authority was lost."""
+    client = PlatformClient(url, lambda _now, _request: None)
+    assert client.send(_report()).code == EXPIRED
+    assert not call('GET', f'{url}/usage')['usage']
+
+
+def test_client_stale(url: str) -> None:
+    """Guards against a refusal that does not end the authority."""
+    client = _client(url)
+    assert client.send(_report(2)).is_ok
+    assert client.send(_report(1)).is_stale
+
+
+def test_client_lost_answer(url: str) -> None:
+    """Guards against a lost answer that passes for a refusal."""
+    call('POST', f'{url}/fault', {'fail_after': True})
+    assert _client(url).send(_report()).code == NO_ANSWER
+
+
+def test_client_late_answer(url: str) -> None:
+    """Guards against waiting past the deadline."""
+    call('POST', f'{url}/fault', {'late_s': LONG_S})
+    started = time.monotonic()
+    answer = _client(url, 0.2).send(_report())
+    assert answer.code == NO_ANSWER
+    assert time.monotonic() - started < LONG_S
+
+
+def test_client_no_listener() -> None:
+    """Guards against an exception that ends the sending thread."""
+    client = _client('http://127.0.0.1:9')
+    assert client.send(_report()).code == NO_ANSWER
+
+
+def test_client_notes_late_write(url: str) -> None:
+    """Guards against a pause after the check that nobody hears of."""
+    readings = iter((10.0, 12.0, 12.0, 12.0, 12.0))
+    client = PlatformClient(url, lambda now, _: now + 1, lambda: next(readings))
+    client.send(_report())
+    assert client.late_sends == 1
--- /dev/null
+++ b/tests/platform/test_leader.py
@@ -0,0 +1,60 @@
+"""Seeded runs of three hosts over random faults."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from platform_sweep import (
+    ALL_FAULTS,
+    IGNORES,
+    NO_WAIT,
+    SENDER_FAULTS,
+    run_faults,
+)
+from platform_world import UncommittedUsage
+
+SEEDS = range(1, 9)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_leader_receiver_checks(seed: int) -> None:
+    """Guards against an old holder's effect and against two figures."""
+    outcome = run_faults(seed, ALL_FAULTS)
+    assert outcome.holders > 1
+    assert outcome.accepted_in_order
+    assert not outcome.conflicts
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_leader_receiver_ignores(seed: int) -> None:
+    """Guards against an old holder's arrival at a receiver that ignores."""
+    outcome = run_faults(seed, SENDER_FAULTS, IGNORES)
+    assert outcome.holders > 1
+    assert outcome.arrived_in_order
+    assert not outcome.conflicts
+
+
+@pytest.mark.parametrize(
+    ('kinds', 'variant'),
+    [
+        (SENDER_FAULTS, {'timing': NO_WAIT}),
+        (SENDER_FAULTS, {'skips_permit': True}),
+        (ALL_FAULTS, {}),
+    ],
+    ids=['no_wait', 'no_permit', 'no_fencing'],
+)
+def test_leader_naive_order(
+    kinds: tuple[str, ...], variant: dict[str, Any]
+) -> None:
+    """Shows that the runs above fail with one mechanism off."""
+    outcomes = [run_faults(seed, kinds, IGNORES, **variant) for seed in SEEDS]
+    assert not all(outcome.arrived_in_order for outcome in outcomes)
+
+
+def test_leader_naive_usage() -> None:
+    """Shows that the runs above fail when windows are not closed first."""
+    outcomes = [
+        run_faults(seed, ALL_FAULTS, state=UncommittedUsage()) for seed in SEEDS
+    ]
+    assert any(outcome.conflicts for outcome in outcomes)
