Prove the consensus node under failures and fix what that found

A learner that had never answered counted as caught up while the log was short; it now must answer and hold the entry that added it. A replacement that became the leader never removed the voter it replaced; it now does so itself.

--- a/src/apricotcart/consensus/contact.py
+++ b/src/apricotcart/consensus/contact.py
@@ -40,10 +40,10 @@
         known = self._acknowledged.get(node_id, 0)
         self._acknowledged[node_id] = max(known, round_no)
 
-    def acknowledged_at(self, node_id: str) -> float:
-        """Give the time of the last round that a node has answered."""
-        round_no = self._acknowledged.get(node_id, 0)
-        return self._sent_at.get(round_no, self._started_at)
+    def is_answering(self, node_id: str, now: float) -> bool:
+        """Tell whether a node has answered a round within a lease."""
+        sent_at = self._sent_at.get(self._acknowledged.get(node_id, 0))
+        return sent_at is not None and now < sent_at + LEASE_S
 
     def quorum_round(self, members: Members) -> int:
         """Give the last round that a quorum has answered."""
--- a/src/apricotcart/consensus/members.py
+++ b/src/apricotcart/consensus/members.py
@@ -179,9 +179,9 @@
         voters=_without(members.voters, change.node_id),
         learners=_without(members.learners, change.node_id),
         joining={
-            node_id: replaced
+            node_id: '' if replaced == change.node_id else replaced
             for node_id, replaced in members.joining.items()
-            if change.node_id not in {node_id, replaced}
+            if node_id != change.node_id
         },
     )
 
@@ -205,3 +205,15 @@
         ChangeKind.RETIRE: _retire,
     }
 )
+
+
+def voter_to_replace(members: Members, node_id: str) -> str:
+    """Give the voter with the host name of a new identity, or empty.
+
+    An identity is the name of the host, a dot and its incarnation.
+    """
+    name = node_id.rpartition('.')[0]
+    for voter in members.voters:
+        if voter != node_id and voter.rpartition('.')[0] == name:
+            return voter
+    return ''
--- a/tests/storage/fake_disk.py
+++ b/tests/storage/fake_disk.py
@@ -88,6 +88,10 @@
             held.durable = held.seen
             held.sync_failed = False
         self.durable_names = dict(self.files)
+        self.clear_faults()
+
+    def clear_faults(self) -> None:
+        """Let the next calls succeed."""
         self.fail_syncs = False
         self.capacity = None
         self.calls_left = None
