Run the leader's duties at the platform on control hosts

Cause: reports, engine commands and capacity were decided by no process. Change: a thread ticks the duties; pools name how many endpoints the platform may provide. Settings that nothing read are gone: the lease and the election timeouts depend on each other and are constants of the consensus.

--- /dev/null
+++ b/src/apricotcart/control/duties.py
@@ -0,0 +1,130 @@
+"""Runs what the leader does at the platform."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from apricotcart.control.duty_plan import Duties, DutyPlan
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.errors.tree import ApricotcartError
+from apricotcart.platform.api import Proposal, Request
+from apricotcart.platform.client import PlatformClient
+from apricotcart.platform.outbox import Reply
+
+_LOG = logging.getLogger(__name__)
+_TICK_S = 0.1
+_WORKERS = 8
+_COMMIT_TIMEOUT_S = 3.0
+# A change of these fields of any pool rebuilds the capacity rules.
+_SIZED = (
+    'min_endpoints',
+    'max_endpoints',
+    'endpoint_slots',
+    'endpoint_checks_fencing',
+    'endpoint_models',
+)
+
+
+class DutyRunner:
+    """Ticks the duties and carries out what they decide.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the platform.
+    plan : DutyPlan
+        Builds the duties.
+    loop : ConsensusLoop
+        Commits proposals.
+    """
+
+    __slots__ = (
+        '_client',
+        '_duties',
+        '_lock',
+        '_loop',
+        '_plan',
+        '_pools',
+        '_stopping',
+        '_workers',
+    )
+
+    def __init__(self, url: str, plan: DutyPlan, loop: ConsensusLoop) -> None:
+        """Prepare the threads."""
+        self._plan = plan
+        self._loop = loop
+        self._pools: dict[str, dict[str, Any]] = {}
+        self._duties = plan.build(self._pools)
+        self._client = PlatformClient(url, self._permit)
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._workers = ThreadPoolExecutor(_WORKERS, 'platform')
+
+    def start(self) -> None:
+        """Start the ticking thread."""
+        threading.Thread(
+            target=self._run,
+            daemon=True,
+            name='duties',
+        ).start()
+
+    def stop(self) -> None:
+        """Stop after the present tick."""
+        self._stopping.set()
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(_TICK_S):
+            try:
+                self._tick()
+            except Exception:
+                _LOG.exception('duties failed')
+
+    def _tick(self) -> None:
+        self._rebuild_if_changed()
+        with self._lock:
+            duties = self._duties
+            duties.tick()
+            proposals = duties.leader.take_proposals()
+            requests = duties.leader.take_requests()
+        for proposal in proposals:
+            self._workers.submit(self._propose, duties, proposal)
+        for request in requests:
+            self._workers.submit(self._send, duties, request)
+
+    def _rebuild_if_changed(self) -> None:
+        pools = self._plan.pools()
+        if _sizes(pools) == _sizes(self._pools):
+            return
+        self._pools = pools
+        with self._lock:
+            self._duties = self._plan.build(pools)
+
+    def _permit(self, now: float, request: Request) -> float | None:
+        return self._duties.leader.deadline_for(now, request)
+
+    def _propose(self, duties: Duties, proposal: Proposal) -> None:
+        reply: Reply = None
+        try:
+            reply = self._loop.propose(proposal.command, _COMMIT_TIMEOUT_S)
+        except ApricotcartError as exc:
+            _LOG.info('%s not committed: %s', proposal.command['kind'], exc)
+        with self._lock:
+            duties.leader.on_reply(time.monotonic(), proposal.ticket, reply)
+
+    def _send(self, duties: Duties, request: Request) -> None:
+        answer = self._client.send(request)
+        with self._lock:
+            duties.leader.on_answer(time.monotonic(), request.ticket, answer)
+
+
+def _sizes(pools: dict[str, dict[str, Any]]) -> dict[str, list[Any]]:
+    return {name: _sizing_fields(pools[name]) for name in pools}
+
+
+def _sizing_fields(spec: dict[str, Any]) -> list[Any]:
+    return [spec[field] for field in _SIZED]
--- /dev/null
+++ b/src/apricotcart/control/duty_plan.py
@@ -0,0 +1,168 @@
+"""Builds what the leader decides at the platform."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+from apricotcart.consensus.config import LEASE_S
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.control.platform_views import CommittedUsage, LoopLease
+from apricotcart.platform.api import FleetView, System
+from apricotcart.platform.authority import Authority, AuthorityTiming
+from apricotcart.platform.backoff import Backoff
+from apricotcart.platform.capacity import Capacity
+from apricotcart.platform.fleet import Fleet
+from apricotcart.platform.hosts import HostHints
+from apricotcart.platform.inventory import Inventory
+from apricotcart.platform.leader import LeaderDuties
+from apricotcart.platform.loading import Loading, LoadingRule
+from apricotcart.platform.orders import OrderBook
+from apricotcart.platform.outbox import Outbox
+from apricotcart.platform.placement import Placement, SpotRule
+from apricotcart.platform.reporter import (
+    FIRST_PAUSE_S,
+    LONGEST_PAUSE_S,
+    Reporter,
+    ReporterTiming,
+)
+from apricotcart.platform.sizing import SizingRule
+from apricotcart.settings.control import ControlConfig
+from apricotcart.state.limits import WINDOW_MS
+from apricotcart.state.machine import ClusterState
+
+_MS_PER_S = 1000
+
+
+class Duties:
+    """The modules of one plan."""
+
+    __slots__ = ('leader', 'reporter')
+
+    def __init__(self, leader: LeaderDuties, reporter: Reporter) -> None:
+        """Keep the modules."""
+        self.leader = leader
+        self.reporter = reporter
+
+    def tick(self) -> None:
+        """Let the modules decide at the present time."""
+        self.reporter.wall_s = time.time()
+        self.leader.tick(time.monotonic())
+
+
+class DutyPlan:
+    """Builds the decision modules for the pools that are declared.
+
+    Parameters
+    ----------
+    cfg : ControlConfig
+        Names this host.
+    loop : ConsensusLoop
+        Gives the lease and guards the state.
+    state : ClusterState
+        Pools, endpoints and usage.
+    fleet_view : FleetView
+        Endpoints and demand.
+    """
+
+    __slots__ = ('_cfg', '_fleet_view', '_loop', '_rng', '_state')
+
+    def __init__(
+        self,
+        cfg: ControlConfig,
+        loop: ConsensusLoop,
+        state: ClusterState,
+        fleet_view: FleetView,
+    ) -> None:
+        """Keep the parts."""
+        self._cfg = cfg
+        self._loop = loop
+        self._state = state
+        self._fleet_view = fleet_view
+        self._rng = random.Random()
+
+    def pools(self) -> dict[str, dict[str, Any]]:
+        """Give the pools whose endpoints the platform provides."""
+        with self._loop.lock:
+            pools = self._state.list('pool')
+        return {
+            pool.name: dict(pool.spec)
+            for pool in pools
+            if pool.spec['max_endpoints']
+        }
+
+    def build(self, pools: dict[str, dict[str, Any]]) -> Duties:
+        """Build all modules for the given pools."""
+        outbox = Outbox()
+        authority = Authority(
+            self._cfg.host.name,
+            LoopLease(self._loop),
+            outbox,
+            AuthorityTiming(
+                lease_s=LEASE_S,
+                in_flight_s=self._cfg.timing.send_timeout_s,
+            ),
+        )
+        reporter = Reporter(
+            authority,
+            outbox,
+            CommittedUsage(self._loop, self._state),
+            self._backoff(),
+            ReporterTiming(window_s=WINDOW_MS / _MS_PER_S),
+        )
+        loading = Loading(
+            LoadingRule(),
+            self._fleet_view,
+            authority,
+            outbox,
+            self._backoff(),
+        )
+        systems: list[System] = [reporter, loading, HostHints(outbox)]
+        if pools:
+            systems.extend(self._capacity(pools, authority, outbox))
+        return Duties(LeaderDuties(authority, outbox, systems), reporter)
+
+    def _capacity(
+        self,
+        pools: dict[str, dict[str, Any]],
+        authority: Authority,
+        outbox: Outbox,
+    ) -> list[System]:
+        inventory = Inventory(outbox)
+        fleet = Fleet(
+            {name: _template(spec) for name, spec in pools.items()},
+            self._fleet_view,
+            inventory,
+            authority,
+            outbox,
+        )
+        capacity = Capacity(
+            {name: _sizing(spec) for name, spec in pools.items()},
+            self._fleet_view,
+            inventory,
+            Placement(SpotRule(), self._backoff()),
+            OrderBook(authority, outbox, self._backoff()),
+            fleet,
+            outbox,
+        )
+        return [inventory, fleet, capacity]
+
+    def _backoff(self) -> Backoff:
+        return Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S, self._rng)
+
+
+def _template(spec: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'slots': spec['endpoint_slots'],
+        'checks_fencing': spec['endpoint_checks_fencing'],
+        'models': spec['endpoint_models'],
+    }
+
+
+def _sizing(spec: dict[str, Any]) -> SizingRule:
+    return SizingRule(
+        slots=spec['endpoint_slots'],
+        min_endpoints=spec['min_endpoints'],
+        max_endpoints=spec['max_endpoints'],
+    )
--- a/src/apricotcart/control/entry_hosts.py
+++ b/src/apricotcart/control/entry_hosts.py
@@ -9,8 +9,9 @@
 from apricotcart.endpoints.records import Endpoint
 from apricotcart.membership.records import HostList, HostReport
 from apricotcart.membership.table import LEARN_S, HostTable
+from apricotcart.scheduling.dealing import Division
 from apricotcart.scheduling.decisions import Demand
-from apricotcart.scheduling.shares import Division, divide
+from apricotcart.scheduling.shares import divide
 
 # Shares are computed anew at most this often; a sync in between gets the
 # last division, so that 340 hosts do not each divide all slots.
--- /dev/null
+++ b/src/apricotcart/control/platform_views.py
@@ -0,0 +1,109 @@
+"""The committed state as the platform's decision modules read it."""
+
+from __future__ import annotations
+
+import time
+
+from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.platform.api import (
+    EndpointResource,
+    FleetView,
+    LeaseSource,
+    UsageFigures,
+    UsageView,
+)
+from apricotcart.state.machine import ClusterState
+
+_MAX_REPORTS = 64
+_NS_A_MS = 1_000_000
+
+
+class LoopLease(LeaseSource):
+    """The lease of this host's consensus node."""
+
+    __slots__ = ('_loop',)
+
+    def __init__(self, loop: ConsensusLoop) -> None:
+        """Keep the loop."""
+        self._loop = loop
+
+    def lease_valid_until(self) -> float:
+        """End of the lease on the monotonic clock; 0.0 without one."""
+        return self._loop.lease_until()
+
+    def term(self) -> int:
+        """Present term of the node."""
+        return self._loop.term()
+
+
+class CommittedUsage(UsageView):
+    """Usage windows as applied on this host."""
+
+    __slots__ = ('_loop', '_state')
+
+    def __init__(self, loop: ConsensusLoop, state: ClusterState) -> None:
+        """Keep the state and the loop that guards it."""
+        self._loop = loop
+        self._state = state
+
+    def open_windows(self) -> list[int]:
+        """Windows that have ended and are not closed."""
+        now_ms = time.time_ns() // _NS_A_MS
+        with self._loop.lock:
+            windows = self._state.tables.usage.windows
+            return windows.due_to_close(now_ms)
+
+    def unreported(self) -> list[UsageFigures]:
+        """Figures of closed windows that are not marked as reported."""
+        with self._loop.lock:
+            due = self._state.tables.usage.reports_due(_MAX_REPORTS)
+        return [UsageFigures(**report.to_wire()) for report in due]
+
+
+class CommittedFleet(FleetView):
+    """Endpoint resources, and the demand that entry hosts report."""
+
+    __slots__ = ('_hosts', '_loop', '_state')
+
+    def __init__(
+        self,
+        loop: ConsensusLoop,
+        state: ClusterState,
+        hosts: EntryHosts,
+    ) -> None:
+        """Keep the state, the loop that guards it and the hosts."""
+        self._loop = loop
+        self._state = state
+        self._hosts = hosts
+
+    def endpoints(self) -> list[EndpointResource]:
+        """All ``endpoint`` resources."""
+        with self._loop.lock:
+            resources = self._state.list('endpoint')
+        return [
+            EndpointResource(
+                name=resource.name,
+                version=resource.version,
+                spec=dict(resource.spec),
+                status=dict(resource.status or {}),
+            )
+            for resource in resources
+        ]
+
+    def slots_needed(self, pool: str) -> float:
+        """Requests in flight and queued for a pool, on all hosts."""
+        demands = self._hosts.demands(time.monotonic())
+        return sum(
+            entry.queued + entry.in_flight
+            for demand in demands.values()
+            for entry in demand.tiers
+            if entry.pool == pool
+        )
+
+    def in_flight(self, endpoint: str) -> int:
+        """Requests in flight on an endpoint, on all hosts."""
+        demands = self._hosts.demands(time.monotonic())
+        return sum(
+            demand.running.get(endpoint, 0) for demand in demands.values()
+        )
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -15,11 +15,14 @@
 from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.node import Node
+from apricotcart.control.duties import DutyRunner
+from apricotcart.control.duty_plan import DutyPlan
 from apricotcart.control.entry_hosts import EntryHosts
 from apricotcart.control.joining import Joiner
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.control.machine import ReplicatedMachine
 from apricotcart.control.operators import OperatorApplication
+from apricotcart.control.platform_views import CommittedFleet
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.reports import Reports
 from apricotcart.control.rpc import ControlRequests
@@ -64,6 +67,7 @@
         self._cfg = cfg
         self._stopping = threading.Event()
         self._failed = False
+        self._duties: DutyRunner | None = None
         self._sealer = Sealer(cfg.cluster.read_secret())
         self._tls = _tls_files(cfg)
         self._machine = ReplicatedMachine()
@@ -142,8 +146,18 @@
             _RPC_WORKERS,
             self._tls,
         ).start()
+        self._start_duties()
         self._serve_operators()
 
+    def _start_duties(self) -> None:
+        if self._cfg.platform.url is None:
+            return
+        state = self._machine.state
+        fleet_view = CommittedFleet(self._loop, state, self._hosts)
+        plan = DutyPlan(self._cfg, self._loop, state, fleet_view)
+        self._duties = DutyRunner(self._cfg.platform.url, plan, self._loop)
+        self._duties.start()
+
     def _serve_operators(self) -> None:
         cfg = self._cfg
         quiet_engine()
@@ -172,6 +186,8 @@
         cherrypy.engine.start()
 
     def _stop(self) -> None:
+        if self._duties is not None:
+            self._duties.stop()
         self._joiner.stop()
         self._receiver.stop()
         self._rpc.close()
--- a/src/apricotcart/settings/control.py
+++ b/src/apricotcart/settings/control.py
@@ -22,7 +22,7 @@
     SectionReader,
 )
 from apricotcart.settings.kinds import FilePath, Name, Number, port
-from apricotcart.settings.units import DAY_S, MIB, MINUTE_S, MS
+from apricotcart.settings.units import MIB, MS
 
 
 class ControlHostSettings(Section):
@@ -124,60 +124,28 @@
     """Where the platform is; without a URL it is not used."""
 
     title = 'platform'
-    __slots__ = ('url', 'usage_window_s')
-    fields = (
-        Field('url', WebAddress(), optional=True),
-        Field('usage_window_s', Number(1, DAY_S), '60'),
-    )
+    __slots__ = ('url',)
+    fields = (Field('url', WebAddress(), optional=True),)
 
     url: str | None
-    usage_window_s: float
 
 
 class TimingSettings(Section):
-    """Timing of elections, the lease and calls of the platform."""
+    """Timing of the control loop and of calls of the platform."""
 
     title = 'timing'
-    __slots__ = (
-        'election_timeout_s',
-        'heartbeat_interval_s',
-        'host_timeout_s',
-        'lease_s',
-        'send_timeout_s',
-        'snapshot_entries',
-        'tick_interval_s',
-    )
+    __slots__ = ('send_timeout_s', 'snapshot_entries', 'tick_interval_s')
     fields = (
-        Field('tick_interval_s', Number(MS, 0.5), '0.02'),
-        Field('heartbeat_interval_s', Number(10 * MS, 1), '0.15'),
-        Field('election_timeout_s', Number(0.1, 10), '0.8'),
-        Field('lease_s', Number(0.1, 10), '2'),
-        Field('send_timeout_s', Number(10 * MS, 10), '1'),
-        Field('host_timeout_s', Number(0.5, MINUTE_S), '5'),
+        Field('tick_interval_s', Number(MS, 0.1), '0.02'),
+        # A call of the platform must end within the leader's lease of 2 s.
+        Field('send_timeout_s', Number(10 * MS, 1), '1'),
         Field('snapshot_entries', Number(10, MIB, whole=True), '10000'),
     )
 
     tick_interval_s: float
-    heartbeat_interval_s: float
-    election_timeout_s: float
-    lease_s: float
     send_timeout_s: float
-    host_timeout_s: float
     snapshot_entries: int
 
-    def faults(self) -> dict[str, str]:
-        """Refuse timing under which no leader or send would last."""
-        found: dict[str, str] = {}
-        if self.tick_interval_s > self.heartbeat_interval_s:
-            found['tick_interval_s'] = 'is more than heartbeat_interval_s'
-        if self.election_timeout_s < 3 * self.heartbeat_interval_s:
-            found['election_timeout_s'] = (
-                'is less than three times heartbeat_interval_s'
-            )
-        if self.send_timeout_s >= self.lease_s:
-            found['send_timeout_s'] = 'is not less than lease_s'
-        return found
-
 
 class ControlConfig:
     """All settings of a control host."""
--- a/src/apricotcart/state/specs.py
+++ b/src/apricotcart/state/specs.py
@@ -63,6 +63,16 @@
             {
                 'kind': Choice('engine', 'service'),
                 'max_queue': Integer(low=1),
+                # The platform provides endpoints up to this number; with 0
+                # the operators declare all endpoints of the pool.
+                'max_endpoints': Integer(default=0),
+                'min_endpoints': Integer(default=0),
+                'endpoint_slots': Integer(low=1, default=8),
+                'endpoint_checks_fencing': Flag(default=False),
+                'endpoint_models': ReferenceList(
+                    _MODEL,
+                    max_names=MAX_MODELS_PER_ENDPOINT,
+                ),
             },
         ),
         'endpoint': Schema(
--- a/tests/settings/test_control.py
+++ b/tests/settings/test_control.py
@@ -47,8 +47,8 @@
     }
     assert cfg.data.folder == str(tmp_path / 'data')
     assert cfg.platform.url is None
-    assert cfg.platform.usage_window_s == 60
-    assert cfg.timing.lease_s == 2
+    assert cfg.timing.send_timeout_s == 1
+    assert cfg.timing.tick_interval_s == 0.02
     assert cfg.operators.read_token() == b'0123456789abcdef'
 
 
@@ -60,12 +60,12 @@
         ('127.0.0.1:7101', '127.0.0.1', ('peers', 'control-2')),
         ('listen = tcp://127.0.0.1:7000', '', ('rpc', 'listen')),
         (':7000', ':7100', ('rpc', 'listen')),
-        ('[rpc]', '[timing]\nlease_s = 1\n[rpc]', ('timing', 'send_timeout_s')),
         (
             '[rpc]',
-            '[timing]\nelection_timeout_s = 0.3\n[rpc]',
-            ('timing', 'election_timeout_s'),
+            '[timing]\nsend_timeout_s = 2\n[rpc]',
+            ('timing', 'send_timeout_s'),
         ),
+        ('[rpc]', '[timing]\nlease_s = 1\n[rpc]', ('timing', 'lease_s')),
         ('[rpc]', '[metrics]\nport = 8081\n[rpc]', ('metrics', 'port')),
         ('[rpc]\nlisten = tcp', '[rpc]\nlisten = tls+tcp', ('rpc', 'listen')),
     ],
--- a/tests/state/test_resources_model.py
+++ b/tests/state/test_resources_model.py
@@ -33,12 +33,20 @@
     ),
     EXPECTED,
 )
+_POOL = {
+    'max_queue': 1,
+    'max_endpoints': 0,
+    'min_endpoints': 0,
+    'endpoint_slots': 8,
+    'endpoint_checks_fencing': False,
+    'endpoint_models': [],
+}
 POOLS = st.tuples(
     st.just('pool'),
     NAMES,
     st.fixed_dictionaries(
         {'kind': st.sampled_from(('engine', 'service')), 'max_queue': NAMES},
-    ).map(lambda spec: {**spec, 'max_queue': 1}),
+    ).map(lambda spec: {**spec, **_POOL}),
     EXPECTED,
 )
 CHANGES = st.one_of(CUSTOMERS, KEYS, POOLS)
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -249,7 +249,7 @@
             'operators': {'token_file': str(self.folder / 'operator.token')},
         }
         if platform_url:
-            sections['platform'] = {'url': platform_url, 'usage_window_s': '2'}
+            sections['platform'] = {'url': platform_url}
         return sections
 
     def _plan_entries(self, count: int) -> None:
