Refuse commands that msgpack can read but the state cannot handle

A map with a list as its key made unpack raise TypeError, and mixed types of field names made the digest of a command fail; either would have stopped every control host at the same entry.

Also bounds a batch to 10,000 changes, does not keep long refusals by operation id, and refuses minimum shares that add up to more than 1.

--- a/src/apricotcart/codec/packing.py
+++ b/src/apricotcart/codec/packing.py
@@ -10,8 +10,18 @@
 
 
 def pack(message: Any) -> bytes:
-    """Encode a wire mapping."""
-    packed: bytes = msgpack.packb(message, use_bin_type=True)
+    """Encode a wire mapping.
+
+    Raises
+    ------
+    CodecError
+        If the mapping holds what msgpack cannot encode, such as an integer
+        above 64 bits or too many levels.
+    """
+    try:
+        packed: bytes = msgpack.packb(message, use_bin_type=True)
+    except (OverflowError, TypeError, ValueError) as exc:
+        raise CodecError(f'cannot be encoded: {exc}') from exc
     return packed
 
 
@@ -25,5 +35,6 @@
     """
     try:
         return msgpack.unpackb(blob, raw=False, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as exc:
+    except (TypeError, ValueError, msgpack.UnpackException) as exc:
+        # A map with a list as its key gives a TypeError.
         raise CodecError(f'not a msgpack document: {exc}') from exc
--- a/src/apricotcart/state/batch.py
+++ b/src/apricotcart/state/batch.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from apricotcart.state.store import ResourceStore
 
+MAX_CHANGES: Final = 10_000
 _CHANGE: Final = Schema(
     {
         'kind': Text(),
@@ -51,8 +52,9 @@
         VersionConflictError
             If all fields are valid and a version differs.
         """
-        if not isinstance(given, list):
-            raise invalid([Fault(path='changes', message='must be a list')])
+        if not isinstance(given, list) or len(given) > MAX_CHANGES:
+            message = f'must be a list of at most {MAX_CHANGES}'
+            raise invalid([Fault(path='changes', message=message)])
         for position, fields in enumerate(given):
             self._read_change(f'changes[{position}]', fields)
         if not self._faults:
--- a/src/apricotcart/state/batch_rules.py
+++ b/src/apricotcart/state/batch_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING, Any, Final
 
@@ -61,6 +62,7 @@
         self._changes = changes
         self._key_names: dict[str, str] = {}
         self._rules = {
+            'class': self._class_faults,
             'key': self._key_faults,
             'pool': self._pool_faults,
             'endpoint': self._endpoint_faults,
@@ -85,6 +87,14 @@
         resource = self._store.get(kind, name)
         return resource.spec if resource else None
 
+    def _class_faults(self, change: Change) -> Iterator[Fault]:
+        # Shares of more than the whole could not be kept.
+        names = {resource.name for resource in self._store.all_of('class')}
+        names.update(name for kind, name in self._changes if kind == 'class')
+        specs = [self._spec_of('class', name) or {} for name in names]
+        if math.fsum(spec['min_share'] for spec in specs) > 1:
+            yield change.fault('min_share', 'is above 1 with other classes')
+
     def _key_faults(self, change: Change) -> Iterator[Fault]:
         # A secret shared by two keys would have two customers.
         secret = change.spec['sha256']
--- a/src/apricotcart/state/commands.py
+++ b/src/apricotcart/state/commands.py
@@ -8,6 +8,7 @@
 from apricotcart.errors.tree import ApricotcartError, CodecError
 from apricotcart.state.errors import ReferencedError
 from apricotcart.state.fields import Integer, Text
+from apricotcart.state.operations import command_digest
 from apricotcart.state.records import Fault, Identity
 from apricotcart.state.replies import invalid, reply_of
 from apricotcart.state.schema import Schema
@@ -73,6 +74,8 @@
         """
         if not isinstance(command, dict):
             raise CodecError('a command must be a mapping')
+        if not all(isinstance(name, str) for name in command):
+            raise CodecError('names of fields must be strings')
         head = {name: command[name] for name in _HEAD if name in command}
         full, faults = _COMMAND.normalize(head, '')
         runner = self._runners.get(str(full['kind']))
@@ -93,10 +96,11 @@
     ) -> dict[str, Any]:
         operations = self._tables.operations
         op_id = command['op_id']
-        reply = operations.reply_to(op_id, command)
+        digest = command_digest(command)
+        reply = operations.reply_to(op_id, digest)
         if reply is None:
             reply = _reply_from(runner, command, self._tables.now_ms)
-            operations.keep(op_id, command, reply)
+            operations.keep(op_id, digest, reply)
         return reply
 
     def _apply(self, fields: dict[str, Any], now_ms: int) -> dict[str, Any]:
--- a/src/apricotcart/state/limits.py
+++ b/src/apricotcart/state/limits.py
@@ -58,7 +58,7 @@
         max_resources: int = 50_000,
         max_events: int = 4096,
         max_operations: int = 4096,
-        max_operation_bytes: int = 1_048_576,
+        max_operation_bytes: int = 4_194_304,
         max_orders: int = 100_000,
         max_order_bytes: int = 16_777_216,
         max_customer_orders: int = 10_000,
--- a/src/apricotcart/state/operations.py
+++ b/src/apricotcart/state/operations.py
@@ -12,6 +12,7 @@
 from apricotcart.state.limits import Limits
 
 _DIGEST_BYTES: Final = 16
+MAX_REFUSAL_BYTES: Final = 65_536
 #: Fields that differ between a command and its resend.
 _UNCOMPARED: Final = frozenset(('at_ms',))
 
@@ -37,7 +38,7 @@
     def reply_to(
         self,
         op_id: str,
-        command: Mapping[str, Any],
+        digest: bytes,
     ) -> dict[str, Any] | None:
         """Give the reply to an earlier command, None if it is new.
 
@@ -49,8 +50,8 @@
         known = self._operations.get(op_id)
         if known is None:
             return None
-        digest, reply = known
-        if digest != _digest(command):
+        known_digest, reply = known
+        if known_digest != digest:
             raise OperationReusedError('op_id belongs to another command')
         decoded: dict[str, Any] = unpack(reply)
         return decoded
@@ -58,12 +59,18 @@
     def keep(
         self,
         op_id: str,
-        command: Mapping[str, Any],
+        digest: bytes,
         reply: Mapping[str, Any],
     ) -> None:
-        """Keep a reply and drop the oldest ones beyond the bounds."""
+        """Keep a reply and drop the oldest ones beyond the bounds.
+
+        A long list of faults is not kept: it would drop the replies to
+        commands that did change something.
+        """
         packed = pack(reply)
-        self._operations[op_id] = (_digest(command), packed)
+        if len(packed) > MAX_REFUSAL_BYTES and not reply['ok']:
+            return
+        self._operations[op_id] = (digest, packed)
         self._bytes += len(packed)
         while self._is_over() and len(self._operations) > 1:
             _, (_, dropped) = self._operations.popitem(last=False)
@@ -88,7 +95,8 @@
         return len(self._operations) > self._limits.max_operations
 
 
-def _digest(command: Mapping[str, Any]) -> bytes:
+def command_digest(command: Mapping[str, Any]) -> bytes:
+    """Give a digest of a command without its time."""
     compared = sorted(
         (name, field)
         for name, field in command.items()
--- a/tests/state/test_resources.py
+++ b/tests/state/test_resources.py
@@ -150,6 +150,16 @@
     assert put(('key', 'k3', other))['code'] == 'invalid'
 
 
+def test_apply_shares_above_whole(site: dict[str, Any], put: Send) -> None:
+    """Guards against shares of dispatch that cannot all be kept."""
+    half = {**VALID['class', 'gold'], 'min_share': 0.5}
+    assert put(('class', 'gold', half), ('class', 'silver', half))['ok']
+    third = {**half, 'min_share': 0.1}
+    reply = put(('class', 'bronze', third))
+    assert reply['faults'][0]['path'] == 'changes[0].spec.min_share'
+    assert put(('class', 'gold', third), ('class', 'bronze', third))['ok']
+
+
 def test_apply_unchanged(site: dict[str, Any], put: Send) -> None:
     """Guards against a new version for a spec applied again."""
     again = put(*SITE)
