Add the README, the operators' and callers' pages and examples

Cause: nothing told operators and callers how to use the program. Change: README, docs for operators and callers, glossary, decisions, notes with the measured costs of the build and of observability, examples, and changelog fragments. Tests check the examples and that the reference names every setting, metric, log field and subcommand.

--- /dev/null
+++ b/tests/settings/test_examples.py
@@ -0,0 +1,70 @@
+"""Tests of the example files and of the operators' reference."""
+
+from __future__ import annotations
+
+import re
+import shutil
+from pathlib import Path
+
+import pytest
+
+from apricotcart.commands.registry import COMMANDS
+from apricotcart.observability.catalogue import METRICS
+from apricotcart.observability.redaction import ALLOWED_FIELDS
+from apricotcart.run import run
+from apricotcart.settings.document import Section
+
+_ROOT = Path(__file__).resolve().parents[2]
+
+
+@pytest.fixture
+def examples(tmp_path: Path) -> Path:
+    """Give a copy of the example files with the secrets they name."""
+    folder = tmp_path / 'examples'
+    shutil.copytree(_ROOT / 'examples', folder)
+    for name in ('cluster.secret', 'operator.token'):
+        (folder / name).write_text('0123456789abcdef')
+    return folder
+
+
+@pytest.mark.parametrize(
+    ('kind', 'name'),
+    [
+        ('entry', 'entry.ini'),
+        ('control', 'control-1.ini'),
+        ('resources', 'resources.ini'),
+    ],
+)
+def test_examples_pass_check(examples: Path, kind: str, name: str) -> None:
+    """Guards against an example that a start would refuse."""
+    assert run(['check', kind, str(examples / name)]) == 0
+
+
+@pytest.fixture
+def reference() -> str:
+    """Give the operators' reference."""
+    return (_ROOT / 'docs' / 'operators.md').read_text()
+
+
+def test_reference_names_every_setting(reference: str) -> None:
+    """Guards against a setting that operators cannot look up."""
+    section = ''
+    found = set()
+    for line in reference.splitlines():
+        title = re.match(r'#### `\[(\w+)\]', line)
+        section = title.group(1) if title else section
+        key = re.match(r'\| `(\w+)` \|', line)
+        if key and section:
+            found.add(f'[{section}] {key.group(1)}')
+    for known in Section.__subclasses__():
+        keys = {f'[{known.title}] {field.name}' for field in known.fields}
+        assert keys <= found
+
+
+def test_reference_names_metrics_and_fields(reference: str) -> None:
+    """Guards against a metric, field or command missing in the reference."""
+    names = [metric.name for metric in METRICS]
+    names.extend(ALLOWED_FIELDS)
+    names.extend(f'apricotcart {command.name}' for command in COMMANDS)
+    missing = [name for name in names if f'`{name}' not in reference]
+    assert not missing
