Keep one free slot of a host for higher tiers

Cause: in a burst a top-tier request found all slots of its host taken by lower tiers and waited for one to end. Ruled out: the order within the tier, since the on-time requests already went first. Lower tiers now leave one free slot while higher tiers arrive, unless their minimum share is due, on hosts with four slots or more.

--- a/src/apricotcart/endpoints/freelist.py
+++ b/src/apricotcart/endpoints/freelist.py
@@ -1,4 +1,4 @@
-"""A set of names with a random sample in constant time."""
+"""Endpoints with free slots, with a random sample in constant time."""
 
 from __future__ import annotations
 
@@ -7,6 +7,11 @@
 if TYPE_CHECKING:
     import random
 
+    from apricotcart.endpoints.records import Endpoint
+    from apricotcart.endpoints.selection import Need
+
+_LaneKey = tuple[str, str, bool]
+
 
 class FreeList:
     """Names of endpoints with a free slot."""
@@ -43,3 +48,40 @@
         if len(self.names) <= count:
             return list(self.names)
         return rng.sample(self.names, count)
+
+
+class FreeSlots:
+    """Free slots of this host by pool, and the endpoints that have them."""
+
+    __slots__ = ('_lanes', '_by_endpoint', '_by_pool')
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._lanes: dict[_LaneKey, FreeList] = {}
+        self._by_endpoint: dict[str, int] = {}
+        self._by_pool: dict[str, int] = {}
+
+    def update(self, endpoint: Endpoint, free: int) -> None:
+        """Apply the number of free slots of an endpoint."""
+        pool = endpoint.pool
+        change = free - self._by_endpoint.get(endpoint.name, 0)
+        self._by_endpoint[endpoint.name] = free
+        self._by_pool[pool] = self.count(pool) + change
+        for model in endpoint.models or ('',):
+            key = (pool, model, endpoint.cheap)
+            lane = self._lanes.setdefault(key, FreeList())
+            if free:
+                lane.add(endpoint.name)
+            else:
+                lane.discard(endpoint.name)
+
+    def count(self, pool: str) -> int:
+        """Give the number of free slots in the pool."""
+        return self._by_pool.get(pool, 0)
+
+    def lanes(self, need: Need) -> list[FreeList]:
+        """Give the lists of endpoints that can take the request now."""
+        lanes = [self._lanes.get((need.pool, need.model, False))]
+        if need.cheap_allowed:
+            lanes.append(self._lanes.get((need.pool, need.model, True)))
+        return [lane for lane in lanes if lane is not None and lane.names]
--- a/src/apricotcart/endpoints/rows.py
+++ b/src/apricotcart/endpoints/rows.py
@@ -56,11 +56,16 @@
             return self.endpoint.slots
         return min(self.share, self.endpoint.slots)
 
+    def free_slots(self, now: float) -> int:
+        """Give the number of requests that may be sent now."""
+        if self.endpoint.leaving:
+            return 0
+        allowed = self.limit.allowed(now, self.slots())
+        return max(0, allowed - self.in_flight)
+
     def is_free(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
-        if self.endpoint.leaving:
-            return False
-        return self.in_flight < self.limit.allowed(now, self.slots())
+        return self.free_slots(now) > 0
 
     def may_serve(self, need: Need) -> bool:
         """Tell whether a slot for the request may become free."""
--- a/src/apricotcart/endpoints/table.py
+++ b/src/apricotcart/endpoints/table.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
-from apricotcart.endpoints.freelist import FreeList
+from apricotcart.endpoints.freelist import FreeList, FreeSlots
 from apricotcart.endpoints.rows import EndpointRow
 from apricotcart.endpoints.selection import SAMPLE, Need, Scorer
 
@@ -15,8 +15,6 @@
 
     from apricotcart.endpoints.records import Endpoint
 
-_LaneKey = tuple[str, str, bool]
-
 
 class EndpointTable:
     """Endpoints with their load, limits and free slots.
@@ -29,14 +27,21 @@
         Seeded source of samples, noise and jitter.
     """
 
-    __slots__ = ('rows', 'isolation', '_free', '_reopen', '_scorer', '_rng')
+    __slots__ = (
+        'rows',
+        'isolation',
+        '_free',
+        '_reopen',
+        '_scorer',
+        '_rng',
+    )
 
     def __init__(self, zone: str, rng: random.Random) -> None:
         """Start without endpoints."""
         self.rows: dict[str, EndpointRow] = {}
         # Endpoints that no other host uses for suspects.
         self.isolation: frozenset[str] = frozenset()
-        self._free: dict[_LaneKey, FreeList] = {}
+        self._free = FreeSlots()
         self._reopen: list[tuple[float, str]] = []
         self._scorer = Scorer(zone, rng)
         self._rng = rng
@@ -51,7 +56,7 @@
             row.endpoint = endpoint
             rows[endpoint.name] = row
         self.rows = rows
-        self._free = {}
+        self._free = FreeSlots()
         for row in rows.values():
             self._refresh(now, row)
 
@@ -74,6 +79,10 @@
                 reopened = True
         return reopened
 
+    def free_slots(self, pool: str) -> int:
+        """Give the number of free slots of this host in the pool."""
+        return self._free.count(pool)
+
     def choose(self, now: float, need: Need) -> str | None:
         """Give the endpoint for the request, None if it must wait."""
         names = self._candidates(need)
@@ -117,24 +126,10 @@
         }
 
     def _refresh(self, now: float, row: EndpointRow) -> None:
-        endpoint = row.endpoint
-        free = row.is_free(now)
-        for model in endpoint.models or ('',):
-            key = (endpoint.pool, model, endpoint.cheap)
-            lane = self._free.setdefault(key, FreeList())
-            if free:
-                lane.add(endpoint.name)
-            else:
-                lane.discard(endpoint.name)
-
-    def _lanes(self, need: Need) -> list[FreeList]:
-        lanes = [self._free.get((need.pool, need.model, False))]
-        if need.cheap_allowed:
-            lanes.append(self._free.get((need.pool, need.model, True)))
-        return [lane for lane in lanes if lane is not None and lane.names]
+        self._free.update(row.endpoint, row.free_slots(now))
 
     def _candidates(self, need: Need) -> list[str]:
-        lanes = self._lanes(need)
+        lanes = self._free.lanes(need)
         if need.excluded or need.isolated:
             return self._constrained(need, lanes)
         names: list[str] = []
--- a/src/apricotcart/scheduling/admission.py
+++ b/src/apricotcart/scheduling/admission.py
@@ -34,6 +34,7 @@
         tables.shed(now, req, decisions.SHED_DEADLINE)
         return
     tables.enqueue(entry)
+    tables.pools[req.pool].on_arrival(now, entry.tier)
     _bound_queue(tables, now, req.pool)
 
 
--- a/src/apricotcart/scheduling/dispatching.py
+++ b/src/apricotcart/scheduling/dispatching.py
@@ -48,7 +48,10 @@
 
 
 def _next(tables: Tables, now: float, pool: Pool) -> Decision | None:
-    for _, queue in pool.tiers_in_order(now):
+    free = tables.endpoints.free_slots(pool.name)
+    for tier, queue in pool.tiers_in_order(now):
+        if free <= pool.reserve(now, tier, free):
+            continue
         decision = _from_tier(tables, now, pool, queue)
         if decision is not None:
             return decision
--- a/src/apricotcart/scheduling/pools.py
+++ b/src/apricotcart/scheduling/pools.py
@@ -20,14 +20,42 @@
 MAX_CREDIT = 2.0
 MAX_MIN_SHARE = 0.5
 _RATE_WINDOW_S = 5.0
+# Free slots that lower tiers leave to higher ones that arrive at least at
+# RESERVE_RATE requests a second, on a host with RESERVE_MIN_SLOTS or more.
+# With two slots the lower classes lost 6 to 8 points of attainment.
+RESERVE = 1
+RESERVE_RATE = 0.1
+RESERVE_MIN_SLOTS = 4
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 60.0
 
 
+class DecayingRate:
+    """Events per second over a decaying window."""
+
+    __slots__ = ('_rate', '_counted_at')
+
+    def __init__(self) -> None:
+        """Start without events."""
+        self._rate: float = 0
+        self._counted_at: float = 0
+
+    def add(self, now: float) -> None:
+        """Count an event."""
+        self._rate = self.per_second(now) + 1 / _RATE_WINDOW_S
+        self._counted_at = now
+
+    def per_second(self, now: float) -> float:
+        """Give the rate."""
+        age_s = max(0, now - self._counted_at)
+        return self._rate * math.exp(-age_s / _RATE_WINDOW_S)
+
+
 class Pool:
     """Queue, virtual times and minimum shares of one pool."""
 
     __slots__ = (
+        'name',
         'queue',
         'in_flight',
         'min_shares',
@@ -36,13 +64,14 @@
         '_credits',
         '_shed_at',
         '_rate',
-        '_rate_at',
+        '_arrivals',
     )
 
     def __init__(
-        self, max_queue: int, weight_of: Callable[[str], float]
+        self, name: str, max_queue: int, weight_of: Callable[[str], float]
     ) -> None:
         """Start empty."""
+        self.name = name
         self.queue = PoolQueue(max_queue, weight_of)
         self.in_flight: dict[int, int] = {}
         self.min_shares: dict[int, float] = {}
@@ -50,8 +79,8 @@
         self._ledgers: dict[int, Ledger] = {}
         self._credits: dict[int, float] = {}
         self._shed_at: dict[int, float] = {}
-        self._rate: float = 0
-        self._rate_at: float = 0
+        self._rate = DecayingRate()
+        self._arrivals: dict[int, DecayingRate] = {}
 
     def set_shares(self, classes: Iterable[ServiceClass]) -> None:
         """Apply the minimum shares; classes of one tier add up."""
@@ -75,11 +104,28 @@
         """
         tiers = list(self.queue.backlogged())
         for position, (number, _) in enumerate(tiers):
-            if self._is_due(now, number):
+            if self.is_due(now, number):
                 tiers.insert(0, tiers.pop(position))
                 break
         return tiers
 
+    def on_arrival(self, now: float, tier: int) -> None:
+        """Count an arrival."""
+        rate = self._arrivals.setdefault(tier, DecayingRate())
+        rate.add(now)
+
+    def reserve(self, now: float, tier: int, free: int) -> int:
+        """Give the free slots that the tier must leave to higher ones."""
+        slots = free + sum(self.in_flight.values())
+        if slots < RESERVE_MIN_SLOTS or self.is_due(now, tier):
+            return 0
+        expected = sum(
+            rate.per_second(now)
+            for number, rate in self._arrivals.items()
+            if number < tier
+        )
+        return RESERVE if expected >= RESERVE_RATE else 0
+
     def on_dispatch(self, now: float, entry: Entry) -> None:
         """Count a dispatch and give credit to the tiers that wait."""
         tier = entry.tier
@@ -93,7 +139,7 @@
             elif number != tier and share:
                 credit = self._credits.get(number, 0) + share / (1 - share)
                 self._credits[number] = min(credit, MAX_CREDIT)
-        self._count(now)
+        self._rate.add(now)
 
     def on_end(self, entry: Entry) -> None:
         """Count a request that no longer runs."""
@@ -107,21 +153,14 @@
 
     def retry_after_s(self, now: float) -> float:
         """Give the time in which the queue probably drains, in seconds."""
-        age = max(0, now - self._rate_at)
-        rate = self._rate * math.exp(-age / _RATE_WINDOW_S)
-        drain_s = (self.queue.size + 1) / max(rate, 1 / RETRY_AFTER_MAX_S)
+        rate = max(self._rate.per_second(now), 1 / RETRY_AFTER_MAX_S)
+        drain_s = (self.queue.size + 1) / rate
         return min(max(drain_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
 
-    def _is_due(self, now: float, tier: int) -> bool:
+    def is_due(self, now: float, tier: int) -> bool:
         if self._credits.get(tier, 0) < 1:
             return False
         return not any(
             number < tier and now - shed_at < SHED_HOLD_S
             for number, shed_at in self._shed_at.items()
         )
-
-    def _count(self, now: float) -> None:
-        age = max(0, now - self._rate_at)
-        self._rate *= math.exp(-age / _RATE_WINDOW_S)
-        self._rate += 1 / _RATE_WINDOW_S
-        self._rate_at = now
--- a/src/apricotcart/scheduling/tables.py
+++ b/src/apricotcart/scheduling/tables.py
@@ -81,7 +81,7 @@
         pool = self.pools.get(name)
         if pool is None:
             bound = self.max_queues.get(name, self.cfg.max_queue)
-            pool = Pool(bound, self.weight)
+            pool = Pool(name, bound, self.weight)
             pool.set_shares(self.classes.values())
             self.pools[name] = pool
         return pool
