Raise the reserve of the retry budget from 3 to 10

Cause: a host with one request a second could retry 4 in ten seconds, less than the requests that one endpoint crash breaks. Ruled out: the attempt limit, since the refusals named the budget.

--- a/src/apricotcart/retries/budget.py
+++ b/src/apricotcart/retries/budget.py
@@ -6,8 +6,9 @@
 
 RATIO = 0.1
 WINDOW_S = 10.0
-# Retries that a host with little traffic may always make in a window.
-RESERVE = 3.0
+# Retries that a host with little traffic may always make in a window. A crash
+# breaks up to a batch of requests at once; with 3 some were given up.
+RESERVE = 10.0
 
 
 class RetryBudget:
