--- a/src/apricotcart/platform/capacity.py
+++ b/src/apricotcart/platform/capacity.py
@@ -137,12 +137,13 @@
             self._orders.add(now, pool, place, amount)
 
     def _present(self, pool: str) -> list[dict[str, Any]]:
+        retired = self._fleet.retired()
         return [
             endpoint
             for endpoint in self._inventory.endpoints
             if endpoint['pool'] == pool
             and endpoint['state'] != RECLAIMING
-            and not self._fleet.is_retired(endpoint['name'])
+            and endpoint['name'] not in retired
         ]
 
     def _may_release(self, now: float, pool: str) -> bool:
--- a/src/apricotcart/platform/fleet.py
+++ b/src/apricotcart/platform/fleet.py
@@ -95,12 +95,13 @@
         self._absent_since.clear()
         self._drained_since.clear()
 
-    def is_retired(self, name: str) -> bool:
-        """Tell whether an endpoint of the platform's list is leaving."""
-        resource = self._resources().get(name)
-        if resource and resource.spec['leaving']:
-            return True
-        return name in self._retired
+    def retired(self) -> set[str]:
+        """Names in the platform's list of the endpoints that are leaving."""
+        resources = self._resources()
+        leaving = {
+            name for name in resources if resources[name].spec['leaving']
+        }
+        return leaving | self._retired
 
     def retire(self, endpoint: Mapping[str, Any]) -> None:
         """Drain and release an endpoint of the platform's list."""
--- /dev/null
+++ b/src/apricotcart_standins/spending/__init__.py
@@ -0,0 +1,1 @@
+"""Measures spending on endpoints against service, over seeds."""
--- /dev/null
+++ b/src/apricotcart_standins/spending/__main__.py
@@ -0,0 +1,78 @@
+"""``python -m apricotcart_standins.spending --seeds 10``."""
+
+from __future__ import annotations
+
+import argparse
+import math
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+from apricotcart.platform.placement import SpotRule
+from apricotcart.platform.sizing import SizingRule
+from apricotcart_standins.spending.demand import DAY_S, DayOfDemand
+from apricotcart_standins.spending.measure import STEP_S, Day, DayFigures
+from apricotcart_standins.spending.simulation import SLOTS
+
+NO_SPOT = SpotRule(zone_share=0, total_share=0)
+
+_PERCENT = 100
+_LINE = (
+    '{0:14} spending {1:7.1f}  late {2:5.2f}% (worst day {3:5.2f}%)  '
+    'spot {4:4.1f}% (one zone at most {5:4.1f}%)  requests {6:6.0f}\n'
+)
+
+
+def fixed_at_peak(seed: int) -> DayFigures:
+    """Hold what the day's highest demand needs, all day."""
+    demand = DayOfDemand(seed)
+    times = range(0, DAY_S, STEP_S)
+    size = math.ceil(max(map(demand.at, times)) / SLOTS)
+    rule = SizingRule(slots=SLOTS, min_endpoints=size, max_endpoints=size)
+    return Day(rule, NO_SPOT, seed).run()
+
+
+def no_hysteresis(seed: int) -> DayFigures:
+    """Follow the present demand at 75% utilisation, up and down at once."""
+    rule = SizingRule(slots=SLOTS, lead_time_s=0, release_after_s=0)
+    return Day(rule, NO_SPOT, seed).run()
+
+
+def without_spot(seed: int) -> DayFigures:
+    """Use the shipped sizing rule, on regular endpoints only."""
+    return Day(SizingRule(slots=SLOTS), NO_SPOT, seed).run()
+
+
+def shipped(seed: int) -> DayFigures:
+    """Use the shipped sizing and spot rules."""
+    return Day(SizingRule(slots=SLOTS), SpotRule(), seed).run()
+
+
+def main() -> int:
+    """Print one line for each rule."""
+    parser = argparse.ArgumentParser(prog='apricotcart_standins.spending')
+    parser.add_argument('--seeds', type=int, default=10)
+    parser.add_argument('--jobs', type=int, default=3)
+    options = parser.parse_args()
+    seeds = range(1, options.seeds + 1)
+    with ProcessPoolExecutor(options.jobs) as pool:
+        for rule in (fixed_at_peak, no_hysteresis, without_spot, shipped):
+            _print(rule.__name__, list(pool.map(partial(rule), seeds)))
+    return 0
+
+
+def _print(name: str, days: list[DayFigures]) -> None:
+    spending = statistics.mean(day.spending for day in days)
+    late = statistics.mean(day.late for day in days) * _PERCENT
+    worst = max(day.late for day in days) * _PERCENT
+    cheap = statistics.mean(day.cheap for day in days) * _PERCENT
+    orders = statistics.mean(day.orders for day in days)
+    zone = max(day.zone_share for day in days) * _PERCENT
+    figures = (spending, late, worst, cheap, zone, orders)
+    sys.stdout.write(_LINE.format(name, *figures))
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
