--- a/src/apricotcart/control/duties.py
+++ b/src/apricotcart/control/duties.py
@@ -123,7 +123,10 @@
 
 
 def _sizes(pools: dict[str, dict[str, Any]]) -> dict[str, list[Any]]:
-    return {name: _sizing_fields(pools[name]) for name in pools}
+    sizes: dict[str, list[Any]] = {}
+    for name, spec in pools.items():
+        sizes[name] = _sizing_fields(spec)
+    return sizes
 
 
 def _sizing_fields(spec: dict[str, Any]) -> list[Any]:
