--- a/src/apricotcart/control/duties.py
+++ b/src/apricotcart/control/duties.py
@@ -19,6 +19,10 @@
 _TICK_S = 0.1
 _WORKERS = 8
 _COMMIT_TIMEOUT_S = 3.0
+
+Pools = dict[str, dict[str, Any]]
+Sizes = dict[str, list[Any]]
+
 # A change of these fields of any pool rebuilds the capacity rules.
 _SIZED = (
     'min_endpoints',
@@ -57,7 +61,7 @@
         """Prepare the threads."""
         self._plan = plan
         self._loop = loop
-        self._pools: dict[str, dict[str, Any]] = {}
+        self._pools: Pools = {}
         self._duties = plan.build(self._pools)
         self._client = PlatformClient(url, self._permit)
         self._lock = threading.Lock()
@@ -122,8 +126,8 @@
             duties.leader.on_answer(time.monotonic(), request.ticket, answer)
 
 
-def _sizes(pools: dict[str, dict[str, Any]]) -> dict[str, list[Any]]:
-    sizes: dict[str, list[Any]] = {}
+def _sizes(pools: Pools) -> Sizes:
+    sizes: Sizes = {}
     for name, spec in pools.items():
         sizes[name] = _sizing_fields(spec)
     return sizes
