--- /dev/null
+++ b/tests/support/bare.py
@@ -0,0 +1,54 @@
+"""A handler that answers at once, on the same server as entry hosts."""
+
+from __future__ import annotations
+
+import argparse
+
+import cherrypy
+
+from apricotcart.web.application import WebApplication
+from apricotcart.web.request import WebRequest
+from apricotcart.web.response import WebResponse
+from apricotcart.web.server import (
+    HttpAddress,
+    ServerLimits,
+    add_server,
+    mount,
+    quiet_engine,
+)
+
+_MAX_BODY = 1_000_000
+
+
+class BareApplication(WebApplication):
+    """Reads the body and gives a fixed answer."""
+
+    def respond(self, req: WebRequest) -> WebResponse:
+        """Answer at once."""
+        req.body(_MAX_BODY)
+        return WebResponse.from_json({'ok': True})
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--host', required=True)
+    parser.add_argument('--port', type=int, required=True)
+    args = parser.parse_args()
+    quiet_engine()
+    mount(BareApplication())
+    add_server(
+        HttpAddress(host=args.host, port=args.port),
+        ServerLimits(
+            threads=256,
+            max_header_bytes=32_768,
+            header_timeout_s=10,
+            body_timeout_s=30,
+        ),
+    )
+    cherrypy.engine.start()
+    cherrypy.engine.block()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/support/demo.py
+++ b/tests/support/demo.py
@@ -7,6 +7,7 @@
 import secrets
 import sys
 import tempfile
+from collections.abc import Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -26,11 +27,11 @@
 BOOKING_CLASS = {**CHAT_CLASS, 'tier': 1, 'total_s': 30}
 
 
-def declare(cluster: Cluster, secret: str) -> Any:
+def declare(cluster: Cluster, secret: str, engine_slots: int) -> Any:
     """Declare customer, key, classes, pools, endpoints and routes."""
     digest = hashlib.sha256(secret.encode()).hexdigest()
     engines = [
-        _endpoint(cluster, name, 'drafting', 8, ['writer'])
+        _endpoint(cluster, name, 'drafting', engine_slots, ['writer'])
         for name in cluster.standins
         if name.startswith('engine')
     ]
@@ -90,29 +91,40 @@
     return spec
 
 
-def start(folder: Path, **options: Any) -> tuple[Cluster, str]:
+def start(
+    folder: Path,
+    *,
+    engine_options: Sequence[str] = (),
+    engine_slots: int = 8,
+    **options: Any,
+) -> tuple[Cluster, str]:
     """Start a cluster with stand-ins and a declared configuration."""
     cluster = Cluster(folder, **options)
     secret = secrets.token_urlsafe()
     try:
-        _bring_up(cluster, secret)
+        _bring_up(cluster, secret, engine_options, engine_slots)
     except BaseException:
         cluster.stop()
         raise
     return cluster, secret
 
 
-def _bring_up(cluster: Cluster, secret: str) -> None:
+def _bring_up(
+    cluster: Cluster,
+    secret: str,
+    engine_options: Sequence[str],
+    engine_slots: int,
+) -> None:
     for number in (1, 2):
         cluster.start_standin(
             f'engine-{number}',
             'engine',
-            '--models',
-            'writer',
+            '--models=writer',
+            *engine_options,
         )
     cluster.start_standin('service-1', 'service')
     cluster.start()
-    declare(cluster, secret)
+    declare(cluster, secret, engine_slots)
     wait_until(
         lambda: all(knows(cluster, name, secret) for name in cluster.entry),
         'the configuration on every entry host',
