Compare files after filling in defaults; serve the metrics page

Cause: pools now have a default that is not empty (endpoint_slots = 8), so diff showed a lasting difference; the metrics page had no server. Change: resource files are checked and completed with the tables of the replicated state before they are compared, so check names field faults without a control host; MetricsServer serves the page on its own port; members shows entry hosts; the reference test also refuses settings that no longer exist, and the reference follows the removed [timing] keys.

--- a/src/apricotcart/commands/changes.py
+++ b/src/apricotcart/commands/changes.py
@@ -9,6 +9,7 @@
 
 from apricotcart.commands.operator_client import OperatorClient
 from apricotcart.commands.resources_file import DeclaredResource
+from apricotcart.state.specs import SPECS
 
 
 class Change:
@@ -42,7 +43,7 @@
         """Tell whether applying it would change anything."""
         if self._held is None:
             return True
-        return self._comparable(self._held['spec']) != self._declared.spec
+        return bool(self._held['spec'] != self._full_spec())
 
     def to_wire(self) -> dict[str, Any]:
         """Give the change as the operator API takes it."""
@@ -59,23 +60,19 @@
         title = f'{declared.kind}/{declared.name}'
         held = self._held or {'spec': {}, 'version': 0}
         lines = difflib.unified_diff(
-            _lines(self._comparable(held['spec'])),
-            _lines(declared.spec),
+            _lines(held['spec']),
+            _lines(self._full_spec()),
             f'{title} (version {held["version"]})',
             f'{title} (declared)',
             lineterm='',
         )
         return '\n'.join(lines)
 
-    def _comparable(self, spec: dict[str, Any]) -> dict[str, Any]:
-        # The control host fills in defaults, and every default is empty:
-        # false, 0, none or no names. The file need not repeat them.
-        declared = self._declared.spec
-        return {
-            name: field
-            for name, field in spec.items()
-            if field or name in declared
-        }
+    def _full_spec(self) -> dict[str, Any]:
+        # The control host fills in the same defaults, so a file need not
+        # repeat them.
+        schema = SPECS[self._declared.kind]
+        return schema.normalize(self._declared.spec, '')[0]
 
 
 def needed_changes(
--- a/src/apricotcart/commands/members.py
+++ b/src/apricotcart/commands/members.py
@@ -10,11 +10,11 @@
 from apricotcart.commands.operating import OperatorCommand, add_output_argument
 from apricotcart.commands.operator_client import OperatorClient
 
-_PARTS: Final = ('leader', 'members')
+_PARTS: Final = ('leader', 'members', 'entry_hosts')
 
 
 class MembersCommand(OperatorCommand):
-    """Shows which control hosts vote, learn and lead, or removes one.
+    """Shows the control hosts and entry hosts, or removes a control host.
 
     A control host that starts on an empty data folder joins by itself and
     replaces its earlier incarnation. Only one that will not return has to be
@@ -22,7 +22,7 @@
     """
 
     name = 'members'
-    summary = 'show the control hosts, or remove one that will not return'
+    summary = 'show the hosts, or remove a control host that will not return'
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Declare the member to remove and the form of the answer."""
--- a/src/apricotcart/commands/resources_file.py
+++ b/src/apricotcart/commands/resources_file.py
@@ -11,17 +11,10 @@
 
 from apricotcart.codec.record import Record
 from apricotcart.errors.tree import InvalidResourceError
+from apricotcart.state.specs import SPECS
 
 #: Kinds in the order in which they refer to each other.
-KINDS: Final = (
-    'customer',
-    'key',
-    'class',
-    'model',
-    'pool',
-    'endpoint',
-    'route',
-)
+KINDS: Final = tuple(SPECS)
 _JSON_START: Final = re.compile(r'\s*(?:\{|\[\s*(?:\{|\]))')
 _FIELDS: Final = frozenset(('kind', 'name', 'spec', 'version'))
 _NOT_A_MAPPING: Final = 'is not a mapping'
@@ -160,14 +153,24 @@
     name = fields.get('name')
     if not (isinstance(name, str) and name):
         yield f'{place}.name', 'is not a name'
-    if not isinstance(fields.get('spec'), dict):
-        yield f'{place}.spec', _NOT_A_MAPPING
+    yield from _spec_faults(place, fields)
     if not isinstance(fields.get('version'), int | None):
         yield f'{place}.version', 'is not a whole number'
     for extra in fields.keys() - _FIELDS - _ADDED_FIELDS:
         yield f'{place}.{extra}', 'is not a known field'
 
 
+def _spec_faults(
+    place: str, fields: dict[str, Any]
+) -> Iterator[tuple[str, str]]:
+    schema = SPECS.get(str(fields.get('kind')))
+    if schema is None:
+        return
+    _, faults = schema.normalize(fields.get('spec'), f'{place}.spec')
+    for fault in faults:
+        yield fault.path, fault.message
+
+
 def _invalid(path: str, faults: list[tuple[str, str]]) -> InvalidResourceError:
     return InvalidResourceError(
         '\n'.join(f'{path} {place}: {message}' for place, message in faults),
--- a/tests/commands/conftest.py
+++ b/tests/commands/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 
 from apricotcart.run import run
+from apricotcart.state.specs import SPECS
 
 TOKEN = 'operator-token-0123456789'
 
@@ -128,12 +129,13 @@
                 return 409, error('version_conflict')
         self.revision += 1
         for change in changes:
-            self.resources[change['kind'], change['name']] = {
-                'kind': change['kind'],
+            kind = change['kind']
+            self.resources[kind, change['name']] = {
+                'kind': kind,
                 'name': change['name'],
                 'version': change['expected_version'] + 1,
                 'revision': self.revision,
-                'spec': change['spec'],
+                'spec': SPECS[kind].normalize(change['spec'], '')[0],
                 'status': {},
             }
         return 200, {'revision': self.revision}
--- a/tests/commands/test_operating.py
+++ b/tests/commands/test_operating.py
@@ -19,7 +19,7 @@
 weight = 2
 [pool press]
 kind = service
-max_queue = 0
+max_queue = 10
 """
 
 
@@ -45,7 +45,7 @@
     assert operate('apply', resources, '--dry-run') == 0
     shown = capsys.readouterr().out
     assert '+  "weight": 2' in shown
-    assert '+  "max_queue": 0' in shown
+    assert '+  "max_queue": 10' in shown
     assert not _applies(control)
     assert operate('diff', resources) == 1
     assert operate('apply', resources) == 0
@@ -60,9 +60,10 @@
 ) -> None:
     """Guards against a lasting difference because of a default."""
     operate('apply', resources)
-    control.resources['customer', 'acme']['spec']['extra'] = False
+    held = control.resources['pool', 'press']['spec']
+    assert 'endpoint_slots' in held
     assert operate('diff', resources) == 0
-    control.resources['customer', 'acme']['spec']['extra'] = True
+    held['endpoint_slots'] += 1
     assert operate('diff', resources) == 1
 
 
@@ -71,7 +72,8 @@
 ) -> None:
     """Guards against overwriting another operator's change."""
     operate('apply', resources)
-    old = {'kind': 'customer', 'name': 'acme', 'version': 0, 'spec': {'a': 1}}
+    spec = {'weight': 3}
+    old = {'kind': 'customer', 'name': 'acme', 'version': 0, 'spec': spec}
     stale = tmp_path / 'stale.json'
     stale.write_text(json.dumps([old]))
     assert operate('apply', stale) == 4
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+import urllib3
 
 from apricotcart.observability.catalogue import (
     FIRST_TOKEN_S,
@@ -15,6 +16,7 @@
     REQUESTS,
 )
 from apricotcart.observability.metrics import MetricError, Metrics
+from apricotcart.observability.metrics_server import MetricsServer
 
 
 def test_metrics_page_values() -> None:
@@ -87,3 +89,28 @@
     metrics.wsgi_app({'PATH_INFO': '/other'}, start_response)
     assert [status for status, _ in seen] == ['200 OK', '404 Not Found']
     assert seen[0][1]['Content-Length'] == str(len(b''.join(body)))
+
+
+def test_metrics_server_serves_page() -> None:
+    """Guards against a page that only exists without a network."""
+    metrics = Metrics()
+    metrics.count(REQUESTS, {'class': 'chat', 'outcome': 'ok'})
+    server = MetricsServer(metrics, '127.0.0.1', 0).start()
+    url = f'http://127.0.0.1:{server.port}'
+    with urllib3.PoolManager(retries=False) as http:
+        page = http.request('GET', f'{url}/metrics')
+        other = http.request('GET', f'{url}/')
+    server.stop()
+    assert page.status == 200
+    assert b'apricotcart_requests_total{class="chat"' in page.data
+    assert other.status == 404
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        urllib3.request('GET', url, retries=False)
+
+
+def test_metrics_server_port_taken() -> None:
+    """Guards against a host that runs on without its metrics page."""
+    first = MetricsServer(Metrics(), '127.0.0.1', 0).start()
+    with pytest.raises(OSError, match='No socket could be created'):
+        MetricsServer(Metrics(), '127.0.0.1', first.port).start()
+    first.stop()
--- a/tests/settings/test_examples.py
+++ b/tests/settings/test_examples.py
@@ -47,18 +47,21 @@
 
 
 def test_reference_names_every_setting(reference: str) -> None:
-    """Guards against a setting that operators cannot look up."""
-    section = ''
+    """Guards against a reference that lacks settings or has old ones."""
+    section: str | None = None
     found = set()
     for line in reference.splitlines():
-        title = re.match(r'#### `\[(\w+)\]', line)
+        title = re.match(r'##+ (?:`\[(\w+)\])?', line)
         section = title.group(1) if title else section
         key = re.match(r'\| `(\w+)` \|', line)
         if key and section:
             found.add(f'[{section}] {key.group(1)}')
-    for known in Section.__subclasses__():
-        keys = {f'[{known.title}] {field.name}' for field in known.fields}
-        assert keys <= found
+    known = {
+        f'[{section.title}] {field.name}'
+        for section in Section.__subclasses__()
+        for field in section.fields
+    }
+    assert found == known
 
 
 def test_reference_names_metrics_and_fields(reference: str) -> None:
