--- a/src/apricotcart_standins/state_figures.py
+++ b/src/apricotcart_standins/state_figures.py
@@ -43,9 +43,10 @@
     """Measure at each scale and print one figure a line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--quick', action='store_true', help='smallest only')
-    scales = SCALES[:1] if parser.parse_args().quick else SCALES
-    for scale in scales:
-        figures = Figures(*scale)
+    parser.add_argument('--orders', type=int, default=ORDERS)
+    options = parser.parse_args()
+    for scale in SCALES[:1] if options.quick else SCALES:
+        figures = Figures(*scale, orders=options.orders)
         figures.memory()
         figures.commands()
         figures.sync()
@@ -56,8 +57,16 @@
 class Figures:
     """Figures of one scale."""
 
-    def __init__(self, customers: int, endpoints: int, hosts: int) -> None:
+    def __init__(
+        self,
+        customers: int,
+        endpoints: int,
+        hosts: int,
+        *,
+        orders: int,
+    ) -> None:
         """Build the state of the scale."""
+        self._orders = orders
         self._customers = customers
         self._endpoints = endpoints
         self._hosts = hosts
@@ -71,7 +80,7 @@
         self._put_measured(sample.keys(self._customers))
         self._put_measured(sample.endpoints(self._endpoints))
         size = _allocated(self._fill_orders)
-        self._show('bytes in memory per order record', size / ORDERS)
+        self._show('bytes in memory per order record', size / self._orders)
 
     def commands(self) -> None:
         """Measure the time of single commands, in us."""
@@ -81,9 +90,13 @@
             for number in range(2, SAMPLES + 2)
         ]
         self._time('apply of one customer', weights)
-        orders = [sample.order_begin(ORDERS + number) for number in numbers]
+        orders = [
+            sample.order_begin(self._orders + number) for number in numbers
+        ]
         self._time('order_begin', orders)
-        orders = [sample.order_finish(ORDERS + number) for number in numbers]
+        orders = [
+            sample.order_finish(self._orders + number) for number in numbers
+        ]
         self._time('order_finish', orders)
         self._time('usage_add', map(sample.usage_add, numbers))
 
@@ -145,7 +158,7 @@
         self._show(f'us to apply one {kind} to a copy', spent * _US)
 
     def _fill_orders(self) -> None:
-        for number in range(ORDERS):
+        for number in range(self._orders):
             self._state.apply(1, sample.order_begin(number))
             self._state.apply(1, sample.order_finish(number))
 
@@ -178,12 +191,12 @@
     action: Callable[[Any], object],
     samples: Iterable[object] | None = None,
 ) -> float:
-    """Give the median time in s of an action on each sample."""
+    """Give the median CPU time in s of an action on each sample."""
     spent = []
     for each in samples or range(FEW_SAMPLES):
-        started = time.perf_counter()
+        started = time.process_time()
         action(each)
-        spent.append(time.perf_counter() - started)
+        spent.append(time.process_time() - started)
     return statistics.median(spent)
 
 
