List the orders that are not done

Operators must be able to name an order with an unknown outcome, and the packed records no longer held the idempotency key. It is kept until the order is done. An index gives the open records without unpacking all.

--- a/src/apricotcart/state/machine.py
+++ b/src/apricotcart/state/machine.py
@@ -8,6 +8,7 @@
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.state.commands import CommandRunner
 from apricotcart.state.limits import Limits
+from apricotcart.state.order_records import OrderRecord
 from apricotcart.state.records import Event, Resource
 from apricotcart.state.replies import reply_of
 from apricotcart.state.tables import Tables
@@ -92,6 +93,10 @@
         """Give the revision and all resources, referenced kinds first."""
         return self.revision, tuple(self.tables.resources.store)
 
+    def unfinished_orders(self) -> Sequence[OrderRecord]:
+        """Give the orders that are not done, by their last change."""
+        return tuple(self.tables.orders.store.unfinished())
+
     def windows_due(self, now_ms: int) -> Sequence[int]:
         """Give the usage windows that can be closed at a wall-clock time."""
         return self.tables.usage.windows.due_to_close(now_ms)
--- a/src/apricotcart/state/order_records.py
+++ b/src/apricotcart/state/order_records.py
@@ -4,7 +4,7 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any, Final
 
 from apricotcart.codec.packing import pack, unpack
@@ -33,6 +33,8 @@
     ----------
     key : bytes
         Digest of customer and idempotency key.
+    idempotency_key : str
+        Empty once the order is done, when only the digest is needed.
     attempt, body_hash : bytes
         Digests of what the attempt's host sent.
     state : str
@@ -46,6 +48,7 @@
     __slots__ = (
         'key',
         'customer',
+        'idempotency_key',
         'attempt',
         'body_hash',
         'host',
@@ -64,6 +67,7 @@
         *,
         key: bytes,
         customer: str,
+        idempotency_key: str,
         attempt: bytes,
         body_hash: bytes,
         host: str,
@@ -79,6 +83,7 @@
         """Keep the fields."""
         self.key = key
         self.customer = customer
+        self.idempotency_key = idempotency_key
         self.attempt = attempt
         self.body_hash = body_hash
         self.host = host
@@ -97,6 +102,7 @@
         return cls(
             key=digest(full['customer'], full['idempotency_key']),
             customer=full['customer'],
+            idempotency_key=full['idempotency_key'],
             attempt=digest(full['attempt_id']),
             body_hash=digest(full['body_hash']),
             host=full['host'],
@@ -135,13 +141,15 @@
     takes less than half of the memory and is the one of the snapshot.
     """
 
-    __slots__ = ('_held', '_limits', '_records', 'stored_bytes')
+    __slots__ = ('_held', '_limits', '_open', '_records', 'stored_bytes')
 
     def __init__(self, limits: Limits) -> None:
         """Start empty."""
         self._limits = limits
         # Ordered, since removal from the front of a dict is not O(1).
         self._records: OrderedDict[bytes, bytes] = OrderedDict()
+        #: Keys of records that are not done, in order of their last change.
+        self._open: dict[bytes, None] = {}
         #: Count and bytes of each customer.
         self._held: dict[str, tuple[int, int]] = {}
         self.stored_bytes = 0
@@ -160,6 +168,11 @@
         blob = next(iter(self._records.values()), None)
         return OrderRecord.from_bytes(blob) if blob else None
 
+    def unfinished(self) -> Iterator[OrderRecord]:
+        """Give the records that are not done, in order of their last change."""
+        for key in self._open:
+            yield OrderRecord.from_bytes(self._records[key])
+
     def count_of(self, customer: str) -> int:
         """Count the records of a customer."""
         return self._held.get(customer, (0, 0))[0]
@@ -189,17 +202,23 @@
         """Add a record as the last changed."""
         self._records[record.key] = record.to_bytes()
         self._count(record, 1)
+        if record.state == DONE:
+            self._open.pop(record.key, None)
+        else:
+            self._open[record.key] = None
 
     def remove(self, record: OrderRecord) -> None:
         """Remove a record."""
         self._records.pop(record.key)
         self._count(record, -1)
+        self._open.pop(record.key, None)
 
     def to_wire(self) -> dict[str, Any]:
         """Give the packed records and what is counted of them."""
         return {
             'keys': list(self._records),
             'records': list(self._records.values()),
+            'open': list(self._open),
             'held': [[name, *held] for name, held in self._held.items()],
         }
 
@@ -207,6 +226,7 @@
         """Fill an empty store from ``to_wire``; no record is unpacked."""
         named = zip(wire['keys'], wire['records'], strict=True)
         self._records = OrderedDict(named)
+        self._open = dict.fromkeys(wire['open'])
         for customer, count, held_bytes in wire['held']:
             self._held[customer] = (count, held_bytes)
             self.stored_bytes += held_bytes
--- a/src/apricotcart/state/orders.py
+++ b/src/apricotcart/state/orders.py
@@ -133,6 +133,7 @@
         record.state = full['result']
         record.changed_ms = now_ms
         if record.state == DONE:
+            record.idempotency_key = ''
             record.status = full['status']
             record.content_type = full['content_type']
             record.body_kept = self.store.has_room_for(full['body'])
--- a/tests/state/test_orders.py
+++ b/tests/state/test_orders.py
@@ -84,6 +84,26 @@
     assert begin('a3')['outcome'] == 'finished'
 
 
+def test_unfinished_orders(
+    begin: Order,
+    finish: Order,
+    state: ClusterState,
+) -> None:
+    """Guards against an unknown order that operators cannot name."""
+    begin('a1')
+    begin('a2', idempotency_key='other')
+    finish('done', 'a2', idempotency_key='other')
+    finish('unknown', 'a1')
+    copy = ClusterState()
+    copy.restore(state.snapshot())
+    for each in (state, copy):
+        listed = each.unfinished_orders()
+        assert [record.idempotency_key for record in listed] == ['k']
+        assert listed[0].state == 'unknown'
+    finish('done', 'a1')
+    assert not state.unfinished_orders()
+
+
 def test_crash_before_finish_reply(begin: Order, finish: Order) -> None:
     """Guards against a resent finish that changes the outcome."""
     begin('a1')
