--- a/src/apricotcart/scheduling/dealing.py
+++ b/src/apricotcart/scheduling/dealing.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from itertools import islice
+from itertools import islice, repeat
 from typing import TYPE_CHECKING
 
+from apricotcart.endpoints.subsets import SUBSET_SIZE, Subsets
 from apricotcart.scheduling.isolation import assign_isolation
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     members: Sequence[Endpoint],
     demands: Mapping[str, Demand],
     division: Division,
+    subsets: Subsets,
 ) -> None:
     """Turn the number of slots of each host into slots by endpoint.
 
@@ -30,6 +32,10 @@
     dealer = Dealer(counts, members, division)
     for host, demand in demands.items():
         dealer.keep(host, demand.running)
+    if len(members) > SUBSET_SIZE:
+        subsets.update(demands, [endpoint.name for endpoint in members])
+        dealer.deal_within(subsets)
+        return
     # Each host's next slot is on an endpoint that it may use for suspects.
     for name, owned in assign_isolation(counts, members).items():
         dealer.give_first(name, owned)
@@ -75,6 +81,18 @@
             for host, owed in self._owed.items():
                 self._give(host, islice(slots, min(1, owed)))
 
+    def deal_within(self, subsets: Subsets) -> None:
+        """Deal the free slots of each endpoint to the hosts that use it."""
+        for name, left in self._left.items():
+            hosts = subsets.hosts_of(name)
+            for position, host in enumerate(hosts):
+                # Rounded up, so that single slots are dealt as well.
+                part = -(-left // (len(hosts) - position))
+                count = min(part, self._owed[host])
+                if count:
+                    self._give(host, repeat(name, count))
+                    left -= count
+
     def _interleaved(self) -> list[str]:
         names = sorted(self._left)
         slots: list[str] = []
--- a/src/apricotcart/scheduling/shares.py
+++ b/src/apricotcart/scheduling/shares.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
+from apricotcart.endpoints.subsets import Subsets
 from apricotcart.scheduling.dealing import Division, deal
 from apricotcart.scheduling.maxmin import Bid, max_min
 
@@ -14,7 +15,9 @@
 
 
 def divide(
-    demands: Mapping[str, Demand], endpoints: Iterable[Endpoint]
+    demands: Mapping[str, Demand],
+    endpoints: Iterable[Endpoint],
+    subsets: dict[str, Subsets] | None = None,
 ) -> Division:
     """Divide the slots of all endpoints among the live hosts.
 
@@ -25,6 +28,10 @@
     endpoints : iterable of Endpoint
         All endpoints; draining ones are left out.
 
+    subsets : dict of str to Subsets, optional
+        Hosts of each endpoint by pool, kept from call to call, so that they
+        are not computed anew for pools with many endpoints.
+
     Returns
     -------
     dict
@@ -32,25 +39,24 @@
         to more than it has.
     """
     division: Division = {host: {} for host in demands}
+    known = {} if subsets is None else subsets
+    if not demands:
+        return division
+    for pool, members in by_pool(endpoints).items():
+        total = sum(entry.slots for entry in members)
+        counts = allot(pool, total, demands)
+        chosen = known.setdefault(pool, Subsets())
+        deal(counts, members, demands, division, chosen)
+    return division
+
+
+def by_pool(endpoints: Iterable[Endpoint]) -> dict[str, list[Endpoint]]:
+    """Group the endpoints that take new work by pool."""
     pools: dict[str, list[Endpoint]] = {}
     for endpoint in endpoints:
         if not endpoint.leaving:
             pools.setdefault(endpoint.pool, []).append(endpoint)
-    if demands:
-        for pool, members in pools.items():
-            _divide_pool(pool, members, demands, division)
-    return division
-
-
-def _divide_pool(
-    pool: str,
-    members: Sequence[Endpoint],
-    demands: Mapping[str, Demand],
-    division: Division,
-) -> None:
-    total = sum(endpoint.slots for endpoint in members)
-    counts = allot(pool, total, demands)
-    deal(counts, members, demands, division)
+    return pools
 
 
 def allot(
--- /dev/null
+++ b/tests/scheduling/test_shares.py
@@ -0,0 +1,129 @@
+"""Tests of the division of endpoint slots among hosts."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from apricotcart.endpoints import subsets as subset_module
+from apricotcart.endpoints.records import Endpoint
+from apricotcart.endpoints.subsets import Subsets
+from apricotcart.scheduling.dealing import Division
+from apricotcart.scheduling.decisions import Demand, TierDemand
+from apricotcart.scheduling.isolation import assign_isolation
+from apricotcart.scheduling.shares import allot, divide
+
+ENDPOINTS = [Endpoint(name=f'e{number}', pool='p', slots=8) for number in '123']
+
+
+def demand(*tiers: int, running: dict[str, int] | None = None) -> Demand:
+    """Build a demand from the queued requests of tiers 0, 1, 2."""
+    entries = [
+        TierDemand(pool='p', tier=number, queued=queued)
+        for number, queued in enumerate(tiers)
+    ]
+    return Demand(tiers=entries, running=running)
+
+
+def used(division: Division, endpoint: str) -> int:
+    """Count the slots of an endpoint that all hosts got."""
+    return sum(share.get(endpoint, 0) for share in division.values())
+
+
+def test_allot_higher_tier_first() -> None:
+    """Guards against a low tier on one host before a high one on another."""
+    counts = allot('p', 24, {'a': demand(20, 0), 'b': demand(0, 50)})
+    assert counts == {'a': 20, 'b': 4}
+
+
+def test_allot_idle_share_is_used() -> None:
+    """Guards against an idle host that keeps slots others need."""
+    counts = allot('p', 24, {'a': demand(90), 'b': demand(), 'c': demand()})
+    assert counts == {'a': 22, 'b': 1, 'c': 1}
+
+
+def test_allot_without_demand() -> None:
+    """Guards against a host that cannot send its first requests."""
+    counts = allot('p', 24, {host: demand() for host in 'abcdef'})
+    assert set(counts.values()) == {4}
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from('abcdef'),
+        st.tuples(*(st.integers(0, 40) for _ in range(3))),
+        min_size=1,
+    ),
+)
+def test_divide_never_overruns(
+    queued: dict[str, tuple[int, int, int]],
+) -> None:
+    """Guards against hosts that together overrun an endpoint.
+
+    The second division follows other demands while the slots of the first
+    one are occupied.
+    """
+    demands = {host: demand(*tiers) for host, tiers in queued.items()}
+    first = divide(demands, ENDPOINTS)
+    turned = dict(zip(queued, reversed(list(queued.values())), strict=True))
+    second = divide(
+        {
+            host: demand(*tiers, running=first[host])
+            for host, tiers in turned.items()
+        },
+        ENDPOINTS,
+    )
+    for endpoint in ENDPOINTS:
+        occupied = sum(
+            max(first[host].get(endpoint.name, 0), share.get(endpoint.name, 0))
+            for host, share in second.items()
+        )
+        assert used(first, endpoint.name) <= 8
+        assert occupied <= 8
+
+
+def test_divide_draining_endpoint() -> None:
+    """Guards against new work for a draining endpoint."""
+    leaving = Endpoint(name='e0', pool='p', slots=8, leaving=True)
+    division = divide({'a': demand(90)}, [leaving, *ENDPOINTS])
+    assert used(division, 'e0') == 0
+
+
+def test_isolation_has_one_host() -> None:
+    """Guards against two hosts whose suspects share an endpoint."""
+    endpoints = [Endpoint(name=f'e{number}', pool='p') for number in range(6)]
+    owned = assign_isolation('abcdef', endpoints)
+    assert sum(len(names) for names in owned.values()) == 6
+    assert len(set.union(*owned.values())) == 6
+
+
+@pytest.fixture
+def many() -> list[str]:
+    """Give the names of more endpoints than each host uses."""
+    return [f'e{number}' for number in range(300)]
+
+
+def test_subsets_cover_and_are_stable(many: list[str]) -> None:
+    """Guards against an endpoint without hosts, and against big moves."""
+    hosts = [f'h{number}' for number in range(30)]
+    kept, fresh = Subsets(), Subsets()
+    kept.update(hosts, many)
+    before = {name: kept.hosts_of(name) for name in many}
+    assert min(len(names) for names in before.values()) >= 2
+    kept.update(hosts[1:], many)
+    fresh.update(hosts[1:], many)
+    for name in many:
+        assert kept.hosts_of(name) == fresh.hosts_of(name)
+        if 'h0' not in before[name]:
+            assert kept.hosts_of(name) == before[name]
+
+
+def test_divide_many_endpoints(many: list[str]) -> None:
+    """Guards against a host that connects to every endpoint."""
+    endpoints = [Endpoint(name=name, pool='p', slots=8) for name in many]
+    demands = {f'h{number}': demand(40) for number in range(30)}
+    division = divide(demands, endpoints)
+    sizes = [len(share) for share in division.values()]
+    assert max(sizes) < 2 * subset_module.SUBSET_SIZE
+    assert all(used(division, name) <= 8 for name in many)
