--- a/src/apricotcart/endpoints/affinity.py
+++ b/src/apricotcart/endpoints/affinity.py
@@ -4,6 +4,10 @@
 
 import math
 from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from apricotcart.endpoints.records import CacheEvent
 
 # An engine's cache is limited; after this time a prefix is probably gone.
 PREFIX_LIFETIME_S = 60.0
@@ -21,12 +25,13 @@
     latencies what another customer asked.
     """
 
-    __slots__ = ('_holders', '_gap_at', '_sequence')
+    __slots__ = ('_holders', '_gap_at', '_lost_at', '_sequence')
 
     def __init__(self) -> None:
         """Start empty."""
         self._holders: OrderedDict[_Key, dict[str, float]] = OrderedDict()
         self._gap_at: dict[str, float] = {}
+        self._lost_at: dict[str, float] = {}
         self._sequence: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -59,10 +64,17 @@
         if last is not None and sequence != last + 1:
             self._gap_at[endpoint] = now
 
-    def forget_endpoint(self, endpoint: str) -> None:
+    def on_event(self, now: float, endpoint: str, event: CacheEvent) -> None:
+        """Take in a cache event."""
+        self.on_sequence(now, endpoint, event.sequence)
+        if event.stored:
+            self.stored(now, endpoint, event.customer, event.prefix_hash)
+        else:
+            self.evicted(endpoint, event.customer, event.prefix_hash)
+
+    def forget_endpoint(self, now: float, endpoint: str) -> None:
         """Note that the endpoint lost its whole cache."""
-        for holders in self._holders.values():
-            holders.pop(endpoint, None)
+        self._lost_at[endpoint] = now
 
     def holders(
         self, now: float, customer: str, prefix: str
@@ -74,6 +86,7 @@
         return {
             endpoint: self._probability(now, endpoint, stored_at)
             for endpoint, stored_at in holders.items()
+            if stored_at > self._lost_at.get(endpoint, -math.inf)
         }
 
     def _probability(
--- a/src/apricotcart/endpoints/records.py
+++ b/src/apricotcart/endpoints/records.py
@@ -91,3 +91,28 @@
         self.queue = queue
         self.token_rate = token_rate
         self.measured_at = measured_at
+
+
+class CacheEvent(Record):
+    """A change of an engine's prefix cache.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the event; a gap shows that events were lost.
+    customer, prefix_hash : str
+        The prefix.
+    stored : bool
+        Whether the engine now holds the prefix.
+    """
+
+    __slots__ = ('sequence', 'customer', 'prefix_hash', 'stored')
+
+    def __init__(
+        self, *, sequence: int, customer: str, prefix_hash: str, stored: bool
+    ) -> None:
+        """Keep the fields."""
+        self.sequence = sequence
+        self.customer = customer
+        self.prefix_hash = prefix_hash
+        self.stored = stored
--- a/src/apricotcart/scheduling/ledger.py
+++ b/src/apricotcart/scheduling/ledger.py
@@ -37,11 +37,3 @@
     def advance(self, customer: str) -> None:
         """Move the floor to the customer that is served now."""
         self._floor = max(self._floor, self.used(customer))
-
-    def forget_idle(self, active: set[str]) -> None:
-        """Drop customers that are idle and not ahead of the floor."""
-        self._used = {
-            customer: used
-            for customer, used in self._used.items()
-            if customer in active or used > self._floor
-        }
--- a/src/apricotcart/scheduling/scheduler.py
+++ b/src/apricotcart/scheduling/scheduler.py
@@ -12,7 +12,11 @@
 from apricotcart.scheduling.tables import Tables
 
 if TYPE_CHECKING:
-    from apricotcart.endpoints.records import Endpoint, LoadReport
+    from apricotcart.endpoints.records import (
+        CacheEvent,
+        Endpoint,
+        LoadReport,
+    )
     from apricotcart.endpoints.suspects import SuspectTable
     from apricotcart.scheduling.decisions import Decision, Demand
     from apricotcart.scheduling.entries import Entry
@@ -145,6 +149,12 @@
         if row is not None:
             row.on_report(report)
 
+    def on_cache_event(
+        self, now: float, endpoint: str, event: CacheEvent
+    ) -> None:
+        """Take in a late cache event of an endpoint."""
+        self._tables.prefixes.on_event(now, endpoint, event)
+
     def set_share(
         self,
         now: float,
@@ -165,7 +175,7 @@
         """
         self._tables.endpoints.isolation = frozenset(isolation)
         self._tables.endpoints.set_share(now, endpoint_limits)
-        self._mark_dirty()
+        self._tables.mark_dirty()
 
     def tick(self, now: float) -> list[Decision]:
         """Run the systems and give the decisions."""
@@ -173,7 +183,7 @@
         admission.expire(tables, now)
         tables.mark_late(now)
         if tables.endpoints.tick(now):
-            self._mark_dirty()
+            self._tables.mark_dirty()
         made: list[Decision] = list(tables.sheds)
         tables.sheds.clear()
         for pool in tables.pools.values():
@@ -185,15 +195,11 @@
         """Give the queued and running requests by pool and tier."""
         return demands.measure(self._tables)
 
-    def _mark_dirty(self) -> None:
-        for pool in self._tables.pools.values():
-            pool.dirty = True
-
 
 def _learn(tables: Tables, now: float, entry: Entry, outcome: str) -> None:
     fingerprint = entry.req.fingerprint
     if outcome == outcomes.CRASHED:
-        tables.prefixes.forget_endpoint(entry.endpoint)
+        tables.prefixes.forget_endpoint(now, entry.endpoint)
         row = tables.endpoints.rows.get(entry.endpoint)
         if row is not None and row.blames_requests():
             tables.suspects.on_crash(now, fingerprint, entry.endpoint)
--- a/src/apricotcart/scheduling/tables.py
+++ b/src/apricotcart/scheduling/tables.py
@@ -86,6 +86,11 @@
             self.pools[name] = pool
         return pool
 
+    def mark_dirty(self) -> None:
+        """Let the next tick look at all pools."""
+        for pool in self.pools.values():
+            pool.dirty = True
+
     def enqueue(self, entry: Entry) -> None:
         """Put the entry in its queue."""
         pool = self.pool(entry.req.pool)
--- a/tests/endpoints/test_endpoints.py
+++ b/tests/endpoints/test_endpoints.py
@@ -11,7 +11,7 @@
 
 from apricotcart.endpoints.affinity import PrefixTable
 from apricotcart.endpoints.limits import AdaptiveLimit
-from apricotcart.endpoints.records import Endpoint, LoadReport
+from apricotcart.endpoints.records import CacheEvent, Endpoint, LoadReport
 from apricotcart.endpoints.selection import Need
 from apricotcart.endpoints.suspects import SuspectTable
 from apricotcart.endpoints.table import EndpointTable
@@ -165,12 +165,28 @@
     table.stored(0, 'e1', 'a', 'hash')
     before = table.holders(1, 'a', 'hash')['e1']
     table.on_sequence(1, 'e1', 5)
-    table.on_sequence(1, 'e1', 9)
+    event = CacheEvent(
+        sequence=9, customer='a', prefix_hash='other', stored=True
+    )
+    table.on_event(1, 'e1', event)
     assert table.holders(1, 'a', 'hash')['e1'] < before
-    table.evicted('e1', 'a', 'hash')
+    event = CacheEvent(
+        sequence=10, customer='a', prefix_hash='hash', stored=False
+    )
+    table.on_event(1, 'e1', event)
     assert not table.holders(1, 'a', 'hash')
 
 
+def test_prefix_after_crash() -> None:
+    """Guards against trust in the cache of an engine that restarted."""
+    table = PrefixTable()
+    table.stored(0, 'e1', 'a', 'hash')
+    table.forget_endpoint(1, 'e1')
+    assert not table.holders(2, 'a', 'hash')
+    table.stored(3, 'e1', 'a', 'hash')
+    assert table.holders(3, 'a', 'hash')
+
+
 def test_prefix_is_separate_for_each_customer() -> None:
     """Guards against a customer that learns of another's prompts."""
     table = PrefixTable()
