State truthfully whether a shed request may have run

Cause: a retry that is shed had the same decision as a request that never left, so that the entry process would have answered not_run after an attempt that reached an endpoint. Shed now carries run_state. A request that the reserve held back is looked at on each tick, since only time may end that, and a submit of a known request is ignored.

--- a/src/apricotcart/endpoints/outcomes.py
+++ b/src/apricotcart/endpoints/outcomes.py
@@ -12,3 +12,6 @@
 CRASHED = 'crashed'
 # No connection could be made, so that nothing of the request was sent.
 UNREACHABLE = 'unreachable'
+
+# After these the attempt certainly did not run.
+NOT_RUN_OUTCOMES = frozenset((REFUSED, UNREACHABLE))
--- a/src/apricotcart/scheduling/admission.py
+++ b/src/apricotcart/scheduling/admission.py
@@ -19,19 +19,24 @@
 
 
 def admit(tables: Tables, now: float, req: QueuedRequest) -> None:
-    """Queue the request, or note why it is refused."""
+    """Queue the request, or note why it is refused.
+
+    A request that is already queued or running is left as it is.
+    """
+    if tables.is_known(req.request_id):
+        return
     service_class = tables.classes.get(req.class_name)
     if service_class is None:
         tables.shed(now, req, decisions.SHED_UNKNOWN_CLASS)
         return
-    if tables.suspects.is_quarantined(now, req.fingerprint):
-        tables.shed(now, req, decisions.SHED_QUARANTINED)
-        return
     entry = Entry(req, service_class, now)
     entry.follow(tables.earlier.pop(req.request_id, None))
+    if tables.suspects.is_quarantined(now, req.fingerprint):
+        tables.shed(now, req, decisions.SHED_QUARANTINED, entry.run_state)
+        return
     _estimate(tables, entry)
     if entry.expire_at <= now:
-        tables.shed(now, req, decisions.SHED_DEADLINE)
+        tables.shed(now, req, entry.expire_reason, entry.run_state)
         return
     tables.enqueue(entry)
     tables.pools[req.pool].on_arrival(now, entry.tier)
@@ -72,4 +77,4 @@
 def _shed_queued(tables: Tables, now: float, entry: Entry, reason: str) -> None:
     tables.dequeue(entry)
     tables.pools[entry.req.pool].on_shed(now, entry.tier)
-    tables.shed(now, entry.req, reason)
+    tables.shed(now, entry.req, reason, entry.run_state)
--- a/src/apricotcart/scheduling/decisions.py
+++ b/src/apricotcart/scheduling/decisions.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from apricotcart.codec.record import Record
+from apricotcart.errors.tree import NOT_RUN
 
 SHED_QUEUE_FULL = 'queue_full'
 SHED_MAX_WAIT = 'max_wait'
@@ -26,7 +27,7 @@
 
 
 class Shed(Record):
-    """The request is refused and has not run.
+    """The request is refused.
 
     Parameters
     ----------
@@ -36,14 +37,23 @@
         One of the ``SHED_`` constants.
     retry_after_s : float
         Seconds after which a new attempt is sensible.
+    run_state : str
+        ``not_run``, or ``may_have_run`` if an earlier attempt of the request
+        reached an endpoint.
     """
 
-    __slots__ = ('request_id', 'reason', 'retry_after_s')
+    __slots__ = ('request_id', 'reason', 'retry_after_s', 'run_state')
 
     def __init__(
-        self, *, request_id: str, reason: str, retry_after_s: float
+        self,
+        *,
+        request_id: str,
+        reason: str,
+        retry_after_s: float,
+        run_state: str = NOT_RUN,
     ) -> None:
         """Keep the fields."""
+        self.run_state = run_state
         self.request_id = request_id
         self.reason = reason
         self.retry_after_s = retry_after_s
--- a/src/apricotcart/scheduling/dispatching.py
+++ b/src/apricotcart/scheduling/dispatching.py
@@ -22,7 +22,9 @@
     while decision is not None:
         made.append(decision)
         decision = _next(tables, now, pool)
-    pool.dirty = False
+    # What holds a request back while slots are free may end with time alone.
+    free = tables.endpoints.free_slots(pool.name)
+    pool.dirty = bool(free and pool.queue.size)
     return made
 
 
--- a/src/apricotcart/scheduling/entries.py
+++ b/src/apricotcart/scheduling/entries.py
@@ -5,6 +5,9 @@
 import math
 from typing import TYPE_CHECKING
 
+from apricotcart.endpoints.outcomes import NOT_RUN_OUTCOMES
+from apricotcart.errors.tree import MAY_HAVE_RUN, NOT_RUN
+
 if TYPE_CHECKING:
     from apricotcart.scheduling.records import QueuedRequest, ServiceClass
 
@@ -23,7 +26,6 @@
     __slots__ = (
         'req',
         'tier',
-        'class_name',
         'enqueued_at',
         'deadline_at',
         'expire_at',
@@ -37,6 +39,7 @@
         'suspect',
         'late_at',
         'late',
+        'run_state',
     )
 
     def __init__(
@@ -45,7 +48,6 @@
         """Start in the queue at ``now``."""
         self.req = req
         self.tier = service_class.tier
-        self.class_name = service_class.name
         self.enqueued_at = now
         self.deadline_at = req.deadline_at or now + service_class.total_s
         self.expire_at = self.enqueued_at + service_class.max_wait_s
@@ -60,6 +62,7 @@
         # After this time the first token misses the target of the class.
         self.late_at = self.enqueued_at + service_class.first_token_s
         self.late = False
+        self.run_state = NOT_RUN
 
     def follow(self, earlier: Entry | None) -> None:
         """Continue after an earlier attempt.
@@ -69,6 +72,7 @@
         """
         if earlier is None:
             return
+        self.run_state = earlier.run_state
         waited_s = earlier.dispatched_at - earlier.enqueued_at
         self.enqueued_at -= waited_s
         self.expire_at -= waited_s
@@ -76,6 +80,11 @@
         if earlier.first_byte_at or earlier.late_at == math.inf:
             self.late_at = math.inf
 
+    def on_end(self, outcome: str) -> None:
+        """Note whether the attempt may have run."""
+        if outcome not in NOT_RUN_OUTCOMES:
+            self.run_state = MAY_HAVE_RUN
+
     def cost(self) -> float:
         """Give the tokens used so far, prompt tokens at a lower cost."""
         return self.tokens + PROMPT_TOKEN_COST * self.req.prompt_tokens
--- a/src/apricotcart/scheduling/queues.py
+++ b/src/apricotcart/scheduling/queues.py
@@ -185,6 +185,11 @@
         queue = self.tiers.get(tier)
         return 0 if queue is None else queue.size
 
+    def has_backlog(self, tier: int, customer: str) -> bool:
+        """Tell whether the customer has queued requests in the tier."""
+        queue = self.tiers.get(tier)
+        return queue is not None and customer in queue.customers
+
     def backlogged(self) -> Iterator[tuple[int, TierQueue]]:
         """Give the tiers with a backlog from the highest down."""
         for number, tier in self.tiers.items():
--- a/src/apricotcart/scheduling/scheduler.py
+++ b/src/apricotcart/scheduling/scheduler.py
@@ -204,6 +204,7 @@
         if row is not None and row.blames_requests():
             tables.suspects.on_crash(now, fingerprint, entry.endpoint)
     if outcome != outcomes.OK:
+        entry.on_end(outcome)
         tables.keep_attempt(entry)
         return
     tables.suspects.on_finished(fingerprint)
--- a/src/apricotcart/scheduling/tables.py
+++ b/src/apricotcart/scheduling/tables.py
@@ -9,6 +9,7 @@
 from apricotcart.endpoints.affinity import PrefixTable
 from apricotcart.endpoints.suspects import SuspectTable
 from apricotcart.endpoints.table import EndpointTable
+from apricotcart.errors.tree import NOT_RUN
 from apricotcart.scheduling.decisions import Shed
 from apricotcart.scheduling.history import History
 from apricotcart.scheduling.pools import Pool
@@ -95,7 +96,11 @@
         """Put the entry in its queue."""
         pool = self.pool(entry.req.pool)
         ledger = pool.ledger(entry.tier)
-        pool.queue.add(entry, ledger.activate(entry.req.customer))
+        customer = entry.req.customer
+        if pool.queue.has_backlog(entry.tier, customer):
+            pool.queue.add(entry, ledger.used(customer))
+        else:
+            pool.queue.add(entry, ledger.activate(customer))
         pool.dirty = True
         self.queued[entry.request_id] = entry
         self._sequence += 1
@@ -128,8 +133,18 @@
             pool.queue.add(entry, ledger.used(entry.req.customer))
             entry = self._due(self._lateness, now)
 
-    def shed(self, now: float, req: QueuedRequest, reason: str) -> None:
-        """Note the decision to refuse a request that has not run."""
+    def is_known(self, request_id: str) -> bool:
+        """Tell whether the request is queued or running."""
+        return request_id in self.queued or request_id in self.running
+
+    def shed(
+        self,
+        now: float,
+        req: QueuedRequest,
+        reason: str,
+        run_state: str = NOT_RUN,
+    ) -> None:
+        """Note the decision to refuse a request."""
         retry_after_s = self.pool(req.pool).retry_after_s(now)
         spread = 1 + _RETRY_AFTER_SPREAD * self.rng.random()
         self.sheds.append(
@@ -137,6 +152,7 @@
                 request_id=req.request_id,
                 reason=reason,
                 retry_after_s=retry_after_s * spread,
+                run_state=run_state,
             )
         )
 
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from scheduling.conftest import MakeRequest, MakeScheduler
 
 from apricotcart.scheduling.decisions import Decision, Dispatch, Shed
@@ -54,6 +55,51 @@
     assert shed(scheduler.tick(0)) == ['l2', 'l1', 'l3']
 
 
+@pytest.mark.parametrize(
+    ('outcome', 'run_state'),
+    [('unreachable', 'not_run'), ('crashed', 'may_have_run')],
+)
+def test_scheduler_shed_of_retry_tells_run_state(
+    make_scheduler: MakeScheduler,
+    make_request: MakeRequest,
+    outcome: str,
+    run_state: str,
+) -> None:
+    """Guards against a false not_run after an attempt that reached one."""
+    scheduler = make_scheduler()
+    scheduler.submit(0, make_request('r'))
+    scheduler.tick(0)
+    scheduler.on_finish(1, 'r', outcome)
+    scheduler.submit(1, make_request('r', deadline_at=1))
+    made = scheduler.tick(1)
+    assert isinstance(made[0], Shed)
+    assert made[0].run_state == run_state
+
+
+def test_scheduler_reserve_ends_with_time(
+    make_scheduler: MakeScheduler, make_request: MakeRequest
+) -> None:
+    """Guards against a low request that waits for an event forever."""
+    scheduler = make_scheduler(slots=4)
+    for number in range(3):
+        scheduler.submit(0, make_request(f'h{number}'))
+    scheduler.submit(0, make_request('l', class_name='low'))
+    assert dispatched(scheduler.tick(0)) == ['h0', 'h1', 'h2']
+    assert dispatched(scheduler.tick(25)) == ['l']
+
+
+def test_scheduler_repeated_submit(
+    make_scheduler: MakeScheduler, make_request: MakeRequest
+) -> None:
+    """Guards against a request that is queued twice."""
+    scheduler = make_scheduler(slots=2)
+    scheduler.submit(0, make_request('r'))
+    scheduler.submit(0, make_request('r'))
+    assert dispatched(scheduler.tick(0)) == ['r']
+    scheduler.submit(0, make_request('r'))
+    assert not scheduler.tick(0)
+
+
 def test_scheduler_max_wait(
     make_scheduler: MakeScheduler, make_request: MakeRequest
 ) -> None:
