Keep the spot bounds when endpoints are released

Cause: releases took regular endpoints first, so a shrinking pool ended with up to 66.7% of its endpoints as spot endpoints of one zone (bound: 20%). Change: releases take spot endpoints above the bounds of the smaller pool before the most expensive ones. The rest is one endpoint too many while a pool shrinks and the loss of other endpoints when a zone is reclaimed.

--- a/src/apricotcart/platform/capacity.py
+++ b/src/apricotcart/platform/capacity.py
@@ -6,7 +6,7 @@
 
 from apricotcart.platform.api import System
 from apricotcart.platform.inventory import RECLAIMING, RUNNING, STARTING
-from apricotcart.platform.placement import release_order
+from apricotcart.platform.placement import place_of
 from apricotcart.platform.proposals import set_status
 from apricotcart.platform.sizing import PoolSizer
 
@@ -114,8 +114,12 @@
         if missing > 0:
             self._order(now, pool, present, size)
         elif missing < 0 and self._may_release(now, pool):
-            ordered = release_order(present, self._inventory.prices)
-            for endpoint in ordered[:-missing]:
+            surplus = self._placement.choose_releases(
+                present,
+                self._inventory.prices,
+                size,
+            )
+            for endpoint in surplus:
                 self._fleet.retire(endpoint)
         self._show(pool, size, present)
 
@@ -128,7 +132,7 @@
     ) -> None:
         chosen = self._placement.choose(
             now,
-            [(endpoint['zone'], endpoint['cheap']) for endpoint in present],
+            map(place_of, present),
             self._inventory.prices,
             size,
             size - len(present),
--- a/src/apricotcart/platform/placement.py
+++ b/src/apricotcart/platform/placement.py
@@ -4,17 +4,21 @@
 
 import math
 from collections import Counter
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, TypeAlias
 
 from apricotcart.codec.record import Record
+from apricotcart.platform.inventory import RUNNING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Sequence
 
     from apricotcart.platform.backoff import Backoff
 
 # A place is a zone and whether spot capacity is meant.
 Place: TypeAlias = tuple[str, bool]
+Prices: TypeAlias = Mapping[str, Mapping[str, float]]
+Endpoint: TypeAlias = Mapping[str, Any]
 
 
 class SpotRule(Record):
@@ -64,7 +68,7 @@
         self,
         now: float,
         places: Iterable[Place],
-        prices: Mapping[str, Mapping[str, float]],
+        prices: Prices,
         size: int,
         missing: int,
     ) -> Counter[Place]:
@@ -98,19 +102,80 @@
             chosen[place] += 1
         return chosen
 
-    def may_add_spot(self, held: Counter[Place], zone: str, size: int) -> bool:
-        """Tell whether one more spot endpoint of a zone is in bounds."""
-        spot = sum(held[place] for place in held if place[1])
+    def choose_releases(
+        self,
+        endpoints: Sequence[Endpoint],
+        prices: Prices,
+        size: int,
+    ) -> list[Endpoint]:
+        """Choose the endpoints to release.
+
+        Endpoints that still start come first, since they do no work. Then
+        come spot endpoints above the bounds of the smaller pool, in the zone
+        that holds most of them, and then the most expensive endpoints.
+
+        Parameters
+        ----------
+        endpoints : sequence of mapping
+            Present endpoints of the pool.
+        prices : mapping
+            ``regular`` and ``cheap`` price by zone.
+        size : int
+            Endpoints the pool is to keep.
+
+        Returns
+        -------
+        list of mapping
+            The endpoints to release.
+        """
+        kept = sorted(endpoints, key=lambda endpoint: endpoint['name'])
+        released = []
+        while len(kept) > size:
+            chosen = self._first_release(kept, prices, size)
+            kept.remove(chosen)
+            released.append(chosen)
+        return released
+
+    def _first_release(
+        self,
+        kept: Sequence[Endpoint],
+        prices: Prices,
+        size: int,
+    ) -> Endpoint:
+        held = Counter(map(place_of, kept))
+        return max(
+            kept,
+            key=lambda endpoint: (
+                endpoint['state'] != RUNNING,
+                self._excess(held, place_of(endpoint), size),
+                price_of(prices, place_of(endpoint)),
+                _in_zone(held, endpoint['zone']),
+            ),
+        )
+
+    def _may_add_spot(
+        self,
+        held: Counter[Place],
+        zone: str,
+        size: int,
+    ) -> bool:
+        place = (zone, True)
+        return not self._excess(held + Counter([place]), place, size)
+
+    def _excess(self, held: Counter[Place], place: Place, size: int) -> int:
+        if not place[1]:
+            return 0
+        spot = sum(held[other] for other in held if other[1])
         total_bound = math.floor(size * self._rule.total_share)
         zone_bound = math.floor(size * self._rule.zone_share)
-        in_zone = held[(zone, True)]
-        return spot < total_bound and in_zone < zone_bound
+        excess = max(spot - total_bound, held[place] - zone_bound)
+        return max(excess, 0)
 
     def _cheapest(
         self,
         now: float,
         held: Counter[Place],
-        prices: Mapping[str, Mapping[str, float]],
+        prices: Prices,
         size: int,
     ) -> Place | None:
         candidates = [
@@ -118,13 +183,18 @@
             for zone in prices
             for place in ((zone, True), (zone, False))
             if not self._backoff.is_paused(now, place)
-            and (not place[1] or self.may_add_spot(held, zone, size))
+            and (not place[1] or self._may_add_spot(held, zone, size))
         ]
         return min(candidates)[2] if candidates else None
 
 
+def place_of(endpoint: Endpoint) -> Place:
+    """Give the place of an endpoint in the platform's list."""
+    return endpoint['zone'], endpoint['cheap']
+
+
 def price_of(
-    prices: Mapping[str, Mapping[str, float]],
+    prices: Prices,
     place: Place,
 ) -> float:
     """Give the price of a place; unknown ones cost most."""
@@ -132,27 +202,5 @@
     return prices.get(place[0], {}).get(kind, math.inf)
 
 
-def release_order(
-    endpoints: Iterable[Mapping[str, Any]],
-    prices: Mapping[str, Mapping[str, float]],
-) -> list[Mapping[str, Any]]:
-    """Sort endpoints by what is released first.
-
-    Endpoints that still start come first, since they do no work; then the
-    most expensive ones, in the zone that holds most endpoints.
-    """
-    listed = list(endpoints)
-    zones = Counter(endpoint['zone'] for endpoint in listed)
-    return sorted(
-        listed,
-        key=lambda endpoint: (
-            endpoint['state'] == 'running',
-            -price_of(prices, (endpoint['zone'], endpoint['cheap'])),
-            -zones[endpoint['zone']],
-            endpoint['name'],
-        ),
-    )
-
-
 def _in_zone(held: Counter[Place], zone: str) -> int:
     return held[(zone, True)] + held[(zone, False)]
