--- a/src/apricotcart_standins/options.py
+++ b/src/apricotcart_standins/options.py
@@ -24,6 +24,10 @@
     ('--seed', int, 1, 'seed of the losses'),
 )
 
+_SERVICE_NUMBERS: tuple[_Number, ...] = (
+    ('--answer-s', float, 0, 'time an answer takes, seconds'),
+)
+
 _PLATFORM_NUMBERS: tuple[_Number, ...] = (
     ('--capacity', int, 100, 'regular endpoints per zone'),
     ('--cheap-capacity', int, 20, 'spot endpoints per zone'),
@@ -45,7 +49,7 @@
     )
     kinds = parser.add_subparsers(dest='kind', required=True)
     _add_engine(_add_kind(kinds, 'engine'))
-    _add_kind(kinds, 'service')
+    _add_numbers(_add_kind(kinds, 'service'), _SERVICE_NUMBERS)
     _add_platform(_add_kind(kinds, 'platform'))
     _add_relay(_add_kind(kinds, 'relay'))
     return parser
--- a/src/apricotcart_standins/service.py
+++ b/src/apricotcart_standins/service.py
@@ -6,7 +6,11 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from apricotcart_standins.api import StandIn, apply_entry_faults
+from apricotcart_standins.api import (
+    StandIn,
+    apply_entry_faults,
+    wait_unless_gone,
+)
 from apricotcart_standins.web import STATUS_OK
 
 if TYPE_CHECKING:
@@ -26,11 +30,17 @@
     ``GET /counts`` gives the counts by key and the number of calls. The
     fault ``fail_before`` cuts the connection before the order is counted,
     ``fail_after`` after it.
+
+    Parameters
+    ----------
+    answer_s : float
+        Time an answer takes, in seconds; the fault ``slow`` multiplies it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, answer_s: float = 0) -> None:
         """Start with no orders counted."""
         super().__init__()
+        self._answer_s = answer_s
         self._lock = threading.Lock()
         self._counts: Counter[str] = Counter()
         self._calls = 0
@@ -39,7 +49,7 @@
     @classmethod
     def from_options(cls, options: argparse.Namespace) -> ServiceStandIn:
         """Build it from the command line."""
-        return cls()
+        return cls(options.answer_s)
 
     def answer(self, call: Call) -> None:
         """Count and echo one request."""
@@ -52,6 +62,7 @@
         self._count(call.header(_ORDER_HEADER))
         if plan.fail_after:
             call.cut()
+        wait_unless_gone(call, self._answer_s * plan.slow)
         body, request_id = self._choose_answer(call, swap=plan.swap)
         content_type = call.header('Content-Type', 'application/octet-stream')
         if plan.truncate is not None:
