Show refusals on the pool, and discard reset connections in the relay

Cause: a pool that stayed short gave no reason. The relay passed on bytes of a connection that its client had reset during a partition, which TCP would not have done. Change: the pool's status lists the places without capacity and the last failure; the relay drops what it held back when the source was reset. Result: a report abandoned at its deadline during a partition does not arrive once the partition ends; with a plain close in place of the reset it does (test_client_abandons_unsent, both variants).

--- a/src/apricotcart/platform/capacity.py
+++ b/src/apricotcart/platform/capacity.py
@@ -100,6 +100,8 @@
             sizer.observe(now, self._fleet_view.slots_needed(pool))
             if self._is_settled(now, pool):
                 self._adjust(now, pool, sizer.size())
+            if self._inventory.is_fresh(now, NEVER):
+                self._show(now, pool, sizer.size())
         self._orders.tick(now)
 
     def _is_settled(self, now: float, pool: str) -> bool:
@@ -121,7 +123,6 @@
             )
             for endpoint in surplus:
                 self._fleet.retire(endpoint)
-        self._show(pool, size, present)
 
     def _order(
         self,
@@ -154,18 +155,19 @@
         watched_s = now - (self._since or now)
         return watched_s >= self._rules[pool].release_after_s
 
-    def _show(
-        self,
-        pool: str,
-        size: int,
-        present: list[dict[str, Any]],
-    ) -> None:
+    def _show(self, now: float, pool: str, size: int) -> None:
+        present = self._present(pool)
         states = [endpoint['state'] for endpoint in present]
         status = {
             'desired': size,
             RUNNING: states.count(RUNNING),
             STARTING: states.count(STARTING),
             'cheap': sum(endpoint['cheap'] for endpoint in present),
+            'no_capacity': self._placement.paused(
+                now,
+                self._inventory.prices,
+            ),
+            'failure': self._orders.failures.get(pool, ''),
         }
         if status == self._statuses.get(pool):
             return
--- a/src/apricotcart/platform/orders.py
+++ b/src/apricotcart/platform/orders.py
@@ -55,6 +55,13 @@
         Where orders go.
     backoff : Backoff
         Pauses of places without capacity.
+
+    Attributes
+    ----------
+    changed_at : dict
+        Time of the last accepted order by pool.
+    failures : dict
+        By pool, the code of a failure that lasts, such as ``no_answer``.
     """
 
     __slots__ = (
@@ -64,6 +71,7 @@
         '_open',
         '_outbox',
         'changed_at',
+        'failures',
     )
 
     def __init__(
@@ -79,6 +87,7 @@
         self._numbers = count(1)
         self._open: dict[str, Order] = {}
         self.changed_at: dict[str, float] = {}
+        self.failures: dict[str, str] = {}
 
     def add(self, now: float, pool: str, place: Place, amount: int) -> None:
         """Open an order."""
@@ -109,6 +118,7 @@
         """Forget all orders."""
         self._open.clear()
         self.changed_at.clear()
+        self.failures.clear()
         self._backoff.clear()
 
     def _send(self, order: Order) -> None:
@@ -131,12 +141,14 @@
         if answer.is_ok:
             self._open.pop(order.op_id)
             self.changed_at[order.pool] = now
+            self.failures.pop(order.pool, None)
             self._backoff.succeed(order.place)
         elif answer.code == NO_CAPACITY:
             self._open.pop(order.op_id)
             self._on_no_capacity(now, order)
         else:
             order.due = now + RESEND_S
+            self.failures[order.pool] = answer.code or f'{answer.status}'
 
     def _on_no_capacity(self, now: float, order: Order) -> None:
         if order.amount > 1:
--- a/src/apricotcart/platform/placement.py
+++ b/src/apricotcart/platform/placement.py
@@ -102,6 +102,15 @@
             chosen[place] += 1
         return chosen
 
+    def paused(self, now: float, prices: Prices) -> list[str]:
+        """Name the places that had no capacity, as ``zone/kind``."""
+        return [
+            f'{zone}/{kind}'
+            for zone in sorted(prices)
+            for kind, is_spot in (('cheap', True), ('regular', False))
+            if self._backoff.is_paused(now, (zone, is_spot))
+        ]
+
     def choose_releases(
         self,
         endpoints: Sequence[Endpoint],
--- a/src/apricotcart_standins/relay/control.py
+++ b/src/apricotcart_standins/relay/control.py
@@ -54,6 +54,7 @@
         self._delay_s: float = 0
         self._cut = ''
         self._refuse = False
+        self._resets = 0
         self._pairs: list[tuple[socket.socket, socket.socket]] = []
         self._listener = socket.create_server(listen, backlog=_BACKLOG)
         threading.Thread(target=self._accept_all, daemon=True).start()
@@ -70,29 +71,32 @@
         port: int = self._listener.getsockname()[1]
         return port
 
+    def set_faults(self, fields: dict[str, Any]) -> None:
+        """Set the fields of a POST /relay body; others stay."""
+        self._delay_s = float(fields.get('delay_s', self._delay_s))
+        self._cut = fields.get('cut', self._cut) or ''
+        self._refuse = bool(fields.get('refuse', self._refuse))
+        if fields.get('drop'):
+            self._drop_all()
+
     def answer(self, call: Call) -> None:
         """Change or show the faults of the relay."""
         if call.path != '/relay':
             reply_not_found(call)
             return
         if call.method == 'POST':
-            self._change(call.json())
-        call.reply(STATUS_OK, self._show())
+            self.set_faults(call.json())
+        call.reply(STATUS_OK, self.show())
 
-    def _change(self, fields: dict[str, Any]) -> None:
-        self._delay_s = float(fields.get('delay_s', self._delay_s))
-        self._cut = fields.get('cut', self._cut) or ''
-        self._refuse = bool(fields.get('refuse', self._refuse))
-        if fields.get('drop'):
-            self._drop_all()
-
-    def _show(self) -> dict[str, Any]:
+    def show(self) -> dict[str, Any]:
+        """Give the faults in force and counts of connections."""
         return {
             'port': self.port,
             'delay_s': self._delay_s,
             'cut': self._cut,
             'refuse': self._refuse,
             'connections': sum(_is_open(pair[0]) for pair in self._pairs),
+            'resets': self._resets,
         }
 
     def _drop_all(self) -> None:
@@ -143,8 +147,12 @@
             target,
             lambda: self._delay_s,
             lambda: self._cut in {direction, BOTH},
+            self._count_reset,
         )
 
+    def _count_reset(self) -> None:
+        self._resets += 1
+
 
 def _is_open(sock: socket.socket) -> bool:
     return sock.fileno() >= 0
--- a/src/apricotcart_standins/relay/pump.py
+++ b/src/apricotcart_standins/relay/pump.py
@@ -22,8 +22,9 @@
     """Copies bytes from one socket to another with delay.
 
     Bytes keep their distance in time, so a delay adds latency and does not
-    lower the rate. While the direction is cut, bytes are held back; they go
-    on when it is restored, as TCP does after a partition.
+    lower the rate. While the direction is cut, bytes are held back. They go
+    on when it is restored, as TCP does after a partition, unless the source
+    was reset meanwhile: its kernel would no longer have sent them.
 
     Parameters
     ----------
@@ -33,12 +34,16 @@
         Gives the delay in force, in seconds.
     is_cut : Callable
         Tells whether the direction is cut.
+    on_reset : Callable
+        Called when the source was reset.
     """
 
     __slots__ = (
         '_chunks',
         '_delay_s',
         '_is_cut',
+        '_is_reset',
+        '_on_reset',
         '_source',
         '_target',
         'has_ended',
@@ -51,13 +56,16 @@
         target: socket.socket,
         delay_s: Callable[[], float],
         is_cut: Callable[[], bool],
+        on_reset: Callable[[], None],
     ) -> None:
         """Keep the sockets."""
+        self._on_reset = on_reset
         self._source = source
         self._target = target
         self._delay_s = delay_s
         self._is_cut = is_cut
         self._chunks: queue.Queue[_Chunk] = queue.Queue(_MAX_CHUNKS)
+        self._is_reset = False
         self.has_ended = False
         self.peer: Pump | None = None
 
@@ -69,7 +77,7 @@
     def _read_all(self) -> None:
         chunk = b'\0'
         while chunk:
-            chunk = _receive(self._source)
+            chunk = self._receive()
             self._chunks.put((time.monotonic() + self._delay_s(), chunk))
 
     def _write_all(self) -> None:
@@ -77,14 +85,29 @@
         while chunk:
             due, chunk = self._chunks.get()
             time.sleep(max(due - time.monotonic(), 0))
-            while self._is_cut():
-                time.sleep(_POLL_S)
+            if self._was_reset_while_cut():
+                chunk = b''
             _send(self._target, chunk)
         self.has_ended = True
         if self.peer and self.peer.has_ended:
             close_quietly(self._source)
             close_quietly(self._target)
 
+    def _receive(self) -> bytes:
+        try:
+            return self._source.recv(_CHUNK_BYTES)
+        except OSError:
+            self._is_reset = True
+            self._on_reset()
+            return b''
+
+    def _was_reset_while_cut(self) -> bool:
+        was_cut = False
+        while self._is_cut():
+            was_cut = True
+            time.sleep(_POLL_S)
+        return was_cut and self._is_reset
+
 
 def close_quietly(sock: socket.socket) -> None:
     """Close a socket in both directions, also one already closed."""
@@ -96,13 +119,6 @@
     sock.close()
 
 
-def _receive(sock: socket.socket) -> bytes:
-    try:
-        return sock.recv(_CHUNK_BYTES)
-    except OSError:
-        return b''
-
-
 def _send(sock: socket.socket, chunk: bytes) -> None:
     try:
         _send_or_end(sock, chunk)
--- a/tests/platform/test_capacity.py
+++ b/tests/platform/test_capacity.py
@@ -117,3 +117,23 @@
     assert is_settled != naive
     # Each of 4 zones is asked for 4, 2 and 1, then again after a pause.
     assert (world.refused_orders() > 24) == naive
+
+
+def test_capacity_shows_no_capacity() -> None:
+    """Guards against a pool that stays short without a reason given."""
+    world = World(1, '--cheap-capacity', '0', '--capacity', '0')
+    _settle(world)
+    status = world.state.statuses['chat']
+    assert status['running'] == 0
+    assert status['no_capacity']
+
+
+def test_capacity_shows_failure() -> None:
+    """Guards against a silent platform that shows on no resource."""
+    world = World(1)
+    world.state.demand = DEMAND
+    world.elect(world.hosts[0])
+    world.run_until_orders_wait(world.hosts[0])
+    world.answer_loss = 1
+    world.run(3)
+    assert world.state.statuses['chat']['failure'] == 'no_answer'
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 from typing import TYPE_CHECKING, Any
@@ -12,6 +13,7 @@
 from apricotcart.platform.api import EXPIRED, NO_ANSWER, Request
 from apricotcart.platform.client import PlatformClient
 from apricotcart_standins.options import build_parser
+from apricotcart_standins.relay.control import RelayControl
 from apricotcart_standins.run import build
 from apricotcart_standins.web import Server
 
@@ -19,6 +21,7 @@
     from collections.abc import Iterator
 
 LONG_S = 30
+NO_DELAY = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 @pytest.fixture
@@ -89,6 +92,32 @@
     assert time.monotonic() - started < LONG_S
 
 
+@pytest.mark.parametrize('naive', [False, True])
+def test_client_abandons_unsent(
+    url: str, naive: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that arrives after its deadline.
+
+    A partition holds the request back beyond its deadline. The naive variant
+    closes the connection without a reset, so the kernel goes on sending.
+    """
+    if naive:
+        name = 'apricotcart.platform.client._RESET_ON_CLOSE'
+        monkeypatch.setattr(name, NO_DELAY)
+    parts = url.removeprefix('http://').split(':')
+    relay = RelayControl(('127.0.0.1', 0), (parts[0], int(parts[1])))
+    relay.set_faults({'cut': 'up'})
+    client = _client(f'http://127.0.0.1:{relay.port}', 0.3)
+    assert client.send(_report()).code == NO_ANSWER
+    while not naive and not relay.show()['resets']:
+        time.sleep(0.01)
+    relay.set_faults({'cut': ''})
+    while naive and not call('GET', f'{url}/usage')['usage']:
+        time.sleep(0.01)
+    assert _client(url).send(_report(2)).is_ok
+    assert len(call('GET', f'{url}/usage')['usage']) == 1 + naive
+
+
 def test_client_no_listener() -> None:
     """Guards against an exception that ends the sending thread."""
     client = _client('http://127.0.0.1:9')
