--- a/src/apricotcart/platform/capacity.py
+++ b/src/apricotcart/platform/capacity.py
@@ -6,7 +6,7 @@
 
 from apricotcart.platform.api import System
 from apricotcart.platform.inventory import RECLAIMING, RUNNING, STARTING
-from apricotcart.platform.placement import release_order
+from apricotcart.platform.placement import place_of
 from apricotcart.platform.proposals import set_status
 from apricotcart.platform.sizing import PoolSizer
 
@@ -100,6 +100,8 @@
             sizer.observe(now, self._fleet_view.slots_needed(pool))
             if self._is_settled(now, pool):
                 self._adjust(now, pool, sizer.size())
+            if self._inventory.is_fresh(now, NEVER):
+                self._show(now, pool, sizer.size())
         self._orders.tick(now)
 
     def _is_settled(self, now: float, pool: str) -> bool:
@@ -114,10 +116,13 @@
         if missing > 0:
             self._order(now, pool, present, size)
         elif missing < 0 and self._may_release(now, pool):
-            ordered = release_order(present, self._inventory.prices)
-            for endpoint in ordered[:-missing]:
+            surplus = self._placement.choose_releases(
+                present,
+                self._inventory.prices,
+                size,
+            )
+            for endpoint in surplus:
                 self._fleet.retire(endpoint)
-        self._show(pool, size, present)
 
     def _order(
         self,
@@ -128,7 +133,7 @@
     ) -> None:
         chosen = self._placement.choose(
             now,
-            [(endpoint['zone'], endpoint['cheap']) for endpoint in present],
+            map(place_of, present),
             self._inventory.prices,
             size,
             size - len(present),
@@ -150,18 +155,19 @@
         watched_s = now - (self._since or now)
         return watched_s >= self._rules[pool].release_after_s
 
-    def _show(
-        self,
-        pool: str,
-        size: int,
-        present: list[dict[str, Any]],
-    ) -> None:
+    def _show(self, now: float, pool: str, size: int) -> None:
+        present = self._present(pool)
         states = [endpoint['state'] for endpoint in present]
         status = {
             'desired': size,
             RUNNING: states.count(RUNNING),
             STARTING: states.count(STARTING),
             'cheap': sum(endpoint['cheap'] for endpoint in present),
+            'no_capacity': self._placement.paused(
+                now,
+                self._inventory.prices,
+            ),
+            'failure': self._orders.failures.get(pool, ''),
         }
         if status == self._statuses.get(pool):
             return
