--- a/src/apricotcart/membership/table.py
+++ b/src/apricotcart/membership/table.py
@@ -87,7 +87,8 @@
     """Entry hosts by their syncs.
 
     Call `reset` when this host becomes leader, and `tick` on each turn of
-    the leader's loop before the syncs that arrived in it.
+    the leader's loop before the syncs that arrived in it. Turns must be less
+    than `STALL_S` apart, or each counts as a pause of this process.
     """
 
     __slots__ = (
