--- a/src/apricotcart/entry/app.py
+++ b/src/apricotcart/entry/app.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import threading
-import time
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from apricotcart.entry.access import Access
 from apricotcart.entry.chat import CHAT_KIND, ChatHandler
+from apricotcart.entry.host_answers import HostAnswers
 from apricotcart.entry.services import PREFIX, ServiceHandler
 from apricotcart.entry.stopping import ActiveRequests
-from apricotcart.membership.directory import HostDirectory
 from apricotcart.web.application import WebApplication
 from apricotcart.web.errors import MethodError, UnknownPathError
 from apricotcart.web.request import Environ, WebRequest
@@ -58,15 +56,14 @@
         access: Access,
         chat: ChatHandler,
         services: ServiceHandler,
-        directory: HostDirectory,
+        hosts: HostAnswers,
         active: ActiveRequests,
     ) -> None:
         """Keep the handlers."""
         self._access = access
         self._active = active
         self._services = services
-        self._directory = directory
-        self._lock = threading.Lock()
+        self._hosts = hosts
         self._routes: dict[str, tuple[str, Responder]] = {
             '/v1/chat/completions': (_POST, chat.respond),
             '/v1/models': (_GET, self._models),
@@ -114,11 +111,7 @@
 
     def _which_host(self, req: WebRequest) -> WebResponse:
         zone = req.query('zone') or None
-        with self._lock:
-            answer = self._directory.answer(time.monotonic(), zone)
-        return WebResponse.from_json(
-            {'hosts': list(answer.addresses), 'ttl_s': answer.ttl_s},
-        )
+        return WebResponse.from_json(self._hosts.document(zone))
 
     def _health(self, req: WebRequest) -> WebResponse:
         return WebResponse.from_json({'ok': True})
--- a/src/apricotcart/entry/orders.py
+++ b/src/apricotcart/entry/orders.py
@@ -137,10 +137,10 @@
         body = b''.join(response.chunks)
         command = self._closing(attempt, 'done')
         command['status'] = response.status
-        command['content_type'] = dict(response.headers).get('Content-Type', '')
-        # The log would carry a larger body only for the table to drop it.
-        command['body_kept'] = len(body) <= MAX_STORED_BYTES
-        command['body'] = body if command['body_kept'] else b''
+        command['content_type'] = response.content_type()
+        # One byte above the bound is enough for the table to note that the
+        # answer is not kept; more would only fill the log.
+        command['body'] = body[: MAX_STORED_BYTES + 1]
         self._send(command, traceparent)
 
     def finish_later(self, attempt: OrderAttempt, outcome: str) -> None:
@@ -151,18 +151,18 @@
         return {
             'kind': 'order_finish',
             'result': outcome,
-            'status': 0,
-            'content_type': '',
-            'body': b'',
             **attempt.fields(),
         }
 
     def _send(self, command: WireMessage, traceparent: str = '') -> None:
         try:
-            self._link.command(command, _FINISH_TIMEOUT_S, traceparent)
+            reply = self._link.command(command, _FINISH_TIMEOUT_S, traceparent)
         except ApricotcartError as exc:
             _LOG.warning('closing of an order is repeated: %s', exc)
             self._unsent.put(command)
+            return
+        if not reply.get('ok'):
+            _LOG.error('closing of an order was refused: %s', reply)
 
     def _repeat(self) -> None:
         for command in iter(self._unsent.get, None):
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -20,6 +20,7 @@
 from apricotcart.entry.control_link import ControlLink
 from apricotcart.entry.dispatcher import Dispatcher
 from apricotcart.entry.held import HeldConfiguration
+from apricotcart.entry.host_answers import HostAnswers
 from apricotcart.entry.orders import OrderLedger
 from apricotcart.entry.retrying import RetryGate
 from apricotcart.entry.running import CHECK_INTERVAL_S, RunningTable
@@ -120,11 +121,12 @@
             cfg.host.name,
             self._identity.incarnation,
         )
-        self._directory = HostDirectory(
+        directory = HostDirectory(
             zone=cfg.host.zone,
             rng=rng,
             ttl_s=cfg.hosts_answer.ttl_s,
         )
+        self._hosts = HostAnswers(directory)
         self._active = ActiveRequests()
 
     def _build_timers(self) -> None:
@@ -134,7 +136,7 @@
             link=self._link,
             held=self._held,
             dispatcher=self._dispatcher,
-            directory=self._directory,
+            hosts=self._hosts,
             drain=self._drain,
         )
         self._sender = UsageSender(
@@ -187,7 +189,7 @@
                 orders=self._orders,
                 max_body_bytes=max_body_bytes,
             ),
-            directory=self._directory,
+            hosts=self._hosts,
             active=self._active,
         )
 
--- a/src/apricotcart/entry/synchronizer.py
+++ b/src/apricotcart/entry/synchronizer.py
@@ -12,8 +12,8 @@
 from apricotcart.endpoints.records import Endpoint
 from apricotcart.entry.control_link import ControlLink
 from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.entry.host_answers import HostAnswers
 from apricotcart.errors.tree import ApricotcartError
-from apricotcart.membership.directory import HostDirectory
 from apricotcart.membership.drain import EndpointDrain
 from apricotcart.membership.records import SERVING, HostList
 from apricotcart.scheduling.records import Customer, ServiceClass
@@ -77,7 +77,7 @@
         The configuration copy.
     dispatcher : Dispatcher
         Gets the new tables and this host's shares.
-    directory : HostDirectory
+    hosts : HostAnswers
         Gets the list of entry hosts.
     drain : EndpointDrain
         Gets the endpoints that may have new work.
@@ -85,10 +85,10 @@
 
     __slots__ = (
         '_applied_revision',
-        '_directory',
         '_dispatcher',
         '_drain',
         '_held',
+        '_hosts',
         '_identity',
         '_link',
         '_lock',
@@ -103,7 +103,7 @@
         link: ControlLink,
         held: ConfigCopy,
         dispatcher: Dispatcher,
-        directory: HostDirectory,
+        hosts: HostAnswers,
         drain: EndpointDrain,
     ) -> None:
         """Keep the parts."""
@@ -111,7 +111,7 @@
         self._link = link
         self._held = held
         self._dispatcher = dispatcher
-        self._directory = directory
+        self._hosts = hosts
         self._drain = drain
         self._paused = False
         self._applied_revision = -1
@@ -146,7 +146,7 @@
         message = self._identity.to_wire()
         message['kind'] = 'sync'
         message['revision'] = self._held.held
-        message['hosts'] = self._directory.held
+        message['hosts'] = self._hosts.held()
         message.update(self._dispatcher.notify(_measured))
         return message
 
@@ -158,8 +158,7 @@
         self._held.apply(update, started_at)
         if self._held.view.revision != self._applied_revision:
             self._configure()
-        hosts = HostList.from_wire(reply['hosts'])
-        self._directory.apply(hosts, started_at)
+        self._hosts.apply(HostList.from_wire(reply['hosts']), started_at)
         self._drain.confirm(self._held.synced_from)
         self._dispatcher.notify(
             lambda scheduler, now: _apply_shares(scheduler, now, reply),
--- a/src/apricotcart/web/response.py
+++ b/src/apricotcart/web/response.py
@@ -12,6 +12,7 @@
 from apricotcart.errors.tree import ApricotcartError
 
 JSON_TYPE = 'application/json'
+BYTES_TYPE = 'application/octet-stream'
 EVENT_STREAM_TYPE = 'text/event-stream'
 JSON_LINES_TYPE = 'application/jsonl'
 
@@ -76,6 +77,13 @@
             response.headers.append(('Retry-After', str(seconds)))
         return response
 
+    def content_type(self) -> str:
+        """Give the content type, or the general one."""
+        for name, text in self.headers:
+            if name.lower() == 'content-type' and text:
+                return text
+        return BYTES_TYPE
+
     def status_line(self) -> str:
         """Give status code and reason for WSGI."""
         return f'{self.status} {_reason(self.status)}'
