--- a/src/apricotcart/control/bootstrap.py
+++ b/src/apricotcart/control/bootstrap.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Final
 
 from apricotcart.consensus.members import Members
 from apricotcart.control.identity import FIRST_INCARNATION, first_node_id
@@ -12,6 +13,10 @@
 from apricotcart.storage.log_store import initialise
 from apricotcart.storage.real_disk import RealDisk
 
+# The one-file program unpacks itself here before any of it runs; the launcher
+# has the same name.
+_PROGRAM_FOLDER: Final = 'runtime'
+
 
 def bootstrap_voter(cfg: ControlConfig) -> list[str]:
     """Write the data folder of a first voter; give all voters.
@@ -21,7 +26,7 @@
     SettingsError
         If the settings do not list this host among the voters.
     VersionConflictError
-        If the data folder holds anything.
+        If the data folder holds anything but the unpacked program.
     StorageError
         If the folder is in use or cannot be written.
     """
@@ -29,7 +34,7 @@
     if name not in cfg.peers.voters:
         raise SettingsError(f'[peers] does not list {name}')
     folder = Path(cfg.data.folder)
-    if folder.is_dir() and any(folder.iterdir()):
+    if folder.is_dir() and any(map(_is_state, folder.iterdir())):
         raise VersionConflictError(f'{folder} is not empty')
     members = Members(voters=[first_node_id(peer) for peer in cfg.peers.voters])
     disk = RealDisk(folder)
@@ -37,3 +42,7 @@
     initialise(disk, identity, members)
     disk.close()
     return members.voters
+
+
+def _is_state(path: Path) -> bool:
+    return path.name != _PROGRAM_FOLDER
--- a/tests/commands/test_local.py
+++ b/tests/commands/test_local.py
@@ -128,6 +128,12 @@
     assert run(['init', '--settings', str(settings)]) == 4
 
 
+def test_init_beside_unpacked_program(settings: Path, tmp_path: Path) -> None:
+    """Guards against a one-file program that can never create a cluster."""
+    (tmp_path / 'data' / 'runtime' / 'version').mkdir(parents=True)
+    assert run(['init', '--settings', str(settings)]) == 0
+
+
 def test_init_not_a_voter(settings: Path) -> None:
     """Guards against a cluster whose first voter is not in its own list."""
     settings.write_text(_CONTROL.replace('name = control-1', 'name = other'))
