Send exceptions of threads and warnings through the redaction

Cause: Python writes an exception that ends a thread, a warning and a failure of the log itself straight to standard error, where the text may quote a request's body. Change: setting up the log redirects the first two to the log and turns the third off.

--- a/src/apricotcart/observability/logs.py
+++ b/src/apricotcart/observability/logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+import threading
 from logging.handlers import QueueHandler, QueueListener, WatchedFileHandler
 from queue import Full, Queue
 from types import MappingProxyType
@@ -30,6 +31,8 @@
     }
 )
 
+_log = logging.getLogger(__name__)
+
 
 class DroppingQueueHandler(QueueHandler):
     """Hands records to the writer's thread without ever waiting."""
@@ -115,6 +118,7 @@
         for earlier in tuple(root.handlers):
             root.removeHandler(earlier)
         root.addHandler(intake)
+        _redirect_direct_output()
         root.setLevel(cfg.level.upper())
         return cls(intake, target)
 
@@ -130,6 +134,22 @@
         self._target.close()
 
 
+def _redirect_direct_output() -> None:
+    # These write to standard error past the filter unless told otherwise:
+    # exceptions that end a thread, failures of the log itself, warnings.
+    threading.excepthook = _log_thread_exception
+    logging.raiseExceptions = False
+    logging.captureWarnings(capture=True)
+
+
+def _log_thread_exception(ended: threading.ExceptHookArgs) -> None:
+    if ended.exc_value is None:
+        return
+    name = ended.thread.name if ended.thread else 'unknown'
+    exc_info = (ended.exc_type, ended.exc_value, ended.exc_traceback)
+    _log.error('thread %s ended', name, exc_info=exc_info)
+
+
 def _target(path: str | None) -> logging.Handler:
     if path is None:
         return logging.StreamHandler(sys.stderr)
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -6,6 +6,8 @@
 import json
 import logging
 import sys
+import threading
+import warnings
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from queue import Queue
@@ -28,7 +30,9 @@
 
 
 @pytest.fixture
-def write_log(tmp_path: Path) -> Iterator[Callable[..., str]]:
+def write_log(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[Callable[..., str]]:
     """Give a function that logs in one format and returns the file."""
     path = tmp_path / 'log'
     before = list(logging.getLogger().handlers)
@@ -40,7 +44,10 @@
         log.close()
         return path.read_text()
 
+    monkeypatch.setattr(threading, 'excepthook', threading.excepthook)
+    monkeypatch.setattr(logging, 'raiseExceptions', logging.raiseExceptions)
     yield run
+    logging.captureWarnings(capture=False)
     for handler in before:
         logging.getLogger().addHandler(handler)
 
@@ -106,6 +113,28 @@
     assert len(line.splitlines()) == 1
 
 
+def test_log_takes_direct_output(
+    write_log: Callable[..., str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a body quoted by a thread's end or by a warning."""
+
+    def fail() -> None:
+        raise ValueError(f'cannot decode {_PROMPT}')
+
+    def call(log: logging.Logger) -> None:
+        thread = threading.Thread(target=fail, name='worker')
+        thread.start()
+        thread.join()
+        warnings.warn(f'odd body {{"content": "{_PROMPT}"}}', stacklevel=1)
+
+    written = write_log('text', call)
+    captured = capsys.readouterr()
+    assert 'thread worker ended' in written
+    assert 'ValueError' in written
+    assert 'odd body' in written
+    assert _PROMPT not in written + captured.err
+
+
 def test_log_full_queue_drops() -> None:
     """Guards against a request that waits for a blocked log."""
     handler = DroppingQueueHandler(Queue(1))
