Round the adaptive limit to the nearest slot

Cause: a host has one to three slots of an endpoint; rounded down, a health of 0.9 took one slot of two away, and slots stayed idle while requests waited.

--- a/src/apricotcart/endpoints/limits.py
+++ b/src/apricotcart/endpoints/limits.py
@@ -26,7 +26,6 @@
 CRASHES_UNRELIABLE = 2.5
 CRASH_MEMORY_S = 60.0
 _DOUBLINGS = 6
-_EPSILON = 1e-9
 
 
 class Crashes:
@@ -81,8 +80,7 @@
         """Give the number of requests that may run at the same time."""
         if slots <= 0 or now < self.closed_until:
             return 0
-        usable = int(slots * self.health + _EPSILON)
-        return max(1, usable)
+        return max(1, round(slots * self.health))
 
     def on_first_byte(self, latency_s: float) -> None:
         """Compare the latency with the usual one."""
