--- a/src/apricotcart/scheduling/maxmin.py
+++ b/src/apricotcart/scheduling/maxmin.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from apricotcart.scheduling.decisions import Demand
 
 _MIN_WEIGHT = 1e-6
 
@@ -36,3 +40,26 @@
         left -= granted[bid.host]
         weight -= bid.weight
     return granted
+
+
+def asked_by_tier(pool: str, demands: Mapping[str, Demand]) -> list[list[Bid]]:
+    """Give the bids for queued and running requests, from the top tier."""
+    return _bids(pool, demands, running=True)
+
+
+def queued_by_tier(pool: str, demands: Mapping[str, Demand]) -> list[list[Bid]]:
+    """Give the bids for queued requests alone, from the top tier."""
+    return _bids(pool, demands, running=False)
+
+
+def _bids(
+    pool: str, demands: Mapping[str, Demand], *, running: bool
+) -> list[list[Bid]]:
+    tiers: dict[int, list[Bid]] = {}
+    for host in sorted(demands):
+        for entry in demands[host].tiers:
+            asked = entry.queued + entry.in_flight * running
+            if entry.pool == pool:
+                bid = Bid(host, asked, entry.weight)
+                tiers.setdefault(entry.tier, []).append(bid)
+    return [tiers[number] for number in sorted(tiers)]
--- a/src/apricotcart/scheduling/shares.py
+++ b/src/apricotcart/scheduling/shares.py
@@ -7,11 +7,11 @@
 
 from apricotcart.endpoints.subsets import Subsets
 from apricotcart.scheduling.dealing import Division, deal
-from apricotcart.scheduling.maxmin import Bid, max_min
+from apricotcart.scheduling.maxmin import Bid, asked_by_tier, max_min
 
 if TYPE_CHECKING:
     from apricotcart.endpoints.records import Endpoint
-    from apricotcart.scheduling.decisions import Demand, TierDemand
+    from apricotcart.scheduling.decisions import Demand
 
 
 def divide(
@@ -72,7 +72,7 @@
     counts = dict.fromkeys(sorted(demands), 0)
     counts.update(dict.fromkeys(list(counts)[:total], 1))
     covered = dict(counts)
-    for bids in _bids_by_tier(pool, demands):
+    for bids in asked_by_tier(pool, demands):
         _grant(counts, total, _after_covered(bids, covered))
     _grant(counts, total, [Bid(host, total, 1) for host in counts])
     return counts
@@ -84,19 +84,6 @@
         counts[host] += slots
 
 
-def _bids_by_tier(pool: str, demands: Mapping[str, Demand]) -> list[list[Bid]]:
-    tiers: dict[int, list[Bid]] = {}
-    for host in sorted(demands):
-        for entry in demands[host].tiers:
-            if entry.pool == pool:
-                tiers.setdefault(entry.tier, []).append(_bid(host, entry))
-    return [tiers[number] for number in sorted(tiers)]
-
-
-def _bid(host: str, entry: TierDemand) -> Bid:
-    return Bid(host, entry.queued + entry.in_flight, entry.weight)
-
-
 def _after_covered(bids: Sequence[Bid], covered: dict[str, int]) -> list[Bid]:
     """Take off what the host's guaranteed slot already covers."""
     wanted = []
--- a/tests/scheduling/test_shares.py
+++ b/tests/scheduling/test_shares.py
@@ -83,6 +83,22 @@
         assert occupied <= 8
 
 
+def test_divide_free_slot_goes_to_waiting_high_tier() -> None:
+    """Guards against a high request behind its own host's low ones.
+
+    Host a runs more low requests than its number of slots. The only free
+    slot must still go to its high request, not to a low one of host b.
+    """
+    occupied = {'e1': 4, 'e2': 4, 'e3': 4}
+    demands = {
+        'a': demand(1, 40, running=occupied),
+        'b': demand(0, 40, running={**occupied, 'e2': 3}),
+    }
+    division = divide(demands, ENDPOINTS)
+    assert division['a']['e2'] == 5
+    assert division['b']['e2'] <= 3
+
+
 def test_divide_draining_endpoint() -> None:
     """Guards against new work for a draining endpoint."""
     leaving = Endpoint(name='e0', pool='p', slots=8, leaving=True)
