Bound what one tick orders, releases and proposes

Cause: a tick that releases much of a pool of 3,400 endpoints took 0.8 s, which is 40% of the lease, because each release ranked all endpoints. Change: releases rank places instead of endpoints; a tick releases at most 50 and orders at most 200 endpoints of a pool, and at most 64 commands on endpoint resources wait at once. Endpoints are grouped by pool once per tick.

--- a/src/apricotcart/platform/capacity.py
+++ b/src/apricotcart/platform/capacity.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from collections import defaultdict
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 from apricotcart.platform.api import System
 from apricotcart.platform.inventory import RECLAIMING, RUNNING, STARTING
@@ -22,6 +23,11 @@
     from apricotcart.platform.sizing import SizingRule
 
 NEVER = float('-inf')
+# These bound the time of one tick and the commands it proposes.
+MAX_ORDERED_AT_ONCE = 200
+MAX_RELEASES_AT_ONCE = 50
+
+_ByPool: TypeAlias = dict[str, list[dict[str, Any]]]
 
 
 class Capacity(System):
@@ -96,12 +102,13 @@
         """Compare each pool with its demand and act on the difference."""
         if self._since is None:
             self._since = now
+        present = self._present()
         for pool, sizer in self._sizers.items():
             sizer.observe(now, self._fleet_view.slots_needed(pool))
             if self._is_settled(now, pool):
-                self._adjust(now, pool, sizer.size())
+                self._adjust(now, pool, sizer.size(), present[pool])
             if self._inventory.is_fresh(now, NEVER):
-                self._show(now, pool, sizer.size())
+                self._show(now, pool, sizer.size(), present[pool])
         self._orders.tick(now)
 
     def _is_settled(self, now: float, pool: str) -> bool:
@@ -110,8 +117,13 @@
         changed_at = self._orders.changed_at.get(pool, NEVER)
         return self._inventory.is_fresh(now, changed_at)
 
-    def _adjust(self, now: float, pool: str, size: int) -> None:
-        present = self._present(pool)
+    def _adjust(
+        self,
+        now: float,
+        pool: str,
+        size: int,
+        present: list[dict[str, Any]],
+    ) -> None:
         missing = size - len(present)
         if missing > 0:
             self._order(now, pool, present, size)
@@ -119,7 +131,7 @@
             surplus = self._placement.choose_releases(
                 present,
                 self._inventory.prices,
-                size,
+                max(size, len(present) - MAX_RELEASES_AT_ONCE),
             )
             for endpoint in surplus:
                 self._fleet.retire(endpoint)
@@ -136,27 +148,31 @@
             map(place_of, present),
             self._inventory.prices,
             size,
-            size - len(present),
+            min(size - len(present), MAX_ORDERED_AT_ONCE),
         )
         for place, amount in chosen.items():
             self._orders.add(now, pool, place, amount)
 
-    def _present(self, pool: str) -> list[dict[str, Any]]:
+    def _present(self) -> _ByPool:
         retired = self._fleet.retired()
-        return [
-            endpoint
-            for endpoint in self._inventory.endpoints
-            if endpoint['pool'] == pool
-            and endpoint['state'] != RECLAIMING
-            and endpoint['name'] not in retired
-        ]
+        present: _ByPool = defaultdict(list)
+        for endpoint in self._inventory.endpoints:
+            is_retired = endpoint['name'] in retired
+            if endpoint['state'] != RECLAIMING and not is_retired:
+                present[endpoint['pool']].append(endpoint)
+        return present
 
     def _may_release(self, now: float, pool: str) -> bool:
         watched_s = now - (self._since or now)
         return watched_s >= self._rules[pool].release_after_s
 
-    def _show(self, now: float, pool: str, size: int) -> None:
-        present = self._present(pool)
+    def _show(
+        self,
+        now: float,
+        pool: str,
+        size: int,
+        present: list[dict[str, Any]],
+    ) -> None:
         states = [endpoint['state'] for endpoint in present]
         status = {
             'desired': size,
--- a/src/apricotcart/platform/fleet.py
+++ b/src/apricotcart/platform/fleet.py
@@ -29,6 +29,9 @@
 DRAIN_S = 3.0
 # An endpoint that is missing from the platform's list for this long is gone.
 ABSENT_S = 10.0
+# Commands on resources that may wait for their replies at the same time, so
+# that a zone that comes back does not fill the log at once.
+MAX_CHANGES_AT_ONCE = 64
 
 
 class Fleet(System):
@@ -205,7 +208,7 @@
         self._propose(name, command)
 
     def _propose(self, name: str, command: dict[str, Any]) -> None:
-        if name in self._busy:
+        if name in self._busy or len(self._busy) >= MAX_CHANGES_AT_ONCE:
             return
         self._busy.add(name)
         self._outbox.propose(
--- a/src/apricotcart/platform/placement.py
+++ b/src/apricotcart/platform/placement.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
+from itertools import chain
 from typing import TYPE_CHECKING, Any, TypeAlias
 
 from apricotcart.codec.record import Record
@@ -137,28 +138,32 @@
         list of mapping
             The endpoints to release.
         """
-        kept = sorted(endpoints, key=lambda endpoint: endpoint['name'])
-        released = []
-        while len(kept) > size:
-            chosen = self._first_release(kept, prices, size)
-            kept.remove(chosen)
-            released.append(chosen)
+        surplus = len(endpoints) - size
+        ordered = sorted(endpoints, key=lambda endpoint: endpoint['name'])
+        idle = [entry for entry in ordered if entry['state'] != RUNNING]
+        working = [entry for entry in ordered if entry['state'] == RUNNING]
+        released = idle[:surplus]
+        by_place: dict[Place, list[Endpoint]] = defaultdict(list)
+        for endpoint in chain(idle[surplus:], working):
+            by_place[place_of(endpoint)].append(endpoint)
+        while len(released) < surplus:
+            place = self._fullest(by_place, prices, size)
+            released.append(by_place[place].pop())
         return released
 
-    def _first_release(
+    def _fullest(
         self,
-        kept: Sequence[Endpoint],
+        by_place: Mapping[Place, Sequence[Endpoint]],
         prices: Prices,
         size: int,
-    ) -> Endpoint:
-        held = Counter(map(place_of, kept))
+    ) -> Place:
+        held = Counter({place: len(by_place[place]) for place in by_place})
         return max(
-            kept,
-            key=lambda endpoint: (
-                endpoint['state'] != RUNNING,
-                self._excess(held, place_of(endpoint), size),
-                price_of(prices, place_of(endpoint)),
-                _in_zone(held, endpoint['zone']),
+            +held,
+            key=lambda place: (
+                self._excess(held, place, size),
+                price_of(prices, place),
+                _in_zone(held, place[0]),
             ),
         )
 
--- a/src/apricotcart_standins/spending/simulation.py
+++ b/src/apricotcart_standins/spending/simulation.py
@@ -32,7 +32,7 @@
 SLOTS = 8
 
 _LEASE_S = 2
-_URLS = 400
+_MOST_ENDPOINTS = 400
 _FIRST_PAUSE_S = 5
 _LONGEST_PAUSE_S = 300
 
@@ -73,6 +73,10 @@
         return {'ok': True, 'fencing': 1}
 
 
+def _url(number: int) -> str:
+    return f'http://engine-{number}'
+
+
 class SteadyLease(LeaseSource):
     """A lease that is always renewed."""
 
@@ -102,18 +106,26 @@
         Bounds on spot endpoints.
     seed : int
         Seed of the pauses.
+    most : int
+        Regular endpoints that a zone has, and base URLs of all zones.
     """
 
     __slots__ = ('_duties', '_lease', 'now', 'platform', 'state')
 
-    def __init__(self, rule: SizingRule, spot: SpotRule, seed: int) -> None:
+    def __init__(
+        self,
+        rule: SizingRule,
+        spot: SpotRule,
+        seed: int,
+        most: int = _MOST_ENDPOINTS,
+    ) -> None:
         """Start without endpoints."""
         self.now: float = 0
         self.state = ScriptedState()
-        urls = ','.join(f'http://engine-{number}' for number in range(_URLS))
-        options = build_parser().parse_args(
-            ['platform', '--urls', urls, '--start-delay-s', f'{START_DELAY_S}'],
-        )
+        options = build_parser().parse_args(['platform'])
+        options.start_delay_s = START_DELAY_S
+        options.capacity = most
+        options.urls = ','.join(map(_url, range(most)))
         self.platform = Platform(options, lambda: self.now)
         self._lease = SteadyLease()
         self._duties = self._build(rule, spot, random.Random(seed))
