--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -12,7 +12,7 @@
 from storage.fake_disk import FakeDisk, PowerLossError
 
 from apricotcart.codec.packing import pack, unpack
-from apricotcart.consensus.api import Completion, LogStore, Role
+from apricotcart.consensus.api import Completion, Role
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.members import (
     MemberChange,
@@ -21,7 +21,6 @@
 )
 from apricotcart.consensus.messages import Message, message_from_wire
 from apricotcart.consensus.node import Node
-from apricotcart.storage.disk import Disk
 from apricotcart.storage.identity import Identity, open_identity
 from apricotcart.storage.log_store import DurableLogStore, initialise
 
@@ -34,9 +33,9 @@
 class Host:
     """One host: its disk, its clock and its process, if that runs."""
 
-    def __init__(self, name: str, rng: random.Random) -> None:
+    def __init__(self, name: str, rng: random.Random, disk: FakeDisk) -> None:
         self.name = name
-        self.disk = FakeDisk(rng)
+        self.disk = disk
         # Hosts' monotonic clocks differ in their start and run up to 1%
         # fast or slow, which is within what the vote guard allows for.
         self.clock_start = rng.uniform(0, 1000)
@@ -59,11 +58,11 @@
         size: int = 3,
         *,
         node_type: type[Node] = Node,
-        store_type: Callable[[Disk], LogStore] = DurableLogStore,
+        disk_type: type[FakeDisk] = FakeDisk,
         **node_settings: Any,
     ) -> None:
         self.node_type = node_type
-        self.store_type = store_type
+        self.disk_type = disk_type
         self.rng = random.Random(seed)
         self.now: float = 0
         self.history = History()
@@ -75,7 +74,9 @@
         self._events: list[_Event] = []
         self._order = itertools.count()
         names = [f'c{number}' for number in range(1, size + 1)]
-        self.hosts = {name: Host(name, self.rng) for name in names}
+        self.hosts = {
+            name: Host(name, self.rng, disk_type(self.rng)) for name in names
+        }
         members = Members(voters=[f'{name}.1' for name in names])
         for name, host in self.hosts.items():
             initialise(host.disk, Identity(name=name, incarnation='1'), members)
@@ -112,7 +113,7 @@
         host.machine = ListMachine(self.history)
         host.node = self.node_type.from_config(
             NodeConfig(node_id=host.node_id, **self.node_settings),
-            self.store_type(host.disk),
+            DurableLogStore(host.disk),
             host.machine,
             random.Random(self.rng.random()),
         )
@@ -131,7 +132,7 @@
     def lose_disk(self, host: Host) -> None:
         """Replace the disk of a host by an empty one and start it."""
         self.kill(host)
-        host.disk = FakeDisk(self.rng)
+        host.disk = self.disk_type(self.rng)
         self.start(host)
 
     def freeze(self, host: Host, seconds: float) -> None:
--- a/tests/consensus/test_mechanisms.py
+++ b/tests/consensus/test_mechanisms.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import pytest
 from consensus.cluster import Cluster, Host
+from storage.fake_disk import FakeDisk
 
 from apricotcart.consensus import joining
 from apricotcart.consensus.api import Role
@@ -16,9 +15,7 @@
 from apricotcart.consensus.node import Node
 from apricotcart.consensus.replica import Replica
 from apricotcart.errors.tree import UnavailableError
-from apricotcart.storage.disk import Disk
 from apricotcart.storage.failures import DamagedStoreError
-from apricotcart.storage.log_store import DurableLogStore
 
 
 class NoPreVoteElections(Elections):
@@ -59,39 +56,12 @@
             self.core.complete(ticket)
 
 
-class UnsyncedLogDisk(Disk):
+class UnsyncedLogDisk(FakeDisk):
     """Skips the sync of log segments."""
 
-    def __init__(self, disk: Disk) -> None:
-        self.names = disk.names  # type: ignore[method-assign]
-        self.read = disk.read  # type: ignore[method-assign]
-        self.append = disk.append  # type: ignore[method-assign]
-        self.rename = disk.rename  # type: ignore[method-assign]
-        self.remove = disk.remove  # type: ignore[method-assign]
-        self.sync_folder = disk.sync_folder  # type: ignore[method-assign]
-        self._disk = disk
-
-    def names(self) -> list[str]:
-        raise NotImplementedError
-
-    def read(self, name: str) -> bytes:
-        raise NotImplementedError
-
-    def append(self, name: str, blob: bytes) -> None:
-        raise NotImplementedError
-
-    def rename(self, old: str, new: str) -> None:
-        raise NotImplementedError
-
-    def remove(self, name: str) -> None:
-        raise NotImplementedError
-
-    def sync_folder(self) -> None:
-        raise NotImplementedError
-
     def sync(self, name: str) -> None:
         if not name.startswith('log-'):
-            self._disk.sync(name)
+            super().sync(name)
 
 
 def node_type_with(
@@ -174,9 +144,9 @@
     assert cut_off_leader_stays(variant)
 
 
-def run_blackout(store_type: Callable[[Disk], DurableLogStore]) -> None:
+def run_blackout(disk_type: type[FakeDisk]) -> None:
     """Write, cut the power of all hosts at once and check the writes."""
-    cluster = Cluster(5, store_type=store_type)
+    cluster = Cluster(5, disk_type=disk_type)
     leader = cluster.await_leader()
     for number in range(20):
         cluster.write(leader, b'%d' % number)
@@ -193,9 +163,9 @@
 
 def test_sync_before_acknowledgement() -> None:
     """Guards against losing acknowledged writes in a power cut."""
-    run_blackout(DurableLogStore)
+    run_blackout(FakeDisk)
     with pytest.raises((AssertionError, DamagedStoreError)):
-        run_blackout(lambda disk: DurableLogStore(UnsyncedLogDisk(disk)))
+        run_blackout(UnsyncedLogDisk)
 
 
 def read_after_freeze(node_type: type[Node]) -> None:
--- /dev/null
+++ b/tests/consensus/test_replica.py
@@ -0,0 +1,184 @@
+"""Tests of single events that random faults seldom produce."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+from consensus.history import History, ListMachine
+
+from apricotcart.consensus.api import Entry, EntryKind, Role, Vote
+from apricotcart.consensus.config import VOTE_GUARD_S, NodeConfig
+from apricotcart.consensus.failures import MembershipError
+from apricotcart.consensus.members import MemberChange, Members
+from apricotcart.consensus.memory_store import MemoryStore
+from apricotcart.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    Message,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from apricotcart.consensus.node import Node, bootstrap
+from apricotcart.consensus.progress import Progress
+
+_MEMBERS = Members(voters=['a.1', 'b.1', 'c.1'])
+
+
+@pytest.fixture
+def node() -> Node:
+    """Give voter a.1 with two entries of terms 1 and 2."""
+    store = MemoryStore()
+    bootstrap(store, _MEMBERS)
+    store.save_vote(Vote(term=2))
+    store.append([Entry(1, 1, 1, b'first'), Entry(2, 2, 1, b'second')])
+    restarted = Node.from_config(
+        NodeConfig(node_id='a.1'),
+        store,
+        ListMachine(History()),
+        random.Random(1),
+    )
+    restarted.tick(0)
+    return restarted
+
+
+def receive(
+    node: Node, now: float, kind: type[Message], **fields: Any
+) -> list[Message]:
+    """Hand the node a message of b.1 and give what it sends."""
+    node.receive(now, kind(from_id='b.1', to_id='a.1', **fields))
+    return node.take_outbox()
+
+
+def elect(node: Node) -> None:
+    """Make the node the leader of term 3."""
+    node.tick(3)
+    receive(node, 3, VoteReply, term=3, granted=True, pre=True)
+    receive(node, 3, VoteReply, term=3, granted=True, pre=False)
+    assert node.role is Role.LEADER
+
+
+def accept(node: Node, match_index: int) -> None:
+    """Answer the leader of term 3."""
+    receive(
+        node,
+        3,
+        AppendReply,
+        term=3,
+        round_no=1,
+        accepted=True,
+        prev_index=match_index,
+        match_index=match_index,
+    )
+
+
+def test_commit_earlier_term(node: Node) -> None:
+    """Guards against committing an entry that a later leader overwrites."""
+    elect(node)
+    accept(node, 2)
+    assert node.commit_index == 0
+    accept(node, 3)
+    assert node.commit_index == 3
+
+
+def test_change_before_first_commit(node: Node) -> None:
+    """Guards against a change beside one of an earlier leader."""
+    elect(node)
+    node.change_members(3, MemberChange(kind='remove', node_id='c.1'))
+    assert isinstance(node.take_completions()[0].error, MembershipError)
+
+
+def test_vote_guard_after_restart(node: Node) -> None:
+    """Guards against a vote within the lease that a restart forgot."""
+    request = {'term': 9, 'last_index': 9, 'last_term': 8, 'pre': False}
+    for now, granted in ((VOTE_GUARD_S - 0.1, False), (VOTE_GUARD_S, True)):
+        reply = receive(node, now, VoteRequest, **request)[0]
+        assert isinstance(reply, VoteReply)
+        assert reply.granted is granted
+    assert node.term == 9
+
+
+def test_vote_shorter_log(node: Node) -> None:
+    """Guards against a leader that lacks committed entries."""
+    for last_index, last_term in ((1, 2), (9, 1)):
+        replies = receive(
+            node,
+            3,
+            VoteRequest,
+            term=4,
+            last_index=last_index,
+            last_term=last_term,
+            pre=False,
+        )
+        assert isinstance(replies[0], VoteReply)
+        assert not replies[0].granted
+
+
+def test_snapshot_chunks_two_leaders(node: Node) -> None:
+    """Guards against a snapshot put together from two encodings."""
+    chunk = {
+        'round_no': 1,
+        'index': 9,
+        'snapshot_term': 2,
+        'members': _MEMBERS.to_wire(),
+        'size': 4,
+        'chunk': b'ab',
+    }
+    receive(node, 0, SnapshotChunk, term=3, offset=0, **chunk)
+    reply = receive(node, 0, SnapshotChunk, term=4, offset=2, **chunk)[0]
+    assert isinstance(reply, SnapshotReply)
+    assert reply.offset == 0
+
+
+def test_truncate_members(node: Node) -> None:
+    """Guards against members of an entry that was never committed."""
+    other = Members(voters=['a.1', 'b.1'])
+    changes = ((3, EntryKind.MEMBERS, other.to_bytes()), (4, 0, b''))
+    for term, kind, payload in changes:
+        receive(
+            node,
+            0,
+            AppendRequest,
+            term=term,
+            round_no=1,
+            prev_index=2,
+            prev_term=2,
+            commit_index=0,
+            entries=[[term, kind, payload]],
+        )
+    assert node.members == _MEMBERS
+
+
+def test_retire_before_replacement_holds_entry(node: Node) -> None:
+    """Guards against removing a voter whose replacement lags behind."""
+    elect(node)
+    accept(node, 3)
+    node.change_members(
+        3, MemberChange(kind='join', node_id='c.2', replaces='c.1')
+    )
+    accept(node, 4)
+    node.change_members(3, MemberChange(kind='promote', node_id='c.2'))
+    accept(node, 5)
+    leadership = node._replica.leadership
+    assert leadership is not None
+    progress = leadership.replicator.progress
+    # Three of the four voters hold the entry, but not the replacement.
+    progress['c.1'].accepted(5)
+    leadership.advance()
+    assert node.commit_index == 5
+    node.tick(3)
+    assert 'c.1' in node.members.voters
+    progress['c.2'].accepted(5)
+    node.tick(3)
+    assert node.members.voters == ['a.1', 'b.1', 'c.2']
+
+
+def test_progress_late_rejection() -> None:
+    """Guards against sending entries again after a delayed rejection."""
+    progress = Progress(1)
+    progress.accepted(7)
+    assert not progress.rejected(5, 0)
+    assert progress.upcoming == 8
--- a/tests/storage/fake_disk.py
+++ b/tests/storage/fake_disk.py
@@ -33,6 +33,7 @@
         self.files: dict[str, FakeFile] = {}
         self.durable_names: dict[str, FakeFile] = {}
         self.fail_syncs = False
+        self.fail_folder_syncs = False
         self.capacity: int | None = None
         self.syncs = 0
         self.calls_left: int | None = None
@@ -65,7 +66,7 @@
 
     def sync_folder(self) -> None:
         self._count_call()
-        if self.fail_syncs:
+        if self.fail_syncs or self.fail_folder_syncs:
             raise DiskError('input/output error')
         self.durable_names = dict(self.files)
 
@@ -93,6 +94,7 @@
     def clear_faults(self) -> None:
         """Let the next calls succeed."""
         self.fail_syncs = False
+        self.fail_folder_syncs = False
         self.capacity = None
         self.calls_left = None
 
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -144,6 +144,20 @@
     assert DurableLogStore(disk).load().entries[: len(loaded)] == loaded
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_load_vote_after_failed_sync(seed: int) -> None:
+    """Guards against a restart that trusts a vote that may still vanish."""
+    disk = FakeDisk(random.Random(seed))
+    DurableLogStore(disk).save_vote(Vote(term=1))
+    disk.fail_folder_syncs = True
+    with pytest.raises(DiskError):
+        DurableLogStore(disk).save_vote(Vote(term=2))
+    disk.clear_faults()
+    vote = DurableLogStore(disk).load().vote
+    disk.crash()
+    assert DurableLogStore(disk).load().vote == vote
+
+
 def test_append_full_disk(disk: FakeDisk, store: DurableLogStore) -> None:
     """Guards against an untyped error, and against a torn log after it."""
     disk.capacity = disk.size() + 20
