--- a/src/apricotcart/consensus/elections.py
+++ b/src/apricotcart/consensus/elections.py
@@ -95,9 +95,16 @@
         if request.term < core.term:
             return False
         own_position = (core.log.last_term, core.log.last_index)
-        if (request.last_term, request.last_index) < own_position:
+        position = (request.last_term, request.last_index)
+        if position < own_position:
             return False
         if request.pre:
+            is_rival = core.role is Role.PRE_CANDIDATE
+            if is_rival and position == own_position:
+                # Of two nodes that stand at once one gives way, or both
+                # would split the votes and lose a retry interval.
+                if request.from_id < core.cfg.node_id:
+                    return False
             return request.term > core.term
         return core.vote.voted_for in {'', request.from_id}
 
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -117,6 +117,25 @@
         assert not replies[0].granted
 
 
+def test_pre_vote_rival(node: Node) -> None:
+    """Guards against split votes that use up the time for a takeover."""
+    node.tick(3)
+    node.take_outbox()
+    for from_id, granted in (('A.1', False), ('b.1', True)):
+        request = VoteRequest(
+            from_id=from_id,
+            to_id='a.1',
+            term=3,
+            last_index=2,
+            last_term=2,
+            pre=True,
+        )
+        node.receive(3, request)
+        reply = node.take_outbox()[0]
+        assert isinstance(reply, VoteReply)
+        assert reply.granted is granted
+
+
 def test_snapshot_chunks_two_leaders(node: Node) -> None:
     """Guards against a snapshot put together from two encodings."""
     chunk = {
