Read load reports, serve the metrics page, test hostile callers

Cause: the scheduler got no load reports and nothing served the metrics. Change: an entry host reads at most 32 engines a second in turn; both processes serve the page on its own port. Result: a body of 100 MB, a chunked body without end, broken JSON and a header flood get 413/400; the host grew by less than 16 MiB in the test.

--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -27,6 +27,7 @@
 from apricotcart.control.reports import Reports
 from apricotcart.control.rpc import ControlRequests
 from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.metrics_server import start_metrics_page
 from apricotcart.observability.telemetry import Telemetry
 from apricotcart.observability.tracing import Tracer
 from apricotcart.settings.control import ControlConfig
@@ -147,6 +148,11 @@
             self._tls,
         ).start()
         self._start_duties()
+        self._metrics_server = start_metrics_page(
+            self._telemetry.metrics,
+            cfg.host.address,
+            cfg.metrics.port,
+        )
         self._serve_operators()
 
     def _start_duties(self) -> None:
@@ -195,6 +201,8 @@
         self._links.close()
         cherrypy.engine.exit()
         self._telemetry.tracer.close()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
         _LOG.info('control host %s has stopped', self._cfg.host.name)
 
     def _on_signal(self, *_args: Any) -> None:
--- /dev/null
+++ b/src/apricotcart/entry/load_reports.py
@@ -0,0 +1,105 @@
+"""Reads the load reports of the engines that this host uses."""
+
+from __future__ import annotations
+
+import logging
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import urllib3
+
+from apricotcart.distribution.configcopy import ConfigCopy
+from apricotcart.endpoints.records import LoadReport
+from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.scheduling.scheduler import Scheduler
+
+_LOG = logging.getLogger(__name__)
+POLL_INTERVAL_S = 1.0
+_TIMEOUT_S = 0.5
+_WORKERS = 4
+# A host with many endpoints reads a part of them in each round, so that its
+# own cost does not grow with the number of endpoints.
+MAX_READS_A_ROUND = 32
+_ENGINE = 'engine'
+
+
+class LoadPoller:
+    """Reads ``/load`` of engines in turn.
+
+    Parameters
+    ----------
+    held : ConfigCopy
+        Pools and endpoints.
+    dispatcher : Dispatcher
+        Takes the reports.
+    """
+
+    __slots__ = ('_dispatcher', '_held', '_http', '_position', '_workers')
+
+    def __init__(self, held: ConfigCopy, dispatcher: Dispatcher) -> None:
+        """Prepare the connections."""
+        self._held = held
+        self._dispatcher = dispatcher
+        self._position = 0
+        self._http = urllib3.PoolManager(retries=False)
+        self._workers = ThreadPoolExecutor(_WORKERS, 'load')
+
+    def poll(self) -> None:
+        """Read the next engines."""
+        engines = self._engines()
+        if not engines:
+            return
+        count = min(MAX_READS_A_ROUND, len(engines))
+        start = self._position % len(engines)
+        self._position = start + count
+        chosen = (engines + engines)[start : start + count]
+        for report in self._workers.map(self._read, chosen):
+            if report is not None:
+                self._take(*report)
+
+    def _engines(self) -> list[tuple[str, str]]:
+        view = self._held.view
+        pools = view.all_of('pool')
+        return [
+            (name, endpoint.spec['url'])
+            for name, endpoint in view.all_of('endpoint').items()
+            if pools[endpoint.spec['pool']].spec['kind'] == _ENGINE
+        ]
+
+    def _read(self, engine: tuple[str, str]) -> tuple[str, LoadReport] | None:
+        name, url = engine
+        started_at = time.monotonic()
+        try:
+            reply = self._http.request(
+                'GET',
+                f'{url}/load',
+                timeout=_TIMEOUT_S,
+            )
+            return name, _report(reply.json(), started_at)
+        except (urllib3.exceptions.HTTPError, ValueError, TypeError) as exc:
+            _LOG.debug('no load report of %s: %s', name, exc)
+            return None
+
+    def _take(self, name: str, report: LoadReport) -> None:
+        self._dispatcher.notify(
+            lambda scheduler, now: _hand_over(scheduler, now, name, report),
+        )
+
+
+def _report(fields: dict[str, Any], started_at: float) -> LoadReport:
+    return LoadReport(
+        slots_used=int(fields.get('slots_used', 0)),
+        queue=int(fields.get('queue', 0)),
+        token_rate=float(fields.get('token_rate', 0)),
+        measured_at=started_at - float(fields.get('age_s', 0)),
+    )
+
+
+def _hand_over(
+    scheduler: Scheduler,
+    now: float,
+    name: str,
+    report: LoadReport,
+) -> None:
+    scheduler.on_load_report(now, name, report)
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -19,8 +19,10 @@
 from apricotcart.entry.chat import ChatHandler
 from apricotcart.entry.control_link import ControlLink
 from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.entry.gauges import GAUGE_INTERVAL_S, EntryGauges
 from apricotcart.entry.held import HeldConfiguration
 from apricotcart.entry.host_answers import HostAnswers
+from apricotcart.entry.load_reports import POLL_INTERVAL_S, LoadPoller
 from apricotcart.entry.orders import OrderLedger
 from apricotcart.entry.retrying import RetryGate
 from apricotcart.entry.running import CHECK_INTERVAL_S, RunningTable
@@ -33,6 +35,7 @@
 from apricotcart.membership.directory import HostDirectory
 from apricotcart.membership.drain import EndpointDrain
 from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.metrics_server import start_metrics_page
 from apricotcart.observability.telemetry import Telemetry
 from apricotcart.observability.tracing import Tracer
 from apricotcart.scheduling.config import SchedulerConfig
@@ -156,6 +159,16 @@
                 _DRAIN_CHECK_S,
                 self._synchronizer.hold_if_unsure,
             ),
+            RepeatingTimer(
+                'load',
+                POLL_INTERVAL_S,
+                LoadPoller(self._held, self._dispatcher).poll,
+            ),
+            RepeatingTimer(
+                'gauges',
+                GAUGE_INTERVAL_S,
+                EntryGauges(self._telemetry.metrics, self._held).update,
+            ),
             RepeatingTimer(
                 'usage',
                 cfg.usage.flush_interval_s,
@@ -198,6 +211,11 @@
         self._dispatcher.start()
         for timer in self._timers:
             timer.start()
+        self._metrics_server = start_metrics_page(
+            self._telemetry.metrics,
+            cfg.host.address,
+            cfg.metrics.port,
+        )
         quiet_engine()
         mount(self._application())
         add_server(
@@ -230,6 +248,8 @@
             timer.stop()
         flush(self._sender, self._orders)
         self._dispatcher.stop()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
         self._telemetry.tracer.close()
         _LOG.info('entry host %s has stopped', cfg.host.name)
 
--- a/src/apricotcart/observability/metrics_server.py
+++ b/src/apricotcart/observability/metrics_server.py
@@ -66,3 +66,14 @@
         """Stop listening."""
         self._server.stop()
         self._thread.join()
+
+
+def start_metrics_page(
+    metrics: Metrics,
+    address: str,
+    port: int,
+) -> MetricsServer | None:
+    """Start the page if a port is configured; port 0 means none."""
+    if not port:
+        return None
+    return MetricsServer(metrics, address, port).start()
--- a/tests/entry/test_server.py
+++ b/tests/entry/test_server.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import orjson
+import psutil
 import pytest
 from entry.conftest import Caller, until
 from openai import OpenAI
@@ -149,6 +150,52 @@
     assert last['error']['code'] == 'key_withdrawn'
 
 
+def test_metrics_page(caller: Caller) -> None:
+    """Guards against metrics that are declared and never set."""
+    caller.chat('counted')
+    site = caller.cluster.entry['e1']
+    port = caller.cluster.metrics['e1']
+    url = f'http://{site.host}:{port}/metrics'
+    page = caller.cluster.http.request('GET', url).data.decode()
+    counted = 'apricotcart_requests_total{class="drafts",outcome="ok"}'
+    assert counted in page
+    assert 'apricotcart_config_revision' in page
+    assert caller.secret not in page
+
+
+def test_hostile_callers(caller: Caller) -> None:
+    """Guards against callers whose requests take memory without bound."""
+    process = psutil.Process(caller.cluster.children['e1'].pid)
+    before = process.memory_info().rss
+    url = f'{caller.url}/v1/chat/completions'
+    headers = {'Authorization': f'Bearer {caller.secret}'}
+    large = caller.cluster.http.request(
+        'POST',
+        url,
+        body=b'x' * 100_000_000,
+        headers=headers,
+    )
+    assert _error(large)['code'] == 'body_too_large'
+    chunked = caller.cluster.http.request(
+        'POST',
+        url,
+        body=(b'x' * 1_000_000 for _ in range(100)),
+        headers=headers,
+    )
+    assert chunked.status == 413
+    broken = caller.cluster.http.request(
+        'POST',
+        url,
+        body=b'{"model":',
+        headers=headers,
+    )
+    assert _error(broken)['code'] == 'invalid_json'
+    flood = {f'X-{number}': 'v' * 1000 for number in range(1000)}
+    flooded = caller.cluster.http.request('GET', url, headers=flood)
+    assert flooded.status == 413
+    assert process.memory_info().rss - before < 16 * 1024 * 1024
+
+
 def test_graceful_stop(running: tuple[Cluster, str]) -> None:
     """Guards against a planned stop that cuts a running stream off."""
     cluster, secret = running
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -68,6 +68,7 @@
         (folder / 'cluster.secret').write_text(secrets.token_hex(_TOKEN_BYTES))
         self.api: dict[str, Site] = {}
         self.entry: dict[str, Site] = {}
+        self.metrics: dict[str, int] = {}
         self.standins: dict[str, Site] = {}
         self._peers: dict[str, str] = {}
         self._rpc: dict[str, str] = {}
@@ -257,6 +258,7 @@
             name = f'e{number + 1}'
             site = Site(f'127.0.0.{31 + number}')
             self.entry[name] = site
+            self.metrics[name] = free_port(site.host)
             sections = {
                 'host': {
                     'name': name,
@@ -265,6 +267,7 @@
                     'port': str(site.port),
                 },
                 'control': {'addresses': ', '.join(self._rpc.values())},
+                'metrics': {'port': str(self.metrics[name])},
             }
             for dotted, text in self.settings.items():
                 section, _, key = dotted.partition('.')
