Divide slots in the background and send packed updates

Cause: each sync built all endpoint records and divided all slots; with 3,400 endpoints the leader stood at 92% of a core with 20 entry hosts and every sync timed out. Ruled out: the read barrier and the number of RPC workers (the same with 16 and 48). Change: one thread divides with a pause of nine times its duration; updates are packed once for all hosts at a revision.

--- /dev/null
+++ b/src/apricotcart/control/division.py
@@ -0,0 +1,79 @@
+"""Division of endpoint slots among entry hosts, in the background."""
+
+from __future__ import annotations
+
+import time
+
+from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.endpoints.records import Endpoint
+from apricotcart.endpoints.subsets import Subsets
+from apricotcart.scheduling.shares import divide
+from apricotcart.state.machine import ClusterState
+
+DIVISION_INTERVAL_S = 0.1
+# A division that takes long is followed by a pause of this many times its
+# duration, so that it uses at most a tenth of a core.
+_PAUSE_FACTOR = 9
+
+
+class Divider:
+    """Divides the slots while this host leads.
+
+    Parameters
+    ----------
+    loop : ConsensusLoop
+        Shows whether this host leads and guards the state.
+    state : ClusterState
+        Gives the endpoints.
+    hosts : EntryHosts
+        Gives the demand and takes the shares.
+    """
+
+    __slots__ = (
+        '_endpoints',
+        '_hosts',
+        '_loop',
+        '_next_at',
+        '_revision',
+        '_state',
+        '_subsets',
+    )
+
+    def __init__(
+        self,
+        loop: ConsensusLoop,
+        state: ClusterState,
+        hosts: EntryHosts,
+    ) -> None:
+        """Start without endpoints."""
+        self._loop = loop
+        self._state = state
+        self._hosts = hosts
+        self._revision = -1
+        self._endpoints: list[Endpoint] = []
+        self._subsets: dict[str, Subsets] = {}
+        self._next_at: float = 0
+
+    def run(self) -> None:
+        """Divide once if this host leads and a division is due."""
+        started_at = time.monotonic()
+        if started_at < self._next_at or not self._loop.lease_until():
+            return
+        self._refresh()
+        demands = self._hosts.demands(started_at)
+        division = divide(demands, self._endpoints, self._subsets)
+        self._hosts.take_division(division)
+        ended_at = time.monotonic()
+        self._next_at = ended_at + (ended_at - started_at) * _PAUSE_FACTOR
+
+    def _refresh(self) -> None:
+        with self._loop.lock:
+            if self._state.revision == self._revision:
+                return
+            self._revision = self._state.revision
+            resources = self._state.list('endpoint')
+        self._endpoints = [
+            Endpoint.from_spec(resource.name, resource.spec)
+            for resource in resources
+        ]
--- a/src/apricotcart/control/entry_hosts.py
+++ b/src/apricotcart/control/entry_hosts.py
@@ -3,19 +3,13 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
-from apricotcart.endpoints.records import Endpoint
 from apricotcart.membership.records import HostList, HostReport
 from apricotcart.membership.table import LEARN_S, HostTable
 from apricotcart.scheduling.dealing import Division
 from apricotcart.scheduling.decisions import Demand
-from apricotcart.scheduling.shares import divide
-
-# Shares are computed anew at most this often; a sync in between gets the
-# last division, so that 340 hosts do not each divide all slots.
-_DIVIDE_INTERVAL_S = 0.1
 
 Suspects = list[Mapping[str, Any]]
 
@@ -28,7 +22,6 @@
 
     __slots__ = (
         '_demands',
-        '_divided_at',
         '_division',
         '_leads_since',
         '_lock',
@@ -43,7 +36,6 @@
         self._term = -1
         self._table = HostTable(now)
         self._leads_since = now
-        self._divided_at = now
         self._demands: dict[str, Demand] = {}
         self._suspects: dict[str, Suspects] = {}
         self._division: Division = {}
@@ -74,13 +66,8 @@
         with self._lock:
             return self._table.list_for(now, held)
 
-    def share_of(
-        self,
-        now: float,
-        host: str,
-        endpoints: Iterable[Endpoint],
-    ) -> dict[str, int] | None:
-        """Give a host's slots by endpoint; None while hosts are unknown.
+    def share_of(self, now: float, host: str) -> dict[str, int] | None:
+        """Give a host's slots by endpoint; None while they are unknown.
 
         A leader that has not heard all hosts yet would give their slots to
         those that it has heard.
@@ -88,10 +75,12 @@
         with self._lock:
             if now < self._leads_since + LEARN_S:
                 return None
-            if now >= self._divided_at + _DIVIDE_INTERVAL_S:
-                self._division = divide(self._live_demands(now), endpoints)
-                self._divided_at = now
-            return self._division.get(host, {})
+            return self._division.get(host)
+
+    def take_division(self, division: Division) -> None:
+        """Take the slots by host and endpoint."""
+        with self._lock:
+            self._division = division
 
     def suspects_for(self, host: str) -> list[Mapping[str, Any]]:
         """Give what other hosts know of requests that crash endpoints."""
@@ -120,7 +109,6 @@
 
     def _start(self, now: float) -> None:
         self._leads_since = now
-        self._divided_at = now
         self._demands = {}
         self._division = {}
         self._suspects = {}
--- a/src/apricotcart/control/rpc.py
+++ b/src/apricotcart/control/rpc.py
@@ -7,7 +7,6 @@
 from apricotcart.control.entry_hosts import EntryHosts
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.distribution.responder import SyncResponder
-from apricotcart.endpoints.records import Endpoint
 from apricotcart.errors.tree import ApricotcartError, ClusterError, CodecError
 from apricotcart.observability.catalogue import COMMIT_S
 from apricotcart.observability.telemetry import Telemetry
@@ -42,7 +41,7 @@
         The entry hosts.
     """
 
-    __slots__ = ('_hosts', '_loop', '_responder', '_state', '_telemetry')
+    __slots__ = ('_hosts', '_loop', '_responder', '_telemetry')
 
     def __init__(
         self,
@@ -54,7 +53,6 @@
         """Keep the parts."""
         self._telemetry = telemetry
         self._loop = loop
-        self._state = state
         self._hosts = hosts
         self._responder = SyncResponder(state)
 
@@ -105,18 +103,11 @@
         if not self._hosts.on_sync(now, self._loop.term(), message):
             raise ReplacedHostError(f'a later process serves as {host}')
         with self._loop.lock:
-            update = self._responder.respond(message['revision'])
-            endpoints = self._endpoints()
+            update = self._responder.packed(message['revision'])
         return {
             'ok': True,
-            'update': update.to_wire(),
+            'update': update,
             'hosts': self._hosts.list_for(now, message['hosts']).to_wire(),
-            'shares': self._hosts.share_of(now, host, endpoints),
+            'shares': self._hosts.share_of(now, host),
             'suspects': self._hosts.suspects_for(host),
         }
-
-    def _endpoints(self) -> list[Endpoint]:
-        return [
-            Endpoint.from_spec(resource.name, resource.spec)
-            for resource in self._state.list('endpoint')
-        ]
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -15,6 +15,7 @@
 from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.node import Node
+from apricotcart.control.division import DIVISION_INTERVAL_S, Divider
 from apricotcart.control.duties import DutyRunner
 from apricotcart.control.duty_plan import DutyPlan
 from apricotcart.control.entry_hosts import EntryHosts
@@ -34,6 +35,7 @@
 from apricotcart.storage.identity import open_identity
 from apricotcart.storage.log_store import DurableLogStore
 from apricotcart.storage.real_disk import RealDisk
+from apricotcart.timers.repeating import RepeatingTimer
 from apricotcart.transport.peers import NngPeerLinks
 from apricotcart.transport.requests import NngRequestServer
 from apricotcart.transport.tls import TlsFiles, cluster_dns_name
@@ -46,7 +48,8 @@
 )
 
 _LOG = logging.getLogger(__name__)
-_RPC_WORKERS = 16
+# A sync waits for a round of heartbeats; this many wait at the same time.
+_RPC_WORKERS = 48
 _HTTP_THREADS = 24
 _MAX_HEADER_BYTES = 32_768
 _REQUEST_TIMEOUT_S = 10.0
@@ -147,6 +150,13 @@
             _RPC_WORKERS,
             self._tls,
         ).start()
+        divider = Divider(self._loop, state, self._hosts)
+        self._divider = RepeatingTimer(
+            'division',
+            DIVISION_INTERVAL_S,
+            divider.run,
+        )
+        self._divider.start()
         self._start_duties()
         self._metrics_server = start_metrics_page(
             self._telemetry.metrics,
@@ -194,6 +204,7 @@
     def _stop(self) -> None:
         if self._duties is not None:
             self._duties.stop()
+        self._divider.stop()
         self._joiner.stop()
         self._receiver.stop()
         self._rpc.close()
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -29,7 +29,6 @@
 from apricotcart.entry.services import ServiceHandler
 from apricotcart.entry.stopping import ActiveRequests, Drain, flush
 from apricotcart.entry.synchronizer import HostIdentity, Synchronizer
-from apricotcart.entry.timers import RepeatingTimer
 from apricotcart.entry.upstream import Upstream
 from apricotcart.entry.usage import UsageCounter, UsageSender
 from apricotcart.membership.directory import HostDirectory
@@ -42,6 +41,7 @@
 from apricotcart.scheduling.scheduler import Scheduler
 from apricotcart.settings.entry import EntryConfig
 from apricotcart.state.limits import WINDOW_MS
+from apricotcart.timers.repeating import RepeatingTimer
 from apricotcart.transport.api import RequestClient
 from apricotcart.transport.requests import NngRequestClient
 from apricotcart.transport.tls import TlsFiles, cluster_dns_name
--- a/src/apricotcart/entry/synchronizer.py
+++ b/src/apricotcart/entry/synchronizer.py
@@ -154,7 +154,7 @@
         if not reply.get('ok'):
             _LOG.warning('sync refused: %s', reply.get('message'))
             return False
-        update = ConfigUpdate.from_wire(reply['update'])
+        update = ConfigUpdate.from_bytes(reply['update'])
         self._held.apply(update, started_at)
         if self._held.view.revision != self._applied_revision:
             self._configure()
--- /dev/null
+++ b/src/apricotcart/timers/__init__.py
@@ -0,0 +1,1 @@
+"""Threads that repeat a task."""
--- a/src/apricotcart/entry/timers.py
+++ b/src/apricotcart/timers/repeating.py
@@ -1,4 +1,4 @@
-"""Threads that repeat a task."""
+"""A thread that repeats a task."""
 
 from __future__ import annotations
 
