--- a/tests/policy/simulation.py
+++ b/tests/policy/simulation.py
@@ -60,6 +60,7 @@
         self.next_sync: float = 0
         self.leaving: set[str] = set()
         self.crash_counts: dict[str, int] = {}
+        self.dispatches: list[tuple[float, str]] = []
         self._configure()
 
     def run(self) -> list[Record]:
@@ -159,6 +160,7 @@
 
     def _start(self, record: Record, endpoint: str, number: int) -> None:
         record.attempts += 1
+        self.dispatches.append((self.now, endpoint))
         engine = self.engines[endpoint]
         kept = record.kept
         job = Job(record.arrival, number, self.now, kept)
