End the quarantine of a request on all hosts

Cause: the age in a suspect report grows with the delay of the message, so that two hosts renewed each other's entries and a quarantine never ended. A known entry is no longer renewed, and one older than half of the quarantine is not taken over. The test with a quarter of a second of delay fails without this.

--- a/src/apricotcart/endpoints/suspects.py
+++ b/src/apricotcart/endpoints/suspects.py
@@ -100,9 +100,10 @@
         for report in reports:
             suspect = self._remote.setdefault(report.fingerprint, _Suspect())
             suspect.endpoints.update(report.endpoints)
-            suspect.crashed_at = now - report.age_s
+            crashed_at = now - report.age_s
+            suspect.crashed_at = max(suspect.crashed_at, crashed_at)
         for fingerprint, merged in self._remote.items():
-            if len(merged.endpoints) >= CRASHES_TO_QUARANTINE:
+            if self._is_news(now, fingerprint, merged):
                 self._add(merged.crashed_at, fingerprint, merged.endpoints)
 
     def merge_wire(
@@ -111,6 +112,15 @@
         """Take in suspects in their wire form."""
         self.merge(now, [SuspectReport.from_wire(entry) for entry in reports])
 
+    def _is_news(self, now: float, fingerprint: str, merged: _Suspect) -> bool:
+        # The age grows with the delay of each message. Without this bound
+        # hosts would renew each other's entries for ever.
+        if now - merged.crashed_at > QUARANTINE_S / 2:
+            return False
+        if fingerprint in self._quarantined:
+            return False
+        return len(merged.endpoints) >= CRASHES_TO_QUARANTINE
+
     def _add(
         self, now: float, fingerprint: str, endpoints: Iterable[str]
     ) -> None:
--- a/tests/endpoints/test_endpoints.py
+++ b/tests/endpoints/test_endpoints.py
@@ -206,6 +206,24 @@
     assert first.is_quarantined(3, 'f')
 
 
+def test_quarantine_ends_on_all_hosts() -> None:
+    """Guards against hosts that renew each other's entries for ever.
+
+    Each report arrives a quarter of a second after it was made.
+    """
+    tables = [SuspectTable(), SuspectTable()]
+    tables[0].on_crash(0, 'f', 'e1')
+    tables[0].on_crash(0, 'f', 'e2')
+    for step in range(2000):
+        now = step / 2
+        reports = [table.reports(now) for table in tables]
+        tables[0].merge(now + 1 / 4, reports[1])
+        tables[1].merge(now + 1 / 4, reports[0])
+        if step == 600:
+            assert all(table.is_quarantined(now, 'f') for table in tables)
+    assert not any(table.is_quarantined(1000, 'f') for table in tables)
+
+
 def test_suspect_is_cleared_everywhere() -> None:
     """Guards against a bystander that stays suspect on other hosts."""
     first, second = SuspectTable(), SuspectTable()
