Show the control host's state and dropped records on its metrics page

Change: sources set their metrics whenever the page is read; a control host shows role, term, commit index and entry hosts, and every process its dropped spans and log records. The counter of leader changes is replaced by the term, which cannot miss one between two reads.

--- /dev/null
+++ b/src/apricotcart/control/gauges.py
@@ -0,0 +1,58 @@
+"""Gauges of a control host, set when the metrics page is read."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+
+from apricotcart.consensus.api import Role
+from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.control.loop import ConsensusLoop
+from apricotcart.observability.catalogue import (
+    COMMIT_INDEX,
+    ENTRY_HOSTS,
+    IS_LEADER,
+    TERM,
+)
+from apricotcart.observability.metrics import Metrics
+
+_STATES = ('serving', 'leaving')
+
+
+class ControlGauges:
+    """Shows the replicated log and the entry hosts.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where the gauges are.
+    loop : ConsensusLoop
+        Role, term and commit index.
+    hosts : EntryHosts
+        What the leader knows of entry hosts.
+    """
+
+    __slots__ = ('_hosts', '_loop', '_metrics')
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        loop: ConsensusLoop,
+        hosts: EntryHosts,
+    ) -> None:
+        """Keep the parts."""
+        self._metrics = metrics
+        self._loop = loop
+        self._hosts = hosts
+
+    def update(self) -> None:
+        """Set all gauges to the present state."""
+        status = self._loop.status()
+        metrics = self._metrics
+        metrics.gauge(IS_LEADER, int(status['role'] == Role.LEADER))
+        metrics.gauge(TERM, status['term'])
+        metrics.gauge(COMMIT_INDEX, status['commit_index'])
+        reports = self._hosts.reports(time.monotonic())
+        counts = Counter(report['state'] for report in reports)
+        for state in _STATES:
+            metrics.gauge(ENTRY_HOSTS, counts[state], {'state': state})
--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -18,6 +18,7 @@
 from apricotcart.control.duties import DutyRunner
 from apricotcart.control.duty_plan import DutyPlan
 from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.control.gauges import ControlGauges
 from apricotcart.control.joining import Joiner
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.control.machine import ReplicatedMachine
@@ -148,6 +149,8 @@
             self._tls,
         ).start()
         self._start_duties()
+        gauges = ControlGauges(self._telemetry.metrics, self._loop, self._hosts)
+        self._telemetry.metrics.add_source(gauges.update)
         self._metrics_server = start_metrics_page(
             self._telemetry.metrics,
             cfg.host.address,
--- a/src/apricotcart/observability/catalogue.py
+++ b/src/apricotcart/observability/catalogue.py
@@ -92,8 +92,8 @@
     'kind',
     'outcome',
 )
-LEADER_CHANGES: Final = Metric(
-    COUNTER, 'leader_changes_total', 'Changes of leader that this host saw.'
+TERM: Final = Metric(
+    GAUGE, 'term', 'Term of the replicated log, which grows by elections.'
 )
 PLATFORM_CALLS: Final = Metric(
     COUNTER,
@@ -172,7 +172,7 @@
     WASTED_TOKENS,
     SYNCS,
     COMMANDS,
-    LEADER_CHANGES,
+    TERM,
     PLATFORM_CALLS,
     DROPPED_SPANS,
     DROPPED_LOG_RECORDS,
--- a/src/apricotcart/observability/logs.py
+++ b/src/apricotcart/observability/logs.py
@@ -134,6 +134,15 @@
         self._target.close()
 
 
+def dropped_records() -> int:
+    """Give how many records of this process found the queue full."""
+    return sum(
+        intake.dropped
+        for intake in logging.getLogger().handlers
+        if isinstance(intake, DroppingQueueHandler)
+    )
+
+
 def _redirect_direct_output() -> None:
     # These write to standard error past the filter unless told otherwise:
     # exceptions that end a thread, failures of the log itself, warnings.
--- a/src/apricotcart/observability/metrics.py
+++ b/src/apricotcart/observability/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import resource
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from threading import Lock
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
@@ -37,7 +37,7 @@
 class Metrics:
     """Counts, gauges and histograms, safe to use from several threads."""
 
-    __slots__ = ('_collectors', '_lock', '_registry')
+    __slots__ = ('_collectors', '_lock', '_registry', '_sources')
 
     def __init__(self) -> None:
         """Create every declared metric."""
@@ -45,6 +45,7 @@
         # while iterating over its values, so both need the lock.
         self._lock = Lock()
         self._registry = Registry()
+        self._sources: list[Callable[[], None]] = []
         self._collectors = {
             metric.name: self._collector(metric) for metric in METRICS
         }
@@ -82,9 +83,21 @@
         with self._lock:
             collector.observe(dict(labels), seconds)
 
+    def total(self, metric: Metric, amount: float) -> None:
+        """Set a counter without labels that is counted elsewhere."""
+        collector = self._checked(metric, _NO_LABELS)
+        with self._lock:
+            collector.set({}, amount)
+
+    def add_source(self, update: Callable[[], None]) -> None:
+        """Have something set its metrics whenever the page is read."""
+        self._sources.append(update)
+
     def page(self) -> tuple[bytes, str]:
         """Give the page in Prometheus text form, and its content type."""
         self.gauge(RESIDENT_BYTES, _resident_bytes())
+        for update in self._sources:
+            update()
         with self._lock:
             body, headers = render(self._registry, ())
         return bytes(body), str(headers['Content-Type'])
--- a/src/apricotcart/observability/telemetry.py
+++ b/src/apricotcart/observability/telemetry.py
@@ -10,6 +10,11 @@
 from opentelemetry.trace import Span
 
 from apricotcart.errors.tree import ApricotcartError
+from apricotcart.observability.catalogue import (
+    DROPPED_LOG_RECORDS,
+    DROPPED_SPANS,
+)
+from apricotcart.observability.logs import dropped_records
 from apricotcart.observability.metrics import Metrics
 from apricotcart.observability.tracing import (
     Tracer,
@@ -74,6 +79,7 @@
         """Keep both."""
         self.tracer = tracer
         self.metrics = metrics
+        metrics.add_source(self._count_dropped)
 
     def open_hop(
         self,
@@ -84,3 +90,7 @@
         """Open the span of a request that came in."""
         span = self.tracer.start_hop(name, traceparent, attributes)
         return Hop(self.tracer, span)
+
+    def _count_dropped(self) -> None:
+        self.metrics.total(DROPPED_SPANS, self.tracer.dropped)
+        self.metrics.total(DROPPED_LOG_RECORDS, dropped_records())
