Pause after refused commands to the replicated state

Cause: a refused command was proposed again on each tick and would have filled the log. Change: the fleet and the reporter back off by resource and window, the authority takes a number at most every 0.5 s, and a refused status is not repeated until it changes.

--- a/src/apricotcart/platform/authority.py
+++ b/src/apricotcart/platform/authority.py
@@ -18,6 +18,8 @@
 LEASE_MARGIN_S = 0.05
 # A send with less time than this would mostly fail and be sent again.
 SHORTEST_SEND_S = 0.05
+# Pause after a take, so that refused ones do not fill the log.
+RETAKE_S = 0.5
 
 
 class AuthorityTiming(Record):
@@ -69,6 +71,7 @@
         '_active_from',
         '_attempts',
         '_lease',
+        '_next_take',
         '_outbox',
         '_refused_term',
         '_taking',
@@ -95,6 +98,7 @@
         self._term = -1
         self._refused_term = -1
         self._active_from: float = 0
+        self._next_take: float = 0
         self._attempts = count(1)
 
     def tick(self, now: float) -> bool:
@@ -154,6 +158,8 @@
     def _may_take(self, now: float) -> bool:
         if self.fencing or self._taking or not self._has_lease(now):
             return False
+        if now < self._next_take:
+            return False
         return self._lease.term() != self._refused_term
 
     def _take(self) -> None:
@@ -174,6 +180,7 @@
         if not self._taking or term != self._term:
             return
         self._taking = False
+        self._next_take = now + RETAKE_S
         if reply and reply.get('ok'):
             wait_s = self._timing.lease_s + self._timing.in_flight_s
             # Set before the number: sending threads read both unlocked.
--- a/src/apricotcart/platform/capacity.py
+++ b/src/apricotcart/platform/capacity.py
@@ -18,7 +18,7 @@
     from apricotcart.platform.fleet import Fleet
     from apricotcart.platform.inventory import Inventory
     from apricotcart.platform.orders import OrderBook
-    from apricotcart.platform.outbox import Outbox
+    from apricotcart.platform.outbox import Outbox, Reply
     from apricotcart.platform.placement import Placement
     from apricotcart.platform.sizing import SizingRule
 
@@ -190,9 +190,10 @@
         self._statuses[pool] = status
         self._outbox.propose(
             set_status('pool', pool, status),
-            lambda _now, reply: self._on_shown(pool, is_set=bool(reply)),
+            lambda _now, reply: self._on_shown(pool, reply),
         )
 
-    def _on_shown(self, pool: str, *, is_set: bool) -> None:
-        if not is_set:
+    def _on_shown(self, pool: str, reply: Reply) -> None:
+        # A refused status is not repeated before it changes.
+        if reply is None:
             self._statuses.pop(pool, None)
--- a/src/apricotcart/platform/fleet.py
+++ b/src/apricotcart/platform/fleet.py
@@ -18,8 +18,9 @@
         FleetView,
     )
     from apricotcart.platform.authority import Authority
+    from apricotcart.platform.backoff import Backoff
     from apricotcart.platform.inventory import Inventory
-    from apricotcart.platform.outbox import Outbox
+    from apricotcart.platform.outbox import Outbox, Reply
 
 # Resources of provisioned endpoints carry this prefix; all others belong to
 # the operators and are never changed here.
@@ -53,11 +54,14 @@
         Gives the fencing number.
     outbox : Outbox
         Where commands and releases go.
+    backoff : Backoff
+        Pauses after refused commands, by resource.
     """
 
     __slots__ = (
         '_absent_since',
         '_authority',
+        '_backoff',
         '_busy',
         '_drained_since',
         '_fleet_view',
@@ -76,8 +80,10 @@
         inventory: Inventory,
         authority: Authority,
         outbox: Outbox,
+        backoff: Backoff,
     ) -> None:
         """Start with nothing under way."""
+        self._backoff = backoff
         self._templates = templates
         self._fleet_view = fleet_view
         self._inventory = inventory
@@ -92,6 +98,7 @@
 
     def reset(self) -> None:
         """Forget what is under way."""
+        self._backoff.clear()
         self._busy.clear()
         self._releases.clear()
         self._retired.clear()
@@ -100,7 +107,7 @@
 
     def retired(self) -> set[str]:
         """Names in the platform's list of the endpoints that are leaving."""
-        resources = self._resources()
+        resources = _managed(self._fleet_view)
         leaving = {
             name for name in resources if resources[name].spec['leaving']
         }
@@ -114,7 +121,7 @@
         """Bring the resources in line with the platform's list."""
         if not self._inventory.is_fresh(now, float('-inf')):
             return
-        resources = self._resources()
+        resources = _managed(self._fleet_view)
         listed = {
             endpoint['name']: endpoint
             for endpoint in self._inventory.endpoints
@@ -126,13 +133,6 @@
         for name in resources:
             self._drop_if_absent(now, resources[name], name in listed)
 
-    def _resources(self) -> dict[str, EndpointResource]:
-        return {
-            resource.name.removeprefix(NAME_PREFIX): resource
-            for resource in self._fleet_view.endpoints()
-            if resource.name.startswith(NAME_PREFIX)
-        }
-
     def _follow(
         self,
         now: float,
@@ -140,13 +140,17 @@
         resource: EndpointResource | None,
     ) -> None:
         if resource is None:
-            self._follow_unregistered(endpoint)
+            self._follow_unregistered(now, endpoint)
         elif not resource.spec['leaving']:
-            self._leave_if_needed(endpoint, resource)
+            self._leave_if_needed(now, endpoint, resource)
         elif endpoint['state'] == RUNNING:
             self._release_if_drained(now, endpoint['name'], resource)
 
-    def _follow_unregistered(self, endpoint: dict[str, Any]) -> None:
+    def _follow_unregistered(
+        self,
+        now: float,
+        endpoint: dict[str, Any],
+    ) -> None:
         name = endpoint['name']
         if name in self._retired:
             self._releases.send(name)
@@ -159,17 +163,18 @@
                 'leaving': False,
                 **self._templates[endpoint['pool']],
             }
-            self._apply(f'{NAME_PREFIX}{name}', 0, spec)
+            self._apply(now, f'{NAME_PREFIX}{name}', 0, spec)
 
     def _leave_if_needed(
         self,
+        now: float,
         endpoint: dict[str, Any],
         resource: EndpointResource,
     ) -> None:
         is_retired = endpoint['name'] in self._retired
         if is_retired or endpoint['state'] == RECLAIMING:
             spec = {**resource.spec, 'leaving': True}
-            self._apply(resource.name, resource.version, spec)
+            self._apply(now, resource.name, resource.version, spec)
 
     def _release_if_drained(
         self,
@@ -195,6 +200,7 @@
         absent_since = self._absent_since.setdefault(resource.name, now)
         if now - absent_since >= ABSENT_S:
             self._propose(
+                now,
                 resource.name,
                 delete_endpoint(
                     self._op_id(),
@@ -203,20 +209,48 @@
                 ),
             )
 
-    def _apply(self, name: str, version: int, spec: dict[str, Any]) -> None:
+    def _apply(
+        self,
+        now: float,
+        name: str,
+        version: int,
+        spec: dict[str, Any],
+    ) -> None:
         command = apply_endpoint(self._op_id(), name, version, spec)
-        self._propose(name, command)
+        self._propose(now, name, command)
 
-    def _propose(self, name: str, command: dict[str, Any]) -> None:
+    def _propose(
+        self,
+        now: float,
+        name: str,
+        command: dict[str, Any],
+    ) -> None:
         if name in self._busy or len(self._busy) >= MAX_CHANGES_AT_ONCE:
             return
+        if self._backoff.is_paused(now, name):
+            return
         self._busy.add(name)
         self._outbox.propose(
             command,
-            lambda _now, _reply: self._busy.discard(name),
+            lambda at, reply: self._on_reply(at, name, reply),
         )
 
+    def _on_reply(self, now: float, name: str, reply: Reply) -> None:
+        self._busy.discard(name)
+        if reply and reply.get('ok'):
+            self._backoff.succeed(name)
+        else:
+            self._backoff.fail(now, name)
+
     def _op_id(self) -> str:
         number = next(self._numbers)
         fencing = self._authority.fencing
         return f'fleet-{fencing}-{number}'
+
+
+def _managed(fleet_view: FleetView) -> dict[str, EndpointResource]:
+    return {
+        resource.name.removeprefix(NAME_PREFIX): resource
+        for resource in fleet_view.endpoints()
+        if resource.name.startswith(NAME_PREFIX)
+    }
--- a/src/apricotcart/platform/reporter.py
+++ b/src/apricotcart/platform/reporter.py
@@ -105,7 +105,7 @@
     def tick(self, now: float) -> None:
         """Close the windows that have ended and report closed ones."""
         for window in self._usage.open_windows():
-            self._close_if_ended(window)
+            self._close_if_ended(now, window)
         for figures in self._usage.unreported():
             self._report_if_due(now, figures)
 
@@ -115,11 +115,13 @@
         self._busy.clear()
         self._backoff.clear()
 
-    def _close_if_ended(self, window: int) -> None:
+    def _close_if_ended(self, now: float, window: int) -> None:
         end_s = (window + 1) * self._timing.window_s
         is_ended = self.wall_s >= end_s + self._timing.close_delay_s
         if not is_ended or window in self._closing:
             return
+        if self._backoff.is_paused(now, window):
+            return
         self._closing.add(window)
         self._outbox.propose(
             {
@@ -127,9 +129,16 @@
                 'window': window,
                 'op_id': f'usage-close-{window}',
             },
-            lambda _now, _reply: self._closing.discard(window),
+            lambda at, reply: self._on_closed(at, window, reply),
         )
 
+    def _on_closed(self, now: float, window: int, reply: Reply) -> None:
+        self._closing.discard(window)
+        if reply and reply.get('ok'):
+            self._backoff.succeed(window)
+        else:
+            self._backoff.fail(now, window)
+
     def _report_if_due(self, now: float, figures: UsageFigures) -> None:
         key = (figures.window, figures.customer)
         if len(self._busy) >= self._timing.at_once or key in self._busy:
--- a/src/apricotcart_standins/spending/simulation.py
+++ b/src/apricotcart_standins/spending/simulation.py
@@ -165,8 +165,15 @@
         authority = Authority('c1', self._lease, outbox)
         inventory = Inventory(outbox)
         templates = {POOL: {'slots': SLOTS, 'checks_fencing': True}}
-        fleet = Fleet(templates, self.state, inventory, authority, outbox)
         backoff = Backoff(_FIRST_PAUSE_S, _LONGEST_PAUSE_S, rng)
+        fleet = Fleet(
+            templates,
+            self.state,
+            inventory,
+            authority,
+            outbox,
+            Backoff(_FIRST_PAUSE_S, _LONGEST_PAUSE_S, rng),
+        )
         capacity = Capacity(
             {POOL: rule},
             self.state,
--- a/tests/platform/test_leader.py
+++ b/tests/platform/test_leader.py
@@ -12,7 +12,22 @@
     SENDER_FAULTS,
     run_faults,
 )
-from platform_world import UncommittedUsage
+from platform_world import UncommittedUsage, World
+
+
+@pytest.mark.parametrize(
+    'kind', ['apply', 'fencing_take', 'set_status', 'usage_close']
+)
+def test_leader_refused_commands(kind: str) -> None:
+    """Guards against a refused command that fills the log."""
+    world = World(1)
+    world.refused_kind = kind
+    world.state.demand = 6
+    world.state.add_usage(0, 'a', 1)
+    world.elect(world.hosts[0])
+    world.run(100)
+    assert 1 <= world.commands[kind] <= 200
+
 
 SEEDS = range(1, 9)
 
