Let engine stand-ins fetch weights, and fix the priority test

Cause: loads of the engine stand-in did not meet the weight store's rate. test_engine_priority hung once in 13 runs of the suite: its first request could end before the others waited, and it compared client threads, which may be scheduled in any order. The test now holds the one slot with endless streams, so that neither the machine's speed nor the order of threads matters; it still fails if priorities are ignored.

--- a/src/apricotcart_standins/engine/app.py
+++ b/src/apricotcart_standins/engine/app.py
@@ -41,6 +41,7 @@
             options.models.split(','),
             checks_fencing=not options.ignore_fencing,
             load_s=options.load_s,
+            weight_store=options.weight_store,
         )
         self._generator = Generator(
             options,
--- a/src/apricotcart_standins/engine/commands.py
+++ b/src/apricotcart_standins/engine/commands.py
@@ -6,6 +6,9 @@
 import time
 from itertools import compress
 from typing import Any, TypeAlias
+from urllib.parse import quote
+
+import urllib3
 
 from apricotcart_standins.fencing import FencingCheck
 from apricotcart_standins.web import (
@@ -17,6 +20,8 @@
 
 _Fields: TypeAlias = dict[str, Any]
 
+STATUS_UNAVAILABLE = 503
+
 _LOADS = frozenset(('load', 'load_adapter', 'load_version'))
 _UNLOADS = frozenset(('unload', 'unload_adapter', 'unload_version'))
 
@@ -32,6 +37,8 @@
         Refuse a command with a lower fencing number than one seen before.
     load_s : float
         Time until a loaded model can be used, in seconds.
+    weight_store : str
+        Base URL from which weights are fetched first; empty for none.
     """
 
     __slots__ = (
@@ -39,6 +46,7 @@
         '_load_s',
         '_lock',
         '_models',
+        '_weight_store',
         'records',
         'role',
     )
@@ -49,8 +57,10 @@
         *,
         checks_fencing: bool,
         load_s: float,
+        weight_store: str = '',
     ) -> None:
         """Start with the given models."""
+        self._weight_store = weight_store
         self._models = dict.fromkeys(models, time.monotonic())
         self._load_s = load_s
         self._check = FencingCheck(enforced=checks_fencing)
@@ -76,11 +86,21 @@
         self.records.append(record)
         if self._check.is_refused(fencing):
             return STATUS_CONFLICT, error_body('stale_fencing')
+        if fields.get('action') in _LOADS and not self._fetch(fields):
+            return STATUS_UNAVAILABLE, error_body('weights_unavailable')
         if not self._apply(fields):
             return STATUS_BAD_REQUEST, error_body('unknown_action')
         record['accepted'] = True
         return STATUS_OK, {'ok': True, 'ready_in_s': self._load_s}
 
+    def _fetch(self, fields: _Fields) -> bool:
+        if not self._weight_store:
+            return True
+        model = quote(str(fields.get('model', '')), safe='')
+        url = f'{self._weight_store}/weights/{model}'
+        answer = urllib3.request('GET', url, retries=False)
+        return answer.status == STATUS_OK
+
     def _apply(self, fields: dict[str, Any]) -> bool:
         action = fields.get('action')
         model = str(fields.get('model', ''))
--- a/src/apricotcart_standins/options.py
+++ b/src/apricotcart_standins/options.py
@@ -85,6 +85,11 @@
 def _add_engine(parser: argparse.ArgumentParser) -> None:
     _add_numbers(parser, _ENGINE_NUMBERS)
     parser.add_argument('--models', default='chat', help='comma-separated')
+    parser.add_argument(
+        '--weight-store',
+        default='',
+        help='base URL of a platform from which loads fetch weights',
+    )
     _add_fencing(parser)
 
 
--- a/tests/apricotcart_standins/engine/test_app.py
+++ b/tests/apricotcart_standins/engine/test_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import queue
 import threading
 import time
 from typing import TYPE_CHECKING, Any
@@ -83,36 +84,32 @@
 def test_engine_priority(serve: ServeFixture) -> None:
     """Guards against a queue that ignores X-Priority."""
     url = serve(*FAST, '--slots', '1', '--load-lag-s', '0')
-    finished: list[str] = []
-
-    def send(priority: str, tokens: int) -> None:
-        fields = chat_fields(priority, tokens)
-        call('POST', url + CHAT_PATH, fields, X_Priority=priority)
-        finished.append(priority)
-
-    threads = []
-    for waiting, (priority, tokens) in enumerate(
-        (('0', 400), ('5', 9), ('1', 9))
-    ):
-        thread = threading.Thread(target=send, args=(priority, tokens))
-        thread.start()
-        threads.append(thread)
+    running: queue.Queue[tuple[str, urllib3.BaseHTTPResponse]] = queue.Queue()
+
+    def start(priority: str) -> None:
+        answer = _start_endless_stream(url, X_Priority=priority)
+        running.put((priority, answer))
+
+    # Each stream holds the one slot until it is closed, and both others
+    # wait before the first one is.
+    holder = _start_endless_stream(url)
+    for waiting, priority in enumerate(('5', '1'), start=1):
+        threading.Thread(target=start, args=(priority,)).start()
         _wait_for_load(url, 'queue', waiting)
-    for thread in threads:
-        thread.join()
-    assert finished == ['0', '1', '5']
+    holder.close()
+    order = []
+    for _ in range(2):
+        priority, answer = running.get()
+        order.append(priority)
+        answer.close()
+    assert order == ['1', '5']
 
 
 def test_engine_cancel(serve: ServeFixture) -> None:
     """Guards against a slot that stays taken after a disconnect."""
     url = serve(*FAST, '--load-lag-s', '0')
-    answer = HTTP.request(
-        'POST',
-        url + CHAT_PATH,
-        json=chat_fields('hello', 100000, stream=True),
-        preload_content=False,
-    )
-    assert answer.read(10)
+    answer = _start_endless_stream(url)
+    _wait_for_load(url, 'slots_used', 1)
     answer.close()
     _wait_for_load(url, 'slots_used', 0)
 
@@ -160,6 +157,23 @@
     ]
 
 
+def test_engine_weight_store(serve: ServeFixture) -> None:
+    """Guards against loads above the rate of the weight store."""
+    store = serve('platform', '--weight-rate', '0.01', '--weight-burst', '1')
+    url = serve(*FAST, '--load-s', '0', '--weight-store', store)
+    statuses = [
+        HTTP.request(
+            'POST',
+            f'{url}/orders',
+            json={'fencing': 1, 'action': 'load', 'model': model},
+        ).status
+        for model in ('m', 'n')
+    ]
+    assert statuses == [200, 503]
+    models = call('GET', f'{url}/v1/models')['data']
+    assert [model['id'] for model in models] == ['chat', 'm']
+
+
 def test_engine_received(serve: ServeFixture) -> None:
     """Guards against a journal that misses headers, such as a leaked key."""
     url = serve(*FAST)
@@ -186,6 +200,18 @@
     assert call('GET', f'{url}/load')['slots'] == 8
 
 
+def _start_endless_stream(url: str, **headers: str) -> urllib3.BaseHTTPResponse:
+    answer = HTTP.request(
+        'POST',
+        url + CHAT_PATH,
+        json=chat_fields('hello', 10_000_000, stream=True),
+        headers={key.replace('_', '-'): headers[key] for key in headers},
+        preload_content=False,
+    )
+    assert answer.read(10)
+    return answer
+
+
 def _wait_for_load(url: str, field: str, expected: Any) -> None:
     while call('GET', f'{url}/load')[field] != expected:
         time.sleep(0.01)
