--- a/src/apricotcart/consensus/applier.py
+++ b/src/apricotcart/consensus/applier.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 from apricotcart.consensus.api import Entry, EntryKind, Snapshot
+from apricotcart.consensus.config import (
+    ENTRY_OVERHEAD_BYTES,
+    SNAPSHOT_EVERY_BYTES,
+    SNAPSHOT_TRAILING_BYTES,
+)
 from apricotcart.consensus.core import Core
 
 
@@ -19,6 +24,7 @@
         """Start without tickets."""
         self.core = core
         self.tickets: dict[int, int] = {}
+        self._applied_bytes = 0
 
     def commit(self, index: int) -> None:
         """Advance the commit index, apply and shorten the log if due."""
@@ -28,9 +34,7 @@
         core.commit_index = index
         for entry in core.log.between(core.applied_index + 1, index):
             self._apply(entry)
-        snapshot = core.log.snapshot
-        covered = snapshot.index if snapshot else 0
-        if core.applied_index - covered >= core.cfg.snapshot_every:
+        if self._is_snapshot_due():
             self.compact()
 
     def compact(self) -> None:
@@ -42,7 +46,33 @@
             members=core.log.history.at(core.applied_index),
             blob=core.machine.snapshot(),
         )
-        core.log.compact(snapshot, core.cfg.snapshot_trailing)
+        core.log.compact(snapshot, self._trailing())
+        self._applied_bytes = 0
+
+    def _is_snapshot_due(self) -> bool:
+        # The log must also have grown by the size of the last snapshot, so
+        # that a large state is not written again for a few small entries.
+        core = self.core
+        snapshot = core.log.snapshot
+        if snapshot is not None and self._applied_bytes < len(snapshot.blob):
+            return False
+        covered = snapshot.index if snapshot else 0
+        if core.applied_index - covered >= core.cfg.snapshot_every:
+            return True
+        return self._applied_bytes >= SNAPSHOT_EVERY_BYTES
+
+    def _trailing(self) -> int:
+        core = self.core
+        last = core.applied_index
+        kept_bytes = 0
+        count = 0
+        first = max(core.log.base_index, last - core.cfg.snapshot_trailing) + 1
+        for entry in reversed(core.log.between(first, last)):
+            kept_bytes += len(entry.payload)
+            if kept_bytes > SNAPSHOT_TRAILING_BYTES:
+                break
+            count += 1
+        return count
 
     def _apply(self, entry: Entry) -> None:
         core = self.core
@@ -52,6 +82,7 @@
         if entry.kind == EntryKind.MEMBERS:
             reply = entry.payload
         core.applied_index = entry.index
+        self._applied_bytes += len(entry.payload) + ENTRY_OVERHEAD_BYTES
         ticket = self.tickets.pop(entry.index, None)
         if ticket is not None:
             core.complete(ticket, reply)
--- a/src/apricotcart/consensus/config.py
+++ b/src/apricotcart/consensus/config.py
@@ -30,9 +30,15 @@
 MAX_UNCOMMITTED_BYTES = 8388608
 SNAPSHOT_CHUNK_BYTES = 262144
 SNAPSHOT_EVERY_ENTRIES = 5000
+# A log that has grown by this much is shortened earlier, which bounds the
+# memory of a node whose entries are large.
+SNAPSHOT_EVERY_BYTES = 8388608
+# What an entry costs besides its payload, in memory and in a frame.
+ENTRY_OVERHEAD_BYTES = 150
 # Entries kept before a snapshot, so that a follower that is a little behind
 # needs no snapshot.
 SNAPSHOT_TRAILING_ENTRIES = 500
+SNAPSHOT_TRAILING_BYTES = 2097152
 # A learner this close to the commit index counts as caught up. Its entry
 # into the quorum then delays commits by one batch at most.
 CATCH_UP_LAG_ENTRIES = 64
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -84,6 +84,23 @@
     assert node.commit_index == 3
 
 
+def test_compact_large_entries(node: Node) -> None:
+    """Guards against a log of large entries that fills the memory."""
+    elect(node)
+    accept(node, 3)
+    for index in range(4, 34):
+        node.propose(3, b'%0500000d' % index)
+        node.take_outbox()
+        accept(node, index)
+    log = node._core.log
+    held = log.between(log.base_index + 1, log.last_index)
+    assert sum(len(entry.payload) for entry in held) < 12_000_000
+    snapshot = log.snapshot
+    assert snapshot is not None
+    # The state has grown with the log, so one snapshot is enough.
+    assert snapshot.index == 20
+
+
 def test_change_before_first_commit(node: Node) -> None:
     """Guards against a change beside one of an earlier leader."""
     elect(node)
