--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -20,11 +20,7 @@
 
     def __init__(self, seed: int, size: int = 3) -> None:
         self.cluster = Cluster(
-            seed,
-            size,
-            snapshot_every=60,
-            snapshot_trailing=10,
-            chunk_bytes=300,
+            seed, size, snapshot_every=60, snapshot_trailing=10, chunk_bytes=300
         )
         self.rng = random.Random(seed)
         self.writes = 0
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -293,7 +293,7 @@
     members = Members(voters=['a.1', 'b.1', 'c.1'])
     for node_id in ('c.2', 'c.3'):
         members = members.after(
-            MemberChange(kind='join', node_id=node_id, replaces='c.1'),
+            MemberChange(kind='join', node_id=node_id, replaces='c.1')
         )
     assert members.learners == ['c.3']
     members = members.after(MemberChange(kind='remove', node_id='c.1'))
--- a/tests/storage/test_log_store.py
+++ b/tests/storage/test_log_store.py
@@ -219,8 +219,7 @@
     def compact(self, place: int) -> None:
         last = self.entries[place % len(self.entries)]
         self.store.save_snapshot(
-            make_snapshot(last.index, last.term),
-            last.index + 1,
+            make_snapshot(last.index, last.term), last.index + 1
         )
         self._start_at(last.index, last.term)
 
