End the own leadership before a newer term is acted on

A leader that met a newer term kept its leadership until the end of the event. The refusal of a voter then counted as contact and confirmed a stale read, and a command at the index of an own proposal completed the ticket of that proposal with the reply of another command. Each has a test that failed before the fix.

--- a/src/apricotcart/consensus/replica.py
+++ b/src/apricotcart/consensus/replica.py
@@ -128,6 +128,9 @@
             self.follower.refuse(message)
             return
         self.elections.follow(message.term, message.from_id)
+        # Ends an own leadership first: its tickets must not get the replies
+        # of the new leader's entries.
+        self.settle()
         self.elections.heard_leader()
         if isinstance(message, AppendRequest):
             self.follower.on_append(message)
@@ -136,7 +139,9 @@
 
     def _on_follower(self, message: AppendReply | SnapshotReply) -> None:
         if message.term > self.core.term:
+            # A refusal must not count as contact of an own leadership.
             self.elections.follow(message.term, '')
+            self.settle()
         if self.leadership is None or message.term != self.core.term:
             return
         if isinstance(message, AppendReply):
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -24,6 +24,7 @@
 )
 from apricotcart.consensus.node import Node, bootstrap
 from apricotcart.consensus.progress import Progress
+from apricotcart.errors.tree import UnavailableError
 
 _MEMBERS = Members(voters=['a.1', 'b.1', 'c.1'])
 
@@ -108,6 +109,47 @@
     assert isinstance(node.take_completions()[0].error, MembershipError)
 
 
+def test_read_refused_by_newer_term(node: Node) -> None:
+    """Guards against a stale read confirmed by the refusal of a voter."""
+    elect(node)
+    accept(node, 3)
+    node.read(3)
+    node.tick(3.1)
+    node.take_outbox()
+    receive(
+        node,
+        3.1,
+        AppendReply,
+        term=4,
+        round_no=2,
+        accepted=False,
+        prev_index=0,
+        match_index=0,
+    )
+    assert isinstance(node.take_completions()[0].error, UnavailableError)
+
+
+def test_propose_overwritten(node: Node) -> None:
+    """Guards against the reply of another command at the same index."""
+    elect(node)
+    accept(node, 3)
+    node.propose(3, b'mine')
+    node.take_outbox()
+    receive(
+        node,
+        3.1,
+        AppendRequest,
+        term=4,
+        round_no=1,
+        prev_index=3,
+        prev_term=3,
+        commit_index=4,
+        entries=[[4, EntryKind.COMMAND, b'other']],
+    )
+    assert node.commit_index == 4
+    assert isinstance(node.take_completions()[0].error, UnavailableError)
+
+
 def test_vote_guard_after_restart(node: Node) -> None:
     """Guards against a vote within the lease that a restart forgot."""
     request = {'term': 9, 'last_index': 9, 'last_term': 8, 'pre': False}
