Serve a waiting class at least every 10 s while a higher tier is shed

Cause: the hold of the minimum share after a higher tier was shed starved the low class in overload that lasts: no dispatch in 240 s. Ruled out: the minimum share itself, which the hold suspends on purpose. Change: a class that waits is due after 10 s without service. A shed after an earlier attempt says may_have_run.

--- a/src/apricotcart/control/duty_plan.py
+++ b/src/apricotcart/control/duty_plan.py
@@ -136,6 +136,7 @@
             inventory,
             authority,
             outbox,
+            self._backoff(),
         )
         capacity = Capacity(
             {name: _sizing(spec) for name, spec in pools.items()},
--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -13,6 +13,7 @@
     EndpointUnreachableError,
     KeyWithdrawnError,
     ShedError,
+    ShedMayHaveRunError,
 )
 from apricotcart.entry.running import RunningRequest, RunningTable
 from apricotcart.entry.upstream import Upstream, UpstreamAnswer, UpstreamCall
@@ -268,7 +269,7 @@
         dispatcher = self.runtime.dispatcher
         try:
             return dispatcher.acquire(queued, self.req.is_disconnected)
-        except ShedError as exc:
+        except (ShedError, ShedMayHaveRunError) as exc:
             self.count(SHED, 'reason', str(exc.context['reason']))
             raise
 
--- a/src/apricotcart/entry/dispatcher.py
+++ b/src/apricotcart/entry/dispatcher.py
@@ -9,7 +9,12 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING, Any
 
-from apricotcart.entry.errors import CallerGoneError, ShedError
+from apricotcart.entry.errors import (
+    CallerGoneError,
+    ShedError,
+    ShedMayHaveRunError,
+)
+from apricotcart.errors.tree import NOT_RUN, ApricotcartError
 from apricotcart.scheduling.decisions import Dispatch
 
 if TYPE_CHECKING:
@@ -139,8 +144,11 @@
         if isinstance(decision, Dispatch):
             fut.set_result(decision.endpoint)
             return
+        failure: type[ApricotcartError] = ShedError
+        if decision.run_state != NOT_RUN:
+            failure = ShedMayHaveRunError
         fut.set_exception(
-            ShedError(
+            failure(
                 f'the request was shed: {decision.reason}',
                 retry_after_s=decision.retry_after_s,
                 reason=decision.reason,
--- a/src/apricotcart/entry/errors.py
+++ b/src/apricotcart/entry/errors.py
@@ -39,6 +39,13 @@
     http_status = 429
 
 
+class ShedMayHaveRunError(MayHaveRunError):
+    """The request was shed after an earlier attempt reached an endpoint."""
+
+    code = 'shed'
+    http_status = 429
+
+
 class CallerGoneError(ApricotcartError):
     """The caller closed its connection while the request waited."""
 
--- a/src/apricotcart/scheduling/pools.py
+++ b/src/apricotcart/scheduling/pools.py
@@ -16,6 +16,9 @@
 # After a higher tier was shed for overload, lower tiers lose their minimum
 # share for this time, in seconds.
 SHED_HOLD_S = 1.0
+# A class that waits is served at least once in this time, in seconds, also
+# while a higher tier is shed: overload that lasts must not starve it.
+STARVATION_S = 10.0
 # A tier may save up this many dispatches of its minimum share.
 MAX_CREDIT = 2.0
 MAX_MIN_SHARE = 0.5
@@ -62,6 +65,7 @@
         'dirty',
         '_ledgers',
         '_credits',
+        '_served_at',
         '_shed_at',
         '_rate',
         '_arrivals',
@@ -79,6 +83,7 @@
         self._ledgers: dict[int, Ledger] = {}
         self._credits: dict[int, float] = {}
         self._shed_at: dict[int, float] = {}
+        self._served_at: dict[int, float] = {}
         self._rate = DecayingRate()
         self._arrivals: dict[int, DecayingRate] = {}
 
@@ -110,7 +115,10 @@
         return tiers
 
     def on_arrival(self, now: float, tier: int) -> None:
-        """Count an arrival."""
+        """Count an arrival; the first of a backlog starts its wait."""
+        backlog = self.queue.tiers.get(tier)
+        if backlog is None or backlog.size <= 1:
+            self._served_at[tier] = now
         rate = self._arrivals.setdefault(tier, DecayingRate())
         rate.add(now)
 
@@ -130,6 +138,7 @@
         """Count a dispatch and give credit to the tiers that wait."""
         tier = entry.tier
         self.in_flight[tier] = self.in_flight.get(tier, 0) + 1
+        self._served_at[tier] = now
         if self._credits.get(tier, 0) >= 1:
             self._credits[tier] -= 1
         for number, queue in self.queue.tiers.items():
@@ -158,6 +167,9 @@
         return min(max(drain_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
 
     def is_due(self, now: float, tier: int) -> bool:
+        """Tell whether the tier goes before higher ones."""
+        if now - self._served_at.get(tier, now) >= STARVATION_S:
+            return True
         if self._credits.get(tier, 0) < 1:
             return False
         return not any(
