Test four mechanisms that no test had covered

Cause: with the check of a request's own number, the pause between releases, the halving of orders or the wait before a new leader's releases taken out, the tests of these mechanisms still passed.

--- a/tests/platform/test_capacity.py
+++ b/tests/platform/test_capacity.py
@@ -52,6 +52,25 @@
     assert len(world.state.resources) == SIZE
 
 
+def test_capacity_leader_change_in_dip() -> None:
+    """Guards against a new leader that releases in a short dip."""
+    world = World(1)
+    _settle(world)
+    world.hosts[0].is_cut = True
+    world.elect(world.hosts[1])
+    world.state.demand = LOW_DEMAND
+    world.run(15)
+    assert world.hosts[1].duties.fencing
+    assert world.endpoint_count() == SIZE
+
+
+def test_capacity_takes_part_of_order() -> None:
+    """Guards against a zone left unused because it cannot give all."""
+    world = World(1, '--cheap-capacity', '0', '--capacity', '3')
+    _settle(world)
+    assert world.endpoint_count(state='running') == 12
+
+
 @pytest.mark.parametrize(('dip_s', 'kept'), [(15, True), (60, False)])
 def test_capacity_hysteresis(dip_s: float, kept: bool) -> None:
     """Guards against releases in a short dip and none in a lasting one."""
@@ -64,6 +83,12 @@
         world.run(30)
         assert world.endpoint_count() == 5
         assert len(world.state.resources) == 5
+        releases = [
+            record
+            for record in world.platform.orders.records
+            if 'endpoints' in record
+        ]
+        assert len(releases) == SIZE - 5
 
 
 def test_capacity_drains() -> None:
--- a/tests/platform/test_leader.py
+++ b/tests/platform/test_leader.py
@@ -14,6 +14,8 @@
 )
 from platform_world import UncommittedUsage, World
 
+from apricotcart.platform.api import Request
+
 
 @pytest.mark.parametrize(
     'kind', ['apply', 'fencing_take', 'set_status', 'usage_close']
@@ -29,6 +31,19 @@
     assert 1 <= world.commands[kind] <= 200
 
 
+def test_leader_old_number() -> None:
+    """Guards against sending what was decided under an earlier number."""
+    world = World(1)
+    host = world.hosts[0]
+    world.elect(host)
+    world.run(6)
+    body = {'fencing': host.duties.fencing}
+    request = Request(ticket=1, path='/usage', body=body)
+    assert host.duties.deadline_for(host.clock(), request)
+    body['fencing'] -= 1
+    assert host.duties.deadline_for(host.clock(), request) is None
+
+
 SEEDS = range(1, 9)
 
 
