Stop capturing warnings when the log closes

Cause: a log set up by an earlier test of the same worker left warnings captured, so that the next log's request to capture them did nothing and test_log_takes_direct_output failed in 1 of 2 full runs. Ruled out: the load of the machine; the test passed 3 times alone.

--- a/src/apricotcart/observability/logs.py
+++ b/src/apricotcart/observability/logs.py
@@ -129,6 +129,7 @@
 
     def close(self) -> None:
         """Write the records that still wait, and detach from the loggers."""
+        logging.captureWarnings(capture=False)
         logging.getLogger().removeHandler(self._intake)
         self._listener.stop()
         self._target.close()
