--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -284,6 +284,8 @@
         host.is_frozen = False
         held = host.held
         host.held = []
+        # Requests and messages come over connections without a common order.
+        self.rng.shuffle(held)
         for action in held:
             action()
 
--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -64,7 +64,7 @@
     def _client(self) -> None:
         cluster = self.cluster
         name = self._target
-        if not name or self._chance(10):
+        if not name or self._chance(25):
             name = self.rng.choice(list(cluster.hosts))
         host = cluster.hosts[name]
         if host.node is not None and host.node.leader_id:
