End the callers of a stopped or failed consensus thread

Cause: ConsensusLoop left futures waiting when the node failed, when the loop was stopped, and when a job raised; in the last case the thread ended without a call of on_failed, so the process went on without consensus. lease_until and status took the lock that is held while the node syncs its disk, so a send's deadline could be computed from a clock reading that was older than the check by the length of the sync.

Change: Callers ends all waiting callers with an unknown outcome, and refuses later ones. An exception on the thread ends the process like a failed write. Lease and status are published once per round and read without the lock.

Ruled out: a published lease that is too long. Its end is a time that the voters' vote guard covers, whatever the node does after the round.

--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import logging
 import queue
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import Future
-from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any
 
 from apricotcart.codec.packing import pack, unpack
@@ -16,16 +15,16 @@
 from apricotcart.consensus.messages import Message
 from apricotcart.consensus.node import Node
 from apricotcart.control.api import ReplicatedState, WireMessage
+from apricotcart.control.callers import Callers, Reply
 from apricotcart.control.identity import host_name
-from apricotcart.errors.tree import UnavailableError
 from apricotcart.transport.api import PeerLinks
 
+_LOG = logging.getLogger(__name__)
 _NS_A_MS = 1_000_000
 # One round takes at most this many jobs, so that timers fire in time.
 _MAX_JOBS_A_ROUND = 512
 
 Job = Callable[[float], None]
-Reply = Future[bytes]
 
 
 class Mailbox:
@@ -55,6 +54,48 @@
         return jobs
 
 
+class Published:
+    """What other threads read of the node, as of its last round.
+
+    They read it without the lock, which is held during a sync of the disk.
+    The end of a lease stays true after the round: no other node is elected
+    before that time.
+
+    Parameters
+    ----------
+    node : Node
+        The node; read on the consensus thread only.
+    """
+
+    __slots__ = (
+        '_commit_index',
+        '_leader_id',
+        '_members',
+        '_role',
+        '_term',
+        'lease_until',
+    )
+
+    def __init__(self, node: Node) -> None:
+        """Read the node."""
+        self.lease_until = node.lease_valid_until()
+        self._role = node.role
+        self._term = node.term
+        self._leader_id = node.leader_id
+        self._commit_index = node.commit_index
+        self._members = node.members
+
+    def to_wire(self) -> WireMessage:
+        """Give the status as a mapping."""
+        return {
+            'role': str(self._role),
+            'term': self._term,
+            'leader': self._leader_id,
+            'commit_index': self._commit_index,
+            'members': self._members.to_wire(),
+        }
+
+
 class ConsensusLoop(ReplicatedState):
     """Runs a node on one thread; callers wait for their completion.
 
@@ -74,14 +115,15 @@
 
     __slots__ = (
         '_addresses',
+        '_callers',
         '_jobs',
         '_links',
         '_node',
         '_on_failed',
+        '_published',
         '_stopping',
         '_thread',
         '_tick_s',
-        '_waiting',
         'lock',
     )
 
@@ -100,7 +142,8 @@
         self._tick_s = tick_s
         self._on_failed = on_failed
         self._jobs = Mailbox()
-        self._waiting: dict[int, Reply] = {}
+        self._callers = Callers()
+        self._published = Published(node)
         self._stopping = threading.Event()
         # Held while the node applies entries; readers of the state machine
         # on other threads take it too.
@@ -149,8 +192,7 @@
 
     def lease_until(self) -> float:
         """Give the end of the leader's lease on the monotonic clock, s."""
-        with self.lock:
-            return self._node.lease_valid_until()
+        return self._published.lease_until
 
     def term(self) -> int:
         """Give the current term."""
@@ -162,30 +204,27 @@
 
     def status(self) -> WireMessage:
         """Give role, term, members and positions."""
-        with self.lock:
-            node = self._node
-            return {
-                'role': str(node.role),
-                'term': node.term,
-                'leader': node.leader_id,
-                'commit_index': node.commit_index,
-                'members': node.members.to_wire(),
-            }
+        return self._published.to_wire()
 
     def _request(
         self, action: Callable[[float], int], timeout_s: float
     ) -> bytes:
-        fut: Reply = Future()
-        self._jobs.put(lambda now: self._start(action(now), fut))
-        try:
-            return fut.result(timeout_s)
-        except FutureTimeoutError as exc:
-            raise UnavailableError('no quorum answered in time') from exc
-
-    def _start(self, ticket: int, fut: Reply) -> None:
-        self._waiting[ticket] = fut
+        return self._callers.wait(
+            lambda fut: self._jobs.put(_job(self._callers, action, fut)),
+            timeout_s,
+        )
 
     def _run(self) -> None:
+        try:
+            self._run_rounds()
+        except Exception:
+            # The state of the node is not known any more.
+            _LOG.exception('the consensus thread failed')
+            self._on_failed()
+        finally:
+            self._callers.end()
+
+    def _run_rounds(self) -> None:
         next_tick = time.monotonic()
         while not self._stopping.is_set():
             jobs = self._jobs.take(next_tick)
@@ -206,18 +245,18 @@
         return next_tick
 
     def _flush(self) -> None:
-        for message in self._node.take_outbox():
+        messages = self._node.take_outbox()
+        self._published = Published(self._node)
+        for message in messages:
             address = self._addresses.get(host_name(message.to_id))
             if address is not None:
                 self._links.send(address, message.to_wire())
         for completion in self._node.take_completions():
-            fut = self._waiting.pop(completion.ticket, None)
-            if fut is None:
-                continue
-            if completion.error is None:
-                fut.set_result(completion.reply)
-            else:
-                fut.set_exception(completion.error)
+            self._callers.complete(completion)
+
+
+def _job(callers: Callers, action: Callable[[float], int], fut: Reply) -> Job:
+    return lambda now: callers.expect(action(now), fut)
 
 
 def _wall_ms() -> int:
--- /dev/null
+++ b/tests/control/fakes.py
@@ -0,0 +1,184 @@
+"""Small doubles of what the control host's parts talk to."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from apricotcart.codec.packing import pack, unpack
+from apricotcart.consensus.api import Completion, Role
+from apricotcart.consensus.members import Members
+from apricotcart.errors.tree import (
+    ApricotcartError,
+    NotLeaderError,
+    UnavailableError,
+)
+from apricotcart.state.machine import ClusterState
+from apricotcart.transport.api import PeerLinks, WireMessage
+
+WAIT_S = 60.0
+
+
+def sync_message(host: str = 'h1', **fields: Any) -> WireMessage:
+    """Build a sync of an entry host."""
+    return {
+        'kind': 'sync',
+        'host': host,
+        'incarnation': 1,
+        'address': '127.0.0.1:1',
+        'zone': 'a',
+        'state': 'serving',
+        'revision': 0,
+        'hosts': None,
+        'demand': {'tiers': [], 'running': {}},
+        'suspects': [],
+        **fields,
+    }
+
+
+class FakeLoop:
+    """Commits at once, or fails as the test says."""
+
+    def __init__(self, state: ClusterState) -> None:
+        """Start as a confirmed leader."""
+        self.state = state
+        self.lock = threading.RLock()
+        self.refusal: ApricotcartError | None = None
+        self.lost_reply: ApricotcartError | None = None
+        self.proposed: list[WireMessage] = []
+        self.barriers = 0
+        self.changes: list[Any] = []
+        self.lease = 1e12
+        self.term_no = 1
+        self.members = Members(voters=['a.0', 'b.0', 'c.0'])
+
+    def propose(self, command: WireMessage, timeout_s: float) -> WireMessage:
+        """Apply a command."""
+        self._refuse()
+        self.proposed.append(command)
+        blob = pack({**command, 'at_ms': 1000})
+        with self.lock:
+            index = self.state.tables.applied_index + 1
+            reply: WireMessage = unpack(self.state.apply(index, blob))
+        if self.lost_reply:
+            raise self.lost_reply
+        return reply
+
+    def barrier(self, timeout_s: float) -> None:
+        """Count the barrier."""
+        self._refuse()
+        self.barriers += 1
+
+    def change_members(self, change: Any, timeout_s: float) -> Any:
+        """Keep the change."""
+        self._refuse()
+        self.changes.append(change)
+        return self.members.to_wire()
+
+    def lease_until(self) -> float:
+        """Give the lease."""
+        return self.lease
+
+    def term(self) -> int:
+        """Give the term."""
+        return self.term_no
+
+    def status(self) -> WireMessage:
+        """Give the members."""
+        return {'role': 'leader', 'members': self.members.to_wire()}
+
+    def _refuse(self) -> None:
+        if self.refusal:
+            raise self.refusal
+
+
+class FakeNode:
+    """Node whose completions the test gives."""
+
+    def __init__(self) -> None:
+        """Start as a leader."""
+        self.role = Role.LEADER
+        self.term = 1
+        self.leader_id = 'a.0'
+        self.commit_index = 0
+        self.members = Members(voters=['a.0'])
+        self.lease: float = 0
+        self.requests: list[Any] = []
+        self.requested = threading.Event()
+        self.outcomes: list[Completion] = []
+        # Called in each round, as a write to the disk is.
+        self.on_flush: Callable[[], None] = lambda: None
+
+    def tick(self, now: float) -> None:
+        """Do nothing."""
+
+    def receive(self, now: float, message: Any) -> None:
+        """Fail on a message that no node can handle."""
+        raise TypeError(message)
+
+    def propose(self, now: float, command: bytes) -> int:
+        """Take a command."""
+        return self._take(command)
+
+    def read(self, now: float) -> int:
+        """Take a read."""
+        return self._take(None)
+
+    def change_members(self, now: float, change: Any) -> int:
+        """Take a change."""
+        return self._take(change)
+
+    def lease_valid_until(self) -> float:
+        """Give the lease."""
+        return self.lease
+
+    def take_outbox(self) -> Sequence[Any]:
+        """Run what the test put into the round."""
+        self.on_flush()
+        return ()
+
+    def take_completions(self) -> list[Completion]:
+        """Give the outcomes."""
+        taken = self.outcomes
+        self.outcomes = []
+        return taken
+
+    def _take(self, request: Any) -> int:
+        self.requests.append(request)
+        self.requested.set()
+        return len(self.requests)
+
+
+class FakeLinks(PeerLinks):
+    """Keeps what is sent, and gives what the test puts in."""
+
+    def __init__(self, *messages: WireMessage) -> None:
+        """Keep the messages to receive."""
+        self.sent: list[tuple[str, WireMessage]] = []
+        self.incoming = list(messages)
+        self.is_empty = threading.Event()
+
+    def send(self, address: str, message: WireMessage) -> None:
+        """Keep a message."""
+        self.sent.append((address, message))
+
+    def receive(self, timeout_s: float) -> WireMessage | None:
+        """Give the next message."""
+        if self.incoming:
+            return self.incoming.pop(0)
+        self.is_empty.set()
+        return None
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def refused() -> NotLeaderError:
+    """Give the error of a proposal that was not queued."""
+    return NotLeaderError('not the leader', leader='b.0')
+
+
+def unknown() -> UnavailableError:
+    """Give the error of a proposal with an unknown outcome."""
+    return UnavailableError('no quorum answered in time')
