Drop divisions of demand from before all hosts were heard

Cause: share_of waits 1.5 s after a new term, but a division made in that time stayed in force until the next one, which a long division puts off by nine times its duration. It counts the slots of hosts not heard yet as free. A division that was computed over a change of term was kept as well. A sync that was confirmed in an earlier term and came late cleared what was heard in the present one.

Change: a division carries the time at which its demand was read and is dropped if that is before the hosts were heard; only a newer term clears the table.

Tests of the syncs and commands of entry hosts: no sync is answered without a confirmed read, only three kinds of commands are taken, and an unknown outcome keeps its code.

--- a/src/apricotcart/control/division.py
+++ b/src/apricotcart/control/division.py
@@ -63,7 +63,7 @@
         self._refresh()
         demands = self._hosts.demands(started_at)
         division = divide(demands, self._endpoints, self._subsets)
-        self._hosts.take_division(division)
+        self._hosts.take_division(division, started_at)
         ended_at = time.monotonic()
         self._next_at = ended_at + (ended_at - started_at) * _PAUSE_FACTOR
 
--- a/src/apricotcart/control/entry_hosts.py
+++ b/src/apricotcart/control/entry_hosts.py
@@ -50,7 +50,9 @@
             state=message['state'],
         )
         with self._lock:
-            if term != self._term:
+            # A sync that was confirmed in an earlier term may come late; it
+            # must not make this host forget what it heard in the next one.
+            if term > self._term:
                 self._term = term
                 self._table.reset(now)
                 self._start(now)
@@ -77,10 +79,21 @@
                 return None
             return self._division.get(host)
 
-    def take_division(self, division: Division) -> None:
-        """Take the slots by host and endpoint."""
+    def take_division(self, division: Division, read_at: float) -> None:
+        """Take the slots by host and endpoint.
+
+        Parameters
+        ----------
+        division : dict
+            Slots by endpoint, by host.
+        read_at : float
+            Monotonic time in s at which the demand was read. A division of
+            demand that was read before this leader had heard all hosts, or
+            under an earlier leader, is dropped.
+        """
         with self._lock:
-            self._division = division
+            if read_at >= self._leads_since + LEARN_S:
+                self._division = division
 
     def suspects_for(self, host: str) -> list[Mapping[str, Any]]:
         """Give what other hosts know of requests that crash endpoints."""
--- /dev/null
+++ b/tests/control/test_entry_hosts.py
@@ -0,0 +1,78 @@
+"""Tests of what the leader learns from syncs."""
+
+from __future__ import annotations
+
+import pytest
+from control.fakes import sync_message
+
+from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.membership.table import (
+    HINTED_LOST_AFTER_S,
+    LEARN_S,
+    LOST_AFTER_S,
+)
+
+SHARES = {'h1': {'e1': 8}, 'h2': {'e1': 0}}
+
+
+@pytest.fixture
+def hosts() -> EntryHosts:
+    """Give a leader of term 1 that has heard one host at time 0."""
+    made = EntryHosts(0)
+    made.on_sync(0, 1, sync_message())
+    return made
+
+
+def test_shares_new_leader(hosts: EntryHosts) -> None:
+    """Guards against shares before the other hosts were heard."""
+    hosts.take_division(SHARES, 0.1)
+    assert hosts.share_of(LEARN_S - 0.1, 'h1') is None
+    # Such a division counts its demand without the hosts not heard yet, and
+    # it stays for a while when divisions take long.
+    assert hosts.share_of(LEARN_S + 0.1, 'h1') is None
+    hosts.take_division(SHARES, LEARN_S)
+    assert hosts.share_of(LEARN_S, 'h1') == {'e1': 8}
+    assert hosts.share_of(LEARN_S, 'h3') is None
+
+
+def test_shares_earlier_term(hosts: EntryHosts) -> None:
+    """Guards against a division that ends after a new term has started."""
+    hosts.take_division(SHARES, 5)
+    hosts.on_sync(6, 3, sync_message())
+    hosts.take_division(SHARES, 5.9)
+    assert hosts.share_of(6 + LEARN_S, 'h1') is None
+
+
+def test_sync_of_earlier_term(hosts: EntryHosts) -> None:
+    """Guards against a late sync that clears what was heard since."""
+    hosts.on_sync(1, 2, sync_message('h2'))
+    hosts.on_sync(1.1, 1, sync_message())
+    assert set(hosts.demands(1.2)) == {'h1', 'h2'}
+
+
+def test_new_term_forgets(hosts: EntryHosts) -> None:
+    """Guards against demand that an earlier term heard."""
+    hosts.on_sync(1, 2, sync_message('h2'))
+    assert set(hosts.demands(1)) == {'h2'}
+
+
+def test_suspects_of_others(hosts: EntryHosts) -> None:
+    """Guards against suspects that come back to who reported them."""
+    suspect = {'digest': 'd'}
+    hosts.on_sync(1, 1, sync_message('h2', suspects=[suspect]))
+    assert hosts.suspects_for('h1') == [suspect]
+    assert not hosts.suspects_for('h2')
+
+
+def test_hint_only_shortens(hosts: EntryHosts) -> None:
+    """Guards against a lagging list that removes a host that syncs."""
+    hosts.on_sync(1, 1, sync_message('h2'))
+    hosts.on_sync(1, 1, sync_message('h1'))
+    hosts.on_hint(1, 'h1')
+    hosts.on_hint(1, 'unheard')
+    assert len(hosts.reports(1 + HINTED_LOST_AFTER_S - 0.1)) == 2
+    later = hosts.reports(1 + HINTED_LOST_AFTER_S)
+    assert [report['host'] for report in later] == ['h2']
+    assert not hosts.reports(1 + LOST_AFTER_S)
+    hosts.on_sync(4, 1, sync_message('h1'))
+    assert 'h1' in [report['host'] for report in hosts.reports(4)]
--- /dev/null
+++ b/tests/control/test_rpc.py
@@ -0,0 +1,113 @@
+"""Tests of the requests of entry hosts."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from control.fakes import FakeLoop, refused, sync_message, unknown
+
+from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.control.rpc import ControlRequests, ReplacedHostError
+from apricotcart.errors.tree import ApricotcartError, CodecError
+from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.telemetry import Telemetry
+from apricotcart.observability.tracing import Tracer
+
+USAGE = {
+    'kind': 'usage_add',
+    'host': 'h1',
+    'incarnation': 1,
+    'seq': 1,
+    'figures': [],
+}
+
+
+@pytest.fixture
+def hosts() -> EntryHosts:
+    """Give the table of a new leader."""
+    return EntryHosts(0)
+
+
+@pytest.fixture
+def requests(loop: FakeLoop, hosts: EntryHosts) -> ControlRequests:
+    """Give the handler on a leader that commits at once."""
+    fake: Any = loop
+    telemetry = Telemetry(Tracer('control', 'a', None), Metrics())
+    return ControlRequests(fake, loop.state, hosts, telemetry)
+
+
+def command(**fields: Any) -> dict[str, Any]:
+    """Build a command request."""
+    return {'kind': 'command', 'command': fields}
+
+
+@pytest.mark.parametrize('error', [refused(), unknown()])
+def test_sync_unconfirmed(
+    requests: ControlRequests,
+    loop: FakeLoop,
+    hosts: EntryHosts,
+    error: ApricotcartError,
+) -> None:
+    """Guards against a replaced leader that proves an old copy fresh."""
+    loop.refusal = error
+    with pytest.raises(type(error)):
+        requests.answer(sync_message())
+    assert not hosts.demands(0)
+    loop.refusal = None
+    assert requests.answer(sync_message())['ok']
+    assert loop.barriers == 1
+
+
+def test_sync_replaced_host(requests: ControlRequests) -> None:
+    """Guards against two processes that both serve as one host."""
+    requests.answer(sync_message(incarnation=2))
+    with pytest.raises(ReplacedHostError):
+        requests.answer(sync_message(incarnation=1))
+
+
+@pytest.mark.parametrize(
+    'kind',
+    [
+        'apply',
+        'delete',
+        'set_status',
+        'fencing_take',
+        'usage_close',
+        'usage_reported',
+        None,
+        'x',
+    ],
+)
+def test_command_not_for_entry_hosts(
+    requests: ControlRequests, loop: FakeLoop, kind: Any
+) -> None:
+    """Guards against an entry host that changes what operators declare."""
+    with pytest.raises(CodecError):
+        requests.answer(command(kind=kind))
+    assert not loop.proposed
+
+
+@pytest.mark.parametrize(
+    'message', [{}, {'kind': 'x'}, {'kind': 'command', 'command': 'apply'}]
+)
+def test_request_unknown(
+    requests: ControlRequests, message: dict[str, Any]
+) -> None:
+    """Guards against a malformed request that is taken as another one."""
+    with pytest.raises(CodecError):
+        requests.answer(message)
+
+
+def test_command_outcomes(requests: ControlRequests, loop: FakeLoop) -> None:
+    """Guards against an unknown outcome that is told as not done."""
+    assert requests.answer(command(**USAGE))['ok']
+    loop.lost_reply = unknown()
+    with pytest.raises(ApricotcartError) as caught:
+        requests.answer(command(**USAGE))
+    assert caught.value.code == 'unavailable'
+    loop.refusal = refused()
+    with pytest.raises(ApricotcartError) as caught:
+        requests.answer(command(**USAGE))
+    assert caught.value.code == 'not_leader'
+    assert len(loop.proposed) == 2
