Refuse members changes that only a leader may make

Cause: POST /v1/members with the kind retire reached Members.after, where a node that does not join raised KeyError on the consensus thread of the leader. The kind promote gave a vote to a learner that had not caught up. GET /v1/watch with from=nan or from=inf answered 500.

Change: operators may ask for add_learner, join and remove; a retire of a node that does not join is a MembershipError; numbers must be finite.

--- a/src/apricotcart/consensus/members.py
+++ b/src/apricotcart/consensus/members.py
@@ -160,6 +160,8 @@
 
 
 def _retire(members: Members, change: MemberChange) -> Members:
+    if change.node_id not in members.joining:
+        raise MembershipError(f'{change.node_id} is not joining')
     replaced = members.joining[change.node_id]
     joining = dict(members.joining)
     joining.pop(change.node_id)
--- a/src/apricotcart/control/operators.py
+++ b/src/apricotcart/control/operators.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import hmac
+import math
 import uuid
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
-from apricotcart.consensus.members import MemberChange
+from apricotcart.consensus.members import ChangeKind, MemberChange
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.control.reports import Reports
 from apricotcart.control.watching import Watcher
@@ -37,6 +38,11 @@
 _GET = 'GET'
 _POST = 'POST'
 
+# A leader makes the other changes itself, once a node has caught up.
+_MEMBER_CHANGES = frozenset(
+    (ChangeKind.ADD_LEARNER, ChangeKind.JOIN, ChangeKind.REMOVE),
+)
+
 Fields = dict[str, Any]
 Responder = Callable[[WebRequest], WebResponse]
 
@@ -192,8 +198,11 @@
 
     def _change_members(self, req: WebRequest) -> WebResponse:
         fields = req.json(_MAX_BODY_BYTES)
+        kind = str(fields.get(_KIND, ''))
+        if kind not in _MEMBER_CHANGES:
+            raise InvalidFieldError(f'kind {kind!r} is no change of operators')
         change = MemberChange(
-            kind=str(fields.get(_KIND, '')),
+            kind=kind,
             node_id=str(fields.get('node_id', '')),
             replaces=str(fields.get('replaces', '')),
         )
@@ -210,6 +219,8 @@
         number = float(text)
     except ValueError:
         raise InvalidFieldError(f'{name} is not a number') from None
+    if not math.isfinite(number):
+        raise InvalidFieldError(f'{name} is not finite')
     if number < 0:
         raise InvalidFieldError(f'{name} is negative')
     return number
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -247,7 +247,13 @@
 
 @pytest.mark.parametrize(
     ('kind', 'node_id'),
-    [('remove', 'c9.1'), ('join', 'c1.1'), ('promote', 'c1.1'), ('x', 'c1.1')],
+    [
+        ('remove', 'c9.1'),
+        ('join', 'c1.1'),
+        ('promote', 'c1.1'),
+        ('x', 'c1.1'),
+        ('retire', 'c1.1'),
+    ],
 )
 def test_change_members_invalid(
     cluster: Cluster, leader: Host, kind: str, node_id: str
