Keep shares within an endpoint's slots after they are lowered

Cause: Dealer.keep gave a host all slots that its requests occupy, also where more run than the endpoint has. A busy host used that share again for each request that ended, so the overrun never went away.

Change: what is kept is capped by what is left of the endpoint.

Ruled out: hosts that are not heard yet; the case needs one host only (5 slots, 6 running, found by hypothesis).

Before: test_shares_within_slots gives 6 of 5 slots. After: it passes, and so do tests/scheduling and tests/policy (125 with tests/control).

--- a/src/apricotcart/scheduling/dealing.py
+++ b/src/apricotcart/scheduling/dealing.py
@@ -70,9 +70,11 @@
             for name, count in demand.running.items():
                 if name not in self._left:
                     continue
-                free = self._left[name] - count
-                self._left[name] = max(0, free)
-                share[name] = min(count, owed[host])
+                # More may run than the endpoint has, after its slots were
+                # lowered; a share of them would let that go on.
+                kept = min(count, self._left[name])
+                self._left[name] -= kept
+                share[name] = min(kept, owed[host])
                 owed[host] -= share[name]
 
     def waiting(self, tiers: Iterable[Sequence[Bid]]) -> dict[str, int]:
