Handle one request to join at a time

Cause: each request started a thread that waits up to 3 s for its change, and a host repeats its request every second. Members.after refuses a second change of one host, so this cost threads and log entries, not correctness.

Change: a request that comes while another is handled is dropped; the host repeats it.

--- a/src/apricotcart/control/joining.py
+++ b/src/apricotcart/control/joining.py
@@ -34,7 +34,14 @@
         Peer address by host name.
     """
 
-    __slots__ = ('_addresses', '_links', '_loop', '_node_id', '_stopping')
+    __slots__ = (
+        '_addresses',
+        '_admission',
+        '_links',
+        '_loop',
+        '_node_id',
+        '_stopping',
+    )
 
     def __init__(
         self,
@@ -49,6 +56,8 @@
         self._links = links
         self._addresses = addresses
         self._stopping = threading.Event()
+        # An empty thread is not alive, as one that has ended.
+        self._admission = threading.Thread()
 
     def start(self) -> None:
         """Start asking if this host is no member."""
@@ -59,12 +68,19 @@
         self._stopping.set()
 
     def on_request(self, message: dict[str, Any]) -> None:
-        """Add the host that asks, if this host leads."""
-        threading.Thread(
+        """Add the host that asks, if this host leads.
+
+        A request that comes while another is handled is dropped, since
+        hosts repeat their requests and a change takes up to 3 s.
+        """
+        if self._admission.is_alive():
+            return
+        self._admission = threading.Thread(
             target=self._admit,
             args=(str(message.get('node_id')),),
             daemon=True,
-        ).start()
+        )
+        self._admission.start()
 
     def _run(self) -> None:
         while not self._is_member():
