Add a scenario language and the first proofs on real processes

Nothing drove real processes through freezes, cuts and kills, so the guarantees were proved at the level of decisions only.

tests/prove holds a lark grammar, a runner over tests/support with the relay stand-in on each way between two hosts, and a check of the history after each scenario: acknowledged writes, order counts, not_run answers, order of arrival at the platform, usage figures, caller keys.

Guarantees 1-4, 7-9 and 11-13 have no scenario yet.

--- /dev/null
+++ b/tests/prove/__main__.py
@@ -0,0 +1,63 @@
+"""Lists and runs the proofs: ``python -m prove --list``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from prove.guarantees import GUARANTEES, Guarantee
+from prove.language import read_scenario
+from prove.runner import Runner
+
+
+def main() -> int:
+    """Run what the command line names."""
+    parser = argparse.ArgumentParser(prog='prove', description=__doc__)
+    parser.add_argument('--list', action='store_true', dest='lists')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--count', type=int, default=2000)
+    parser.add_argument('name', nargs='?', default='all')
+    args = parser.parse_args()
+    if args.lists:
+        for guarantee in GUARANTEES:
+            _say(guarantee.line())
+        return 0
+    return _run_all(args.name, args.seed)
+
+
+def _run_all(name: str, seed: int) -> int:
+    chosen = [each for each in GUARANTEES if name in {'all', each.name}]
+    if chosen:
+        return max([_run(guarantee, seed) for guarantee in chosen])
+    return _run_scenario(name, name, seed)
+
+
+def _run(guarantee: Guarantee, seed: int) -> int:
+    return max(
+        [
+            _run_scenario(guarantee.name, scenario, seed)
+            for scenario in guarantee.scenarios
+        ]
+    )
+
+
+def _run_scenario(name: str, scenario: str, seed: int) -> int:
+    result = Runner(read_scenario(scenario), seed).run()
+    for failure in result.failures:
+        _say(f'  {scenario}: {failure}')
+    verdict = 'FAILED' if result.failures else 'holds'
+    figures = ', '.join(result.figures) or 'none'
+    _say(
+        f'{name} {verdict}: {result.fault} ({scenario}); seed {seed}; '
+        f'figure: {figures}; {result.seconds:.1f} s'
+    )
+    return 1 if result.failures else 0
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/prove/actions.py
@@ -0,0 +1,196 @@
+"""What a scenario does to the processes, and with them."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import time
+from typing import Any
+
+from prove.calls import Outcome
+from prove.language import ScenarioError, Step
+from prove.world import GUILD, World
+
+_DEFAULT_TOKENS = 10
+_REQUEST_TIMEOUT_S = 10
+_AS = 'as'
+_KEY = 'key'
+
+
+class Actions:
+    """The verbs that act."""
+
+    def __init__(self, world: World) -> None:
+        """Keep the world."""
+        self._world = world
+
+    def start(self, step: Step) -> None:
+        """Start the cluster, or a host that has ended."""
+        world = self._world
+        if step.words == ['cluster']:
+            world.start(step.options)
+            return
+        for name in step.words:
+            host = world.process(name)
+            if host in world.cluster.api:
+                world.cluster.start_control(host)
+            elif host in world.cluster.entry:
+                world.cluster.start_entry(host)
+            else:
+                kind, _, _ = host.partition('-')
+                options = [
+                    f'--{key}={step.options[key]}' for key in step.options
+                ]
+                world.cluster.start_standin(host, kind, *options)
+
+    def stop(self, step: Step) -> None:
+        """Send SIGTERM; a named stop goes on in the background."""
+        child = self._world.child(step.words[0])
+        outcome = Outcome('stop', child.name, {})
+
+        def end(stopping: Outcome) -> None:
+            stopping.status = child.stop()
+
+        self._world.begin(outcome, end, step.options.get(_AS, ''))
+
+    def kill(self, step: Step) -> None:
+        """End processes at once."""
+        children = [self._world.child(name) for name in step.words]
+        for child in children:
+            child.kill()
+        self._note_fault()
+
+    def freeze(self, step: Step) -> None:
+        """Stop processes without ending them."""
+        children = [self._world.child(name) for name in step.words]
+        for child in children:
+            child.freeze()
+        self._note_fault()
+
+    def thaw(self, step: Step) -> None:
+        """Let frozen processes go on."""
+        for name in step.words:
+            self._world.child(name).thaw()
+
+    def cut(self, step: Step) -> None:
+        """Hold back all bytes between two hosts or groups."""
+        first, second = map(self._world.process, step.words)
+        self._world.cluster.set_faults(first, second, cut='both')
+        self._note_fault()
+
+    def heal(self, step: Step) -> None:
+        """Remove all cuts and delays."""
+        self._world.cluster.heal()
+
+    def delay(self, step: Step) -> None:
+        """Add a one-way delay between two hosts or groups."""
+        first, second = step.words
+        delay_s = float(step.options['ms']) / 1000
+        self._world.cluster.set_faults(first, second, delay_s=delay_s)
+
+    def lose_disk(self, step: Step) -> None:
+        """Kill a control host and remove its data."""
+        name = self._world.process(step.words[0])
+        self._world.child(name).kill()
+        shutil.rmtree(self._world.cluster.folder / f'data-{name}')
+        self._note_fault()
+
+    def declare(self, step: Step) -> None:
+        """Declare a resource, as often as ``count`` says."""
+        kind, name = step.words
+        options = dict(step.options)
+        for number in range(int(options.pop('count', 1))):
+            numbered = {
+                key: text.replace('@', str(number))
+                for key, text in options.items()
+            }
+            self._declare(kind, name.replace('@', str(number)), numbered)
+
+    def withdraw(self, step: Step) -> None:
+        """Withdraw a key."""
+        self._declare(
+            _KEY, step.words[0], {**step.options, 'withdrawn': 'true'}
+        )
+        self._note_fault()
+
+    def disturb(self, step: Step) -> None:
+        """Set the faults of a stand-in."""
+        fields = {key: _typed(text) for key, text in step.options.items()}
+        self._world.callers.http.request(
+            'POST',
+            f'{self._world.url(step.words[0])}/fault',
+            json=fields,
+            timeout=_REQUEST_TIMEOUT_S,
+        )
+
+    def chat(self, step: Step) -> None:
+        """Ask for a chat answer or a stream."""
+        options = step.options
+        fields = {
+            'tokens': int(options.get('tokens', _DEFAULT_TOKENS)),
+            'route': options.get('route', 'draft'),
+        }
+        for number in range(int(options.get('count', 1))):
+            prompt = options.get('prompt', 'prompt @').replace(
+                '@',
+                str(len(self._world.outcomes)),
+            )
+            self._call(step, Outcome(step.verb, prompt, fields), number)
+
+    def order(self, step: Step) -> None:
+        """Send an order, again if it was sent before."""
+        customer = self._world.keys[step.options.get(_KEY, GUILD)][0]
+        outcome = Outcome('order', step.words[1], {'customer': customer})
+        self._call(step, outcome, 0)
+
+    def name(self, step: Step) -> None:
+        """Give another name to a process."""
+        new, process = step.words
+        self._world.names[new] = self._world.process(process)
+
+    def _call(self, step: Step, outcome: Outcome, number: int) -> None:
+        world = self._world
+        entry = world.process(step.words[0])
+        secret = world.secret(step.options.get(_KEY, GUILD))
+        callers = world.callers
+        make = callers.order if outcome.kind == 'order' else callers.chat
+        name = step.options.get(_AS, '')
+        world.begin(
+            outcome,
+            lambda each: make(entry, secret, each),
+            name if number == 0 else f'{name}{number}',
+        )
+
+    def _declare(self, kind: str, name: str, options: dict[str, str]) -> None:
+        world = self._world
+        path = f'{kind}/{name}'
+        called = options.pop(_AS, '')
+        version = options.pop('version', '')
+        fields = {key: _typed(text) for key, text in options.items()}
+        if version != 'held':
+            world.read(path)
+        spec = {**world.specs.get(path, {}), **fields}
+        if kind == _KEY and name not in world.keys and 'sha256' not in spec:
+            spec.update(world.new_key(name, spec['customer']))
+        change = {
+            'kind': kind,
+            'name': name,
+            'expected_version': world.versions.get(path, 0),
+            'spec': spec,
+        }
+        outcome = Outcome('write', path, {'changes': [change]})
+        world.begin(outcome, world.callers.write, called)
+        if not called and outcome.status != 200:
+            raise ScenarioError(outcome.summary())
+        if not called:
+            world.fault_at = time.monotonic()
+
+    def _note_fault(self) -> None:
+        self._world.fault_at = time.monotonic()
+
+
+def _typed(text: str) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text.split(',') if ',' in text else text
--- /dev/null
+++ b/tests/prove/calls.py
@@ -0,0 +1,232 @@
+"""Calls of callers and operators, and what came of them."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+import urllib3
+from support.cluster import Cluster
+
+from apricotcart_standins.engine.text import answer_text
+
+_CALL_TIMEOUT_S = 60
+_OPERATOR_TRY_S = 1.0
+_OPERATOR_TIMEOUT_S = 25.0
+_PAUSE_S = 0.02
+Fields = dict[str, Any]
+
+
+class Outcome:
+    """What came of one call.
+
+    Attributes
+    ----------
+    kind : str
+        ``chat``, ``stream``, ``order``, ``write`` or ``stop``.
+    subject : str
+        Prompt, idempotency key or resource.
+    status : int
+        HTTP status; 0 if the connection broke; -1 while it runs.
+    error : dict
+        The error object of the answer.
+    text : str
+        Body of the answer, or the text of a chat.
+    is_own : bool
+        Whether all text received is of the answer to the prompt.
+    is_whole : bool
+        Whether the text is the one that belongs to the prompt.
+    tokens : int
+        Tokens of a stream received so far.
+    """
+
+    __slots__ = (
+        'ended_at',
+        'error',
+        'fields',
+        'is_own',
+        'is_whole',
+        'kind',
+        'started_at',
+        'status',
+        'subject',
+        'text',
+        'thread',
+        'tokens',
+    )
+
+    def __init__(self, kind: str, subject: str, fields: Fields) -> None:
+        """Start without an answer."""
+        self.kind = kind
+        self.subject = subject
+        self.fields = fields
+        self.status = -1
+        self.error: Fields = {}
+        self.text = ''
+        self.is_own = True
+        self.is_whole = False
+        self.tokens = 0
+        self.started_at = time.monotonic()
+        self.ended_at = self.started_at
+        self.thread: threading.Thread | None = None
+
+    def run(self, action: Callable[[Outcome], None]) -> None:
+        """Run the call; a broken connection is an outcome too."""
+        try:
+            action(self)
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            self.status = 0
+            self.error = {'code': 'broken', 'message': str(exc)}
+        self.ended_at = time.monotonic()
+
+    def take(self, reply: urllib3.BaseHTTPResponse) -> None:
+        """Take status and body of a complete answer."""
+        self.text = reply.data.decode(errors='replace')
+        self.status = reply.status
+        if reply.status >= 400:
+            self.error = json.loads(self.text or '{}').get('error', {})
+
+    def summary(self) -> str:
+        """Give the outcome for a message."""
+        return f'{self.kind} {self.subject}: {self.status} {self.error}'
+
+
+class Callers:
+    """Calls to one cluster."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Keep the cluster."""
+        self.cluster = cluster
+        self.http = urllib3.PoolManager(retries=False, maxsize=64)
+
+    def chat(self, entry: str, secret: str, outcome: Outcome) -> None:
+        """Ask for a complete answer or a stream."""
+        is_streamed = outcome.kind == 'stream'
+        tokens = outcome.fields['tokens']
+        messages = [{'role': 'user', 'content': outcome.subject}]
+        reply = self.http.request(
+            'POST',
+            f'{self.cluster.entry[entry].url}/v1/chat/completions',
+            json={
+                'model': outcome.fields['route'],
+                'messages': messages,
+                'max_tokens': tokens,
+                'ignore_eos': True,
+                'stream': is_streamed,
+            },
+            headers={'Authorization': f'Bearer {secret}'},
+            preload_content=not is_streamed,
+            timeout=_CALL_TIMEOUT_S,
+        )
+        if is_streamed and reply.status == 200:
+            ended = _read_stream(reply, outcome)
+        else:
+            outcome.take(reply)
+            ended = reply.status == 200
+            if ended:
+                choice = reply.json()['choices'][0]
+                outcome.text = choice['message']['content']
+        expected = answer_text(messages, tokens)
+        outcome.is_whole = ended and outcome.text == expected
+        if reply.status == 200:
+            outcome.is_own = expected.startswith(outcome.text)
+
+    def order(self, entry: str, secret: str, outcome: Outcome) -> None:
+        """Send an order."""
+        reply = self.http.request(
+            'POST',
+            f'{self.cluster.entry[entry].url}/v1/services/dies/bookings',
+            json={'order': outcome.subject},
+            headers={
+                'Authorization': f'Bearer {secret}',
+                'Idempotency-Key': outcome.subject,
+            },
+            timeout=_CALL_TIMEOUT_S,
+        )
+        outcome.take(reply)
+        outcome.is_whole = outcome.text == json.dumps(
+            {'order': outcome.subject},
+            separators=(',', ':'),
+        )
+
+    def write(self, outcome: Outcome) -> None:
+        """Declare resources as an operator, with one operation id."""
+        body = {'op_id': uuid.uuid4().hex, 'changes': outcome.fields['changes']}
+        reply = self.operator('POST', '/v1/apply', body)
+        outcome.take(reply)
+        if reply.status == 200:
+            outcome.fields['revision'] = reply.json()['revision']
+
+    def operator(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Ask the control hosts in turn until one answers as the leader."""
+        deadline = time.monotonic() + _OPERATOR_TIMEOUT_S
+        while time.monotonic() < deadline:
+            for site in self.cluster.api.values():
+                reply = self._try(method, f'{site.url}{path}', body)
+                if reply is not None:
+                    return reply
+            time.sleep(_PAUSE_S)
+        raise urllib3.exceptions.HTTPError(f'no leader for {method} {path}')
+
+    def get(self, url: str, secret: str = '') -> Any:
+        """Read a JSON document."""
+        return self.http.request(
+            'GET',
+            url,
+            headers={'Authorization': f'Bearer {secret}'} if secret else {},
+            timeout=5,
+        ).json()
+
+    def _try(
+        self,
+        method: str,
+        url: str,
+        body: Any,
+    ) -> urllib3.BaseHTTPResponse | None:
+        """Ask one control host; None if it cannot answer."""
+        token = self.cluster.operator_token
+        try:
+            reply = self.http.request(
+                method,
+                url,
+                json=body,
+                headers={'Authorization': f'Bearer {token}'},
+                timeout=_OPERATOR_TRY_S,
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return None
+        return None if reply.status >= 500 else reply
+
+
+def _read_stream(reply: urllib3.BaseHTTPResponse, outcome: Outcome) -> bool:
+    """Read the events; tells whether the end marker came."""
+    buffered = b''
+    for chunk in reply.stream(4096):
+        buffered += chunk
+        *events, buffered = buffered.split(b'\n\n')
+        for event in events:
+            if event == b'data: [DONE]':
+                outcome.status = 200
+                return True
+            _take_event(event, outcome)
+    outcome.status = reply.status
+    return False
+
+
+def _take_event(event: bytes, outcome: Outcome) -> None:
+    document = orjson.loads(event.removeprefix(b'data: '))
+    outcome.error = document.get('error', outcome.error)
+    for choice in document.get('choices') or ():
+        piece = choice.get('delta', {}).get('content') or ''
+        outcome.text += piece
+        outcome.tokens += bool(piece)
--- /dev/null
+++ b/tests/prove/expectations.py
@@ -0,0 +1,243 @@
+"""What a scenario expects."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from prove.calls import Outcome
+from prove.history import History
+from prove.language import ScenarioError, Step
+from prove.world import GUILD, World
+
+_POLL_S = 0.02
+_DEFAULT_WITHIN_S = 8.0
+_HTTP_TIMEOUT_S = 2.0
+
+
+class Expectations:
+    """The kinds of ``expect``."""
+
+    def __init__(self, world: World) -> None:
+        """Keep the world."""
+        self._world = world
+        self._kinds: dict[str, Callable[[Step], None]] = {
+            'one-of': self._one_of,
+            'count': self._count,
+            'refused': self._refused,
+            'served': self._served,
+            'in-force': self._in_force,
+            'write': self._write,
+            'platform': self._platform,
+            'usage': self._usage,
+            'received': self._received,
+            'voters': self._voters,
+        }
+
+    def expect(self, step: Step) -> None:
+        """Check one expectation.
+
+        Raises
+        ------
+        ScenarioError
+            If it does not hold.
+        """
+        kind = self._kinds.get(step.words[0], self._call)
+        kind(step)
+
+    def _call(self, step: Step) -> None:
+        """Compare named calls with their expected answers."""
+        for name in step.words:
+            outcome = self._world.outcome(name)
+            for field, text in step.options.items():
+                _compare(outcome, field, text)
+
+    def _one_of(self, step: Step) -> None:
+        outcomes = [self._world.outcome(name) for name in step.words[1:]]
+        won = [each for each in outcomes if each.status == 200]
+        if len(won) != 1:
+            summaries = [each.summary() for each in outcomes]
+            raise ScenarioError(f'{len(won)} succeeded: {summaries}')
+        self._note('winner', won[0].subject, 0)
+
+    def _count(self, step: Step) -> None:
+        """Compare how often the services ran an order."""
+        key, expected = step.words[1:]
+        counts = History(self._world.callers, []).counts()
+        found = counts.get(f'{GUILD}/{key}', 0)
+        if found != int(expected):
+            raise ScenarioError(f'it ran {found} times')
+        self._world.figures.append(f'{key} ran {found} times')
+
+    def _refused(self, step: Step) -> None:
+        """Wait until every live entry host refuses a key."""
+        secret = self._world.secret(step.words[1])
+
+        def is_refused() -> bool:
+            return all(self._status(name, secret) == 401 for name in hosts)
+
+        hosts = step.words[2:] or list(self._world.cluster.entry)
+        self._note('refused after', step, self._reached(step, is_refused))
+
+    def _served(self, step: Step) -> None:
+        """Wait until every entry host serves a key."""
+        secret = self._world.secret(step.words[1])
+        hosts = step.words[2:] or list(self._world.cluster.entry)
+        self._reached(
+            step,
+            lambda: all(self._status(name, secret) == 200 for name in hosts),
+        )
+
+    def _in_force(self, step: Step) -> None:
+        """Wait until every entry host shows a route."""
+        secret = self._world.secret(GUILD)
+        hosts = step.words[2:] or list(self._world.cluster.entry)
+        self._note(
+            'in force after',
+            step,
+            self._reached(
+                step,
+                lambda: all(
+                    f'"{step.words[1]}"' in self._models(name, secret)
+                    for name in hosts
+                ),
+            ),
+        )
+
+    def _write(self, step: Step) -> None:
+        """Measure the time from the last fault to an accepted write."""
+        world = self._world
+        customer = f'probe-{len(world.outcomes)}'
+        change = {
+            'kind': 'customer',
+            'name': customer,
+            'expected_version': 0,
+            'spec': {'weight': 1},
+        }
+        outcome = Outcome('write', customer, {'changes': [change]})
+        world.begin(outcome, world.callers.write, '')
+        took_s = outcome.ended_at - world.fault_at
+        self._note('next write after', step, took_s)
+        if outcome.status != 200 or took_s > _within(step):
+            raise ScenarioError(f'{took_s:.2f} s: {outcome.summary()}')
+
+    def _platform(self, step: Step) -> None:
+        """Wait for accepted requests of as many holders as ``holders``."""
+
+        def holders() -> int:
+            records = History(world.callers, []).platform_records()
+            return len(
+                {
+                    record['fencing']
+                    for record in records
+                    if record['status'] == 200
+                }
+            )
+
+        world = self._world
+        expected = int(step.options['holders'])
+        self._reached(step, lambda: holders() >= expected)
+        world.figures.append(f'{holders()} holders in order')
+
+    def _usage(self, step: Step) -> None:
+        """Wait until the platform has the calls that were answered."""
+        self._reached(step, lambda: self._calls() >= int(step.options['calls']))
+        calls = self._calls()
+        self._world.figures.append(f'{calls} calls reported')
+        if calls > int(step.options['calls']):
+            raise ScenarioError(f'{calls} calls were reported')
+
+    def _calls(self) -> int:
+        records = History(self._world.callers, []).platform_records()
+        windows = {
+            (record['customer'], record['window']): int(record['calls'])
+            for record in records
+            if 'window' in record and record['status'] == 200
+        }
+        return sum(windows.values())
+
+    def _received(self, step: Step) -> None:
+        """Compare when a stand-in got its last call of a kind."""
+        url = self._world.url(step.words[1])
+        received = self._world.callers.get(f'{url}/received')['received']
+        fault_at = time.time() - (time.monotonic() - self._world.fault_at)
+        within = float(step.options['within'])
+        work = [
+            entry['at'] - fault_at
+            for entry in received
+            if entry['method'] == 'POST'
+        ]
+        late = [at for at in work if at > within]
+        last = max((at for at in work if at > 0), default=0)
+        self._world.figures.append(f'last new work after {last:.2f} s')
+        if late:
+            raise ScenarioError(f'{len(late)} calls came later: {late[:5]}')
+
+    def _voters(self, step: Step) -> None:
+        """Wait until the present identity of a host votes."""
+
+        def has_joined() -> bool:
+            voters = world.cluster.operator('GET', '/v1/status')
+            found = voters['members']['voters']
+            return len(found) == len(world.cluster.api) and not any(
+                old in found for old in step.words[1:]
+            )
+
+        world = self._world
+        self._note('voted after', step, self._reached(step, has_joined))
+
+    def _status(self, entry: str, secret: str) -> int:
+        reply = self._world.callers.http.request(
+            'GET',
+            f'{self._world.url(entry)}/v1/models',
+            headers={'Authorization': f'Bearer {secret}'},
+            timeout=_HTTP_TIMEOUT_S,
+        )
+        return int(reply.status)
+
+    def _models(self, entry: str, secret: str) -> str:
+        reply = self._world.callers.http.request(
+            'GET',
+            f'{self._world.url(entry)}/v1/models',
+            headers={'Authorization': f'Bearer {secret}'},
+            timeout=_HTTP_TIMEOUT_S,
+        )
+        return reply.data.decode()
+
+    def _reached(self, step: Step, condition: Callable[[], bool]) -> float:
+        """Wait for a condition; gives the seconds since the last change."""
+        since = self._world.fault_at
+        while not condition():
+            if time.monotonic() - since > _within(step):
+                raise ScenarioError('not reached in time')
+            time.sleep(_POLL_S)
+        return time.monotonic() - since
+
+    def _note(self, what: str, step: Step | str, took_s: float) -> None:
+        if isinstance(step, Step):
+            self._world.figures.append(f'{what} {took_s:.2f} s')
+        else:
+            self._world.figures.append(f'{what} {step}')
+
+
+def _within(step: Step) -> float:
+    return float(step.options.get('within', _DEFAULT_WITHIN_S))
+
+
+def _compare(outcome: Outcome, field: str, text: str) -> None:
+    found = _found(outcome, field)
+    if field == 'tokens_under':
+        is_met = outcome.tokens < int(text)
+    else:
+        is_met = found in text.split(',')
+    if not is_met:
+        raise ScenarioError(f'{field} is {found}: {outcome.summary()}')
+
+
+def _found(outcome: Outcome, field: str) -> str:
+    known = {
+        'status': str(outcome.status),
+        'whole': 'yes' if outcome.is_whole else 'no',
+        'tokens_under': str(outcome.tokens),
+    }
+    return known.get(field, str(outcome.error.get(field)))
--- /dev/null
+++ b/tests/prove/world.py
@@ -0,0 +1,198 @@
+"""The cluster of one scenario and all that happened in it."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import secrets
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from support.demo import declare, knows
+from support.processes import Child, wait_until
+
+from prove.calls import Callers, Outcome
+from prove.language import ScenarioError
+from prove.relayed import RelayedCluster
+
+GUILD = 'guild'
+_ENGINE_SLOTS = 8
+_MEMBER_TIMEOUT_S = 30.0
+
+
+class World:
+    """Processes, keys, names, outcomes and figures.
+
+    Attributes
+    ----------
+    cluster : RelayedCluster
+        The processes.
+    callers : Callers
+        Calls to them.
+    keys : dict of str to tuple
+        Customer and secret of each key.
+    names : dict of str to str
+        Names that the scenario gave to processes.
+    named : dict of str to Outcome
+        Outcomes that the scenario refers to.
+    outcomes : list of Outcome
+        All of them.
+    fault_at : float
+        Time of the last fault, change or withdrawal.
+    """
+
+    __slots__ = (
+        'callers',
+        'cluster',
+        'fault_at',
+        'figures',
+        'folder',
+        'keys',
+        'named',
+        'names',
+        'outcomes',
+        'specs',
+        'started_at',
+        'versions',
+    )
+
+    def __init__(self, folder: Path) -> None:
+        """Start nothing yet."""
+        self.folder = folder
+        self.cluster: RelayedCluster
+        self.callers: Callers
+        self.keys: dict[str, tuple[str, str]] = {}
+        self.names: dict[str, str] = {}
+        self.named: dict[str, Outcome] = {}
+        self.outcomes: list[Outcome] = []
+        self.figures: list[str] = []
+        self.specs: dict[str, dict[str, Any]] = {}
+        self.versions: dict[str, int] = {}
+        self.started_at = time.monotonic()
+        self.fault_at = self.started_at
+
+    def start(self, options: dict[str, str]) -> None:
+        """Start the cluster, stand-ins and the first configuration."""
+        cluster = RelayedCluster(
+            self.folder,
+            controls=int(options.get('controls', 3)),
+            entries=int(options.get('entries', 2)),
+        )
+        self.cluster = cluster
+        self.callers = Callers(cluster)
+        self._start_standins(options)
+        cluster.start()
+        secret = secrets.token_urlsafe()
+        self.keys[GUILD] = (GUILD, secret)
+        slots = int(options.get('slots', _ENGINE_SLOTS))
+        declare(cluster, secret, slots)
+        wait_until(
+            lambda: all(knows(cluster, name, secret) for name in cluster.entry),
+            'the configuration on every entry host',
+        )
+        self.started_at = time.monotonic()
+
+    def stop(self) -> None:
+        """Kill what still runs."""
+        if hasattr(self, 'cluster'):
+            self.cluster.stop()
+
+    def settle(self, timeout_s: float) -> None:
+        """Remove the faults, wait for calls and bring the controls back."""
+        for child in list(self.cluster.children.values()):
+            child.thaw()
+        self.cluster.heal()
+        for name in self.cluster.api:
+            if not self.child(name).is_running():
+                self.cluster.start_control(name)
+        for outcome in self.outcomes:
+            if outcome.thread is not None:
+                outcome.thread.join(timeout_s)
+
+    def child(self, name: str) -> Child:
+        """Give a process by its name."""
+        return self.cluster.children[self.process(name)]
+
+    def process(self, word: str) -> str:
+        """Give the name of a process; ``leader`` is the present one."""
+        if word == 'leader':
+            wait_until(self.cluster.leader, 'a leader', _MEMBER_TIMEOUT_S)
+            return self.cluster.leader()
+        return self.names.get(word, word)
+
+    def url(self, name: str) -> str:
+        """Give the URL of a process."""
+        cluster = self.cluster
+        sites = {**cluster.api, **cluster.entry, **cluster.standins}
+        return sites[self.process(name)].url
+
+    def secret(self, key: str) -> str:
+        """Give the secret of a key."""
+        return self.keys[key][1]
+
+    def new_key(self, name: str, customer: str) -> dict[str, Any]:
+        """Make a secret; gives the resource that declares it."""
+        secret = secrets.token_urlsafe()
+        self.keys[name] = (customer, secret)
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        return {'customer': customer, 'sha256': digest}
+
+    def begin(self, outcome: Outcome, action: Any, name: str) -> None:
+        """Run a call, in the background if the scenario names it."""
+        self.outcomes.append(outcome)
+        if not name:
+            outcome.run(action)
+            return
+        self.named[name] = outcome
+        outcome.thread = threading.Thread(
+            target=outcome.run,
+            args=(action,),
+            daemon=True,
+        )
+        outcome.thread.start()
+
+    def outcome(self, name: str, timeout_s: float = 60) -> Outcome:
+        """Wait for a named call and give what came of it."""
+        outcome = self.named[name]
+        if outcome.thread is not None:
+            outcome.thread.join(timeout_s)
+        if outcome.status == -1:
+            raise ScenarioError(f'{name} still runs after {timeout_s} s')
+        return outcome
+
+    def read(self, path: str) -> dict[str, Any]:
+        """Read a resource and remember its version and spec."""
+        reply = self.callers.operator('GET', f'/v1/resources/{path}')
+        resource: dict[str, Any] = {}
+        if reply.status == 200:
+            resource = json.loads(reply.data)
+            self.versions[path] = resource['version']
+            self.specs[path] = resource['spec']
+        return resource
+
+    def _start_standins(self, options: dict[str, str]) -> None:
+        cluster = self.cluster
+        for number in range(int(options.get('engines', 2))):
+            cluster.start_standin(
+                f'engine-{number + 1}',
+                'engine',
+                '--models=writer',
+                f'--interval-s={options.get("interval_s", "0.02")}',
+            )
+        for number in range(int(options.get('services', 1))):
+            cluster.start_standin(
+                f'service-{number + 1}',
+                'service',
+                f'--answer-s={options.get("answer_s", "0")}',
+            )
+        if options.get('platform') == 'yes':
+            site = cluster.start_standin(
+                'platform',
+                'platform',
+                '--zones=zone-a,zone-b,zone-c,zone-d',
+                '--start-delay-s=600',
+                *(['--ignore-fencing'] if 'ignore_fencing' in options else []),
+            )
+            cluster.write_controls(site.url)
