--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -19,7 +19,10 @@
 from apricotcart.entry.chat import ChatHandler
 from apricotcart.entry.control_link import ControlLink
 from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.entry.gauges import GAUGE_INTERVAL_S, EntryGauges
 from apricotcart.entry.held import HeldConfiguration
+from apricotcart.entry.host_answers import HostAnswers
+from apricotcart.entry.load_reports import POLL_INTERVAL_S, LoadPoller
 from apricotcart.entry.orders import OrderLedger
 from apricotcart.entry.retrying import RetryGate
 from apricotcart.entry.running import CHECK_INTERVAL_S, RunningTable
@@ -32,6 +35,7 @@
 from apricotcart.membership.directory import HostDirectory
 from apricotcart.membership.drain import EndpointDrain
 from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.metrics_server import start_metrics_page
 from apricotcart.observability.telemetry import Telemetry
 from apricotcart.observability.tracing import Tracer
 from apricotcart.scheduling.config import SchedulerConfig
@@ -120,11 +124,12 @@
             cfg.host.name,
             self._identity.incarnation,
         )
-        self._directory = HostDirectory(
+        directory = HostDirectory(
             zone=cfg.host.zone,
             rng=rng,
             ttl_s=cfg.hosts_answer.ttl_s,
         )
+        self._hosts = HostAnswers(directory)
         self._active = ActiveRequests()
 
     def _build_timers(self) -> None:
@@ -134,7 +139,7 @@
             link=self._link,
             held=self._held,
             dispatcher=self._dispatcher,
-            directory=self._directory,
+            hosts=self._hosts,
             drain=self._drain,
         )
         self._sender = UsageSender(
@@ -154,6 +159,16 @@
                 _DRAIN_CHECK_S,
                 self._synchronizer.hold_if_unsure,
             ),
+            RepeatingTimer(
+                'load',
+                POLL_INTERVAL_S,
+                LoadPoller(self._held, self._dispatcher).poll,
+            ),
+            RepeatingTimer(
+                'gauges',
+                GAUGE_INTERVAL_S,
+                EntryGauges(self._telemetry.metrics, self._held).update,
+            ),
             RepeatingTimer(
                 'usage',
                 cfg.usage.flush_interval_s,
@@ -187,7 +202,7 @@
                 orders=self._orders,
                 max_body_bytes=max_body_bytes,
             ),
-            directory=self._directory,
+            hosts=self._hosts,
             active=self._active,
         )
 
@@ -196,6 +211,11 @@
         self._dispatcher.start()
         for timer in self._timers:
             timer.start()
+        self._metrics_server = start_metrics_page(
+            self._telemetry.metrics,
+            cfg.host.address,
+            cfg.metrics.port,
+        )
         quiet_engine()
         mount(self._application())
         add_server(
@@ -228,6 +248,8 @@
             timer.stop()
         flush(self._sender, self._orders)
         self._dispatcher.stop()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
         self._telemetry.tracer.close()
         _LOG.info('entry host %s has stopped', cfg.host.name)
 
