--- a/tests/distribution/test_configcopy.py
+++ b/tests/distribution/test_configcopy.py
@@ -22,6 +22,7 @@
 from apricotcart.distribution.updates import ConfigUpdate
 from apricotcart.state.machine import ClusterState
 
+COPY_MODULE = 'apricotcart.distribution.configcopy'
 SECRET = 'a' * 64
 Put = Callable[[str, str, dict[str, Any]], None]
 
@@ -102,6 +103,29 @@
     assert [route.name for route in routes] == ['booking']
 
 
+@pytest.mark.parametrize('naive', [False, True])
+def test_admit_other_customer(
+    copy: ConfigCopy,
+    state: ClusterState,
+    put: Put,
+    naive: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a route that runs for a customer it does not name.
+
+    The naive variant only asks whether the key is valid.
+    """
+    put('customer', 'mill', {'weight': 1})
+    put('key', 'k2', {'customer': 'mill', 'sha256': 'c' * 64})
+    copy.apply(SyncResponder(state).respond(copy.held), 0)
+    if naive:
+        monkeypatch.setattr(f'{COPY_MODULE}.may_use', lambda *_: True)
+        assert admit(copy, 'draft', sha256='c' * 64).customer == 'mill'
+    else:
+        with pytest.raises(RouteUnknownError):
+            admit(copy, 'draft', sha256='c' * 64)
+
+
 def test_admit_public_route(
     copy: ConfigCopy,
     state: ClusterState,
--- a/tests/membership/test_drain.py
+++ b/tests/membership/test_drain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from apricotcart.membership.drain import (
     DRAIN_BOUND_S,
     SEND_MARGIN_S,
@@ -43,3 +45,26 @@
     assert not drain.eligible(limit)
     drain.confirm(11)
     assert drain.eligible(limit) == {'e1'}
+
+
+class UnboundedDrain(EndpointDrain):
+    """Naive variant: trusts its last list for as long as the copy is."""
+
+    def may_dispatch(self, now: float, endpoint: str) -> bool:
+        """Leave out the time since the last sync."""
+        return endpoint in self._open
+
+
+@pytest.mark.parametrize(
+    ('drain', 'late'),
+    [(EndpointDrain(), False), (UnboundedDrain(), True)],
+)
+def test_may_dispatch_when_cut_off(drain: EndpointDrain, late: bool) -> None:
+    """Guards against new work 3 s after an endpoint began to drain.
+
+    The endpoint began to drain just after the host was cut off.
+    """
+    drain.update([_endpoint('e1', leaving=False)], 0)
+    ticks = [tick / 20 for tick in range(200)]
+    sent = [now for now in ticks if drain.may_dispatch(now, 'e1')]
+    assert (max(sent) + SEND_MARGIN_S > DRAIN_BOUND_S) == late
--- a/tests/prove/world.py
+++ b/tests/prove/world.py
@@ -39,6 +39,8 @@
         Outcomes that the scenario refers to.
     outcomes : list of Outcome
         All of them.
+    pacers : list of threading.Thread
+        Threads that start calls one after the other.
     fault_at : float
         Time of the last fault, change or withdrawal.
     """
@@ -53,6 +55,7 @@
         'named',
         'names',
         'outcomes',
+        'pacers',
         'specs',
         'started_at',
         'versions',
@@ -68,6 +71,7 @@
         self.named: dict[str, Outcome] = {}
         self.outcomes: list[Outcome] = []
         self.figures: list[str] = []
+        self.pacers: list[threading.Thread] = []
         self.specs: dict[str, dict[str, Any]] = {}
         self.versions: dict[str, int] = {}
         self.started_at = time.monotonic()
@@ -107,6 +111,8 @@
         for name in self.cluster.api:
             if not self.child(name).is_running():
                 self.cluster.start_control(name)
+        for pacer in self.pacers:
+            pacer.join(timeout_s)
         for outcome in self.outcomes:
             if outcome.thread is not None:
                 outcome.thread.join(timeout_s)
