--- a/src/apricotcart/observability/logs.py
+++ b/src/apricotcart/observability/logs.py
@@ -129,11 +129,21 @@
 
     def close(self) -> None:
         """Write the records that still wait, and detach from the loggers."""
+        logging.captureWarnings(capture=False)
         logging.getLogger().removeHandler(self._intake)
         self._listener.stop()
         self._target.close()
 
 
+def dropped_records() -> int:
+    """Give how many records of this process found the queue full."""
+    return sum(
+        intake.dropped
+        for intake in logging.getLogger().handlers
+        if isinstance(intake, DroppingQueueHandler)
+    )
+
+
 def _redirect_direct_output() -> None:
     # These write to standard error past the filter unless told otherwise:
     # exceptions that end a thread, failures of the log itself, warnings.
--- a/src/apricotcart/scheduling/dealing.py
+++ b/src/apricotcart/scheduling/dealing.py
@@ -70,9 +70,11 @@
             for name, count in demand.running.items():
                 if name not in self._left:
                     continue
-                free = self._left[name] - count
-                self._left[name] = max(0, free)
-                share[name] = min(count, owed[host])
+                # More may run than the endpoint has, after its slots were
+                # lowered; a share of them would let that go on.
+                kept = min(count, self._left[name])
+                self._left[name] -= kept
+                share[name] = min(kept, owed[host])
                 owed[host] -= share[name]
 
     def waiting(self, tiers: Iterable[Sequence[Bid]]) -> dict[str, int]:
@@ -101,14 +103,16 @@
 
     def deal_within(self, subsets: Subsets, owed: dict[str, int]) -> None:
         """Deal the free slots of each endpoint to the hosts that use it."""
-        for name, left in list(self._left.items()):
+        free = [(name, left) for name, left in self._left.items() if left]
+        for name, left in free:
             hosts = subsets.hosts_of(name)
             for position, host in enumerate(hosts):
                 # Rounded up, so that single slots are dealt as well.
                 part = -(-left // (len(hosts) - position))
                 count = min(part, owed[host])
-                self._give(host, repeat(name, count), owed)
-                left -= count
+                if count:
+                    self._give(host, repeat(name, count), owed)
+                    left -= count
 
     def _interleaved(self) -> list[str]:
         names = sorted(self._left)
--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -20,11 +20,7 @@
 
     def __init__(self, seed: int, size: int = 3) -> None:
         self.cluster = Cluster(
-            seed,
-            size,
-            snapshot_every=60,
-            snapshot_trailing=10,
-            chunk_bytes=300,
+            seed, size, snapshot_every=60, snapshot_trailing=10, chunk_bytes=300
         )
         self.rng = random.Random(seed)
         self.writes = 0
@@ -68,7 +64,7 @@
     def _client(self) -> None:
         cluster = self.cluster
         name = self._target
-        if not name or self._chance(10):
+        if not name or self._chance(25):
             name = self.rng.choice(list(cluster.hosts))
         host = cluster.hosts[name]
         if host.node is not None and host.node.leader_id:
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -247,7 +247,13 @@
 
 @pytest.mark.parametrize(
     ('kind', 'node_id'),
-    [('remove', 'c9.1'), ('join', 'c1.1'), ('promote', 'c1.1'), ('x', 'c1.1')],
+    [
+        ('remove', 'c9.1'),
+        ('join', 'c1.1'),
+        ('promote', 'c1.1'),
+        ('x', 'c1.1'),
+        ('retire', 'c1.1'),
+    ],
 )
 def test_change_members_invalid(
     cluster: Cluster, leader: Host, kind: str, node_id: str
@@ -293,7 +299,7 @@
     members = Members(voters=['a.1', 'b.1', 'c.1'])
     for node_id in ('c.2', 'c.3'):
         members = members.after(
-            MemberChange(kind='join', node_id=node_id, replaces='c.1'),
+            MemberChange(kind='join', node_id=node_id, replaces='c.1')
         )
     assert members.learners == ['c.3']
     members = members.after(MemberChange(kind='remove', node_id='c.1'))
--- a/tests/platform/test_leader.py
+++ b/tests/platform/test_leader.py
@@ -12,7 +12,37 @@
     SENDER_FAULTS,
     run_faults,
 )
-from platform_world import UncommittedUsage
+from platform_world import UncommittedUsage, World
+
+from apricotcart.platform.api import Request
+
+
+@pytest.mark.parametrize(
+    'kind', ['apply', 'fencing_take', 'set_status', 'usage_close']
+)
+def test_leader_refused_commands(kind: str) -> None:
+    """Guards against a refused command that fills the log."""
+    world = World(1)
+    world.refused_kind = kind
+    world.state.demand = 6
+    world.state.add_usage(0, 'a', 1)
+    world.elect(world.hosts[0])
+    world.run(100)
+    assert 1 <= world.commands[kind] <= 200
+
+
+def test_leader_old_number() -> None:
+    """Guards against sending what was decided under an earlier number."""
+    world = World(1)
+    host = world.hosts[0]
+    world.elect(host)
+    world.run(6)
+    body = {'fencing': host.duties.fencing}
+    request = Request(ticket=1, path='/usage', body=body)
+    assert host.duties.deadline_for(host.clock(), request)
+    body['fencing'] -= 1
+    assert host.duties.deadline_for(host.clock(), request) is None
+
 
 SEEDS = range(1, 9)
 
