Fix failure paths of entry requests and test them with fakes

The request path had only tests through whole processes. tests/entry/fakes.py adds a scripted endpoint on a real loopback socket and a scripted control host; 46 tests drive services and streams through the real scheduler and urllib3.

Faults found, each with a test that failed before the change:

* After an attempt that reached an endpoint, a later attempt that was refused (connection refused, stale copy during a resume) ended the request with `not_run`.
PastAttempts now turns that into `outcome_unknown` with `may_have_run`, for responses and for error events.
* A stream was given back to the connection pool at its end marker, before the end of its chunked body.
If the last chunk was already buffered, the next request on the connection was sent and failed with ResponseNotReady, counted as a crash and sent again: 5 sends for 3 streams, now 3.
A library retry was ruled out: retries=False, and each send was an attempt of our own gate.
Such a connection is now closed, which costs one connect for each stream.
* A key withdrawn before the response headers arrived still got the response (services, orders).
The key is now checked before the response is given.
* A failure that is no ApricotcartError left an order record open.
It is now closed as `not_run` before the send and `unknown` after it.
* A stream that failed after an event without content (the role event) broke off without an error event; a malformed `choices`, `delta` or `usage` of an engine ended in an untyped failure, for `usage` even after the end marker.
* RetryGate sent after its back-off without looking at key and caller.
* A stream that ended in an error event was counted as `ok` in the metrics.

Changed by reading, without a test that failed before: the end of a body that was aborted is a failure; the count of active requests falls although closing a body fails; whole chat answers get the same key check.

--- a/src/apricotcart/entry/app.py
+++ b/src/apricotcart/entry/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import ExitStack
 from typing import Any
 
 from apricotcart.entry.access import Access
@@ -42,9 +43,11 @@
     def close(self) -> None:
         """End the request; the server calls this in every case."""
         close = getattr(self._chunks, 'close', None)
-        if close is not None:
-            close()
-        self._active.leave()
+        with ExitStack() as ending:
+            # A count that stays up would hold back a planned stop for ever.
+            ending.callback(self._active.leave)
+            if close is not None:
+                close()
 
 
 class EntryApplication(WebApplication):
--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -15,6 +15,7 @@
     ShedError,
     ShedMayHaveRunError,
 )
+from apricotcart.entry.past_attempts import PastAttempts
 from apricotcart.entry.running import RunningRequest, RunningTable
 from apricotcart.entry.upstream import Upstream, UpstreamAnswer, UpstreamCall
 from apricotcart.errors.tree import ApricotcartError
@@ -76,6 +77,8 @@
         Total deadline on the monotonic clock in seconds; retries keep it.
     excluded : list of str
         Endpoints on which earlier attempts failed.
+    past : PastAttempts
+        What the failed attempts say of whether the request was run.
     """
 
     __slots__ = (
@@ -85,6 +88,7 @@
         'excluded',
         'grant',
         'hop',
+        'past',
         'queued',
         'req',
         'request_id',
@@ -111,6 +115,7 @@
         self.deadline_at = self.started_at + route.total_s
         self.attempts = 0
         self.endpoint = ''
+        self.past = PastAttempts()
         self.queued: QueuedRequest | None = None
         self.hop = runtime.telemetry.open_hop(
             route.kind,
@@ -201,13 +206,27 @@
         exc: BaseException | None,
         traceback: object,
     ) -> None:
-        """End the request."""
-        self.close(exc)
+        """End the request.
+
+        Raises
+        ------
+        MayHaveRunError
+            Instead of a failure that says `not_run` after an earlier attempt
+            that may have run.
+        """
+        failure = exc
+        if isinstance(exc, ApricotcartError):
+            failure = self.past.truthful(exc)
+        self.close(failure)
+        if failure is not None and failure is not exc:
+            raise failure from exc
 
     def close(self, failure: BaseException | None = None) -> None:
         """Remove the request from the running ones and note how it ended."""
         self.runtime.running.remove(self.request_id)
-        code = _failure_code(failure)
+        # A failed stream that has begun ends with an error event instead of
+        # an exception.
+        code = _failure_code(failure) or self.hop.fields.get('outcome')
         self.hop.fields['attempt'] = self.attempts
         self.hop.end(code)
         self.observe(REQUEST_S, time.monotonic() - self.started_at)
--- a/src/apricotcart/entry/chat.py
+++ b/src/apricotcart/entry/chat.py
@@ -73,6 +73,7 @@
         body = self._answer(caller)
         document = _document(body, caller.job)
         self._usage.count_answer(caller.job, document.get('usage'))
+        caller.job.check_key()
         return WebResponse.from_bytes(body, JSON_TYPE)
 
     def _answer(self, caller: EngineCaller) -> bytes:
--- a/src/apricotcart/entry/chat_stream.py
+++ b/src/apricotcart/entry/chat_stream.py
@@ -14,6 +14,7 @@
     attempt_outcome,
 )
 from apricotcart.entry.errors import (
+    EndpointCrashedError,
     EndpointError,
     EndpointRefusedError,
     EndpointUnreachableError,
@@ -52,7 +53,14 @@
         Tokens forwarded to the caller so far.
     """
 
-    __slots__ = ('_caller', '_gate', '_reported', '_usage', 'tokens')
+    __slots__ = (
+        '_caller',
+        '_gate',
+        '_has_begun',
+        '_reported',
+        '_usage',
+        'tokens',
+    )
 
     def __init__(
         self,
@@ -64,6 +72,7 @@
         self._caller = caller
         self._usage = usage
         self._gate = gate
+        self._has_begun = False
         self._reported: Any = None
         self.tokens = 0
 
@@ -80,11 +89,12 @@
         try:
             yield from self._attempts()
         except ApricotcartError as exc:
-            if not self.tokens:
+            if not self._has_begun:
                 raise
             job = self._caller.job
-            job.hop.fields['outcome'] = exc.code
-            yield event_bytes(orjson.dumps(error_document(exc)))
+            failure = job.past.truthful(exc)
+            job.hop.fields['outcome'] = failure.code
+            yield event_bytes(orjson.dumps(error_document(failure)))
         finally:
             self._usage.count_stream(
                 self._caller.job,
@@ -114,6 +124,7 @@
             except EndpointError as exc:
                 if not self.tokens:
                     raise
+                self._caller.job.past.note(exc)
                 self._caller.job.check_key()
                 self._gate.require(self._caller.job, exc)
                 yield from self._resume(endpoint, hop)
@@ -160,6 +171,7 @@
             raise KeyWithdrawnError('the key was withdrawn')
         job.left_s()
         self._count(document)
+        self._has_begun = True
         return event_bytes(text)
 
     def _count(self, document: dict[str, Any]) -> None:
@@ -182,7 +194,10 @@
 
 
 def _has_content(document: dict[str, Any]) -> bool:
-    for choice in document.get('choices') or ():
-        if choice.get('delta', {}).get('content'):
-            return True
-    return False
+    choices = document.get('choices') or ()
+    try:
+        return any(
+            (choice.get('delta') or {}).get('content') for choice in choices
+        )
+    except (AttributeError, TypeError) as exc:
+        raise EndpointCrashedError(f'broken event: {exc}') from exc
--- a/src/apricotcart/entry/engine_call.py
+++ b/src/apricotcart/entry/engine_call.py
@@ -122,6 +122,7 @@
     ) as exc:
         if not job.running.is_revoked:
             outcome = exc.outcome
+        job.past.note(exc)
         raise
     except EngineRejectedError:
         outcome = _OK
--- a/src/apricotcart/entry/retrying.py
+++ b/src/apricotcart/entry/retrying.py
@@ -8,6 +8,7 @@
 
 from apricotcart.entry.attempt import Job
 from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.entry.errors import CallerGoneError
 from apricotcart.errors.tree import NOT_RUN, ApricotcartError
 from apricotcart.observability.catalogue import RETRIES
 from apricotcart.retries.policy import (
@@ -54,6 +55,8 @@
         ------
         ApricotcartError
             The failure, if the request may not be tried again.
+        KeyWithdrawnError, CallerGoneError
+            If the key was withdrawn or the caller left during the wait.
         """
         verdict = self._decide(job, failure)
         if verdict.req is None:
@@ -61,6 +64,9 @@
             raise failure
         job.runtime.telemetry.metrics.count(RETRIES, {'reason': failure.code})
         time.sleep(max(0, verdict.retry_at - time.monotonic()))
+        job.check_key()
+        if job.req.is_disconnected():
+            raise CallerGoneError('the caller closed its connection')
 
     def _count(self, scheduler: Scheduler, now: float) -> None:
         self._policy.on_request(now)
--- a/src/apricotcart/entry/services.py
+++ b/src/apricotcart/entry/services.py
@@ -16,7 +16,7 @@
 from apricotcart.entry.retrying import RetryGate
 from apricotcart.entry.upstream import UpstreamCall
 from apricotcart.entry.usage import UsageCounter
-from apricotcart.errors.tree import ApricotcartError, NotRunError
+from apricotcart.errors.tree import NotRunError
 from apricotcart.web.request import WebRequest
 from apricotcart.web.response import WebResponse
 
@@ -91,6 +91,7 @@
                 self._gate.require(call.job, exc)
             else:
                 self._usage.count_call(call.job)
+                call.job.check_key()
                 return response
 
     def _once(self, call: ServiceCall) -> WebResponse:
@@ -109,6 +110,7 @@
             return stored
         response = self._sent_once(call, attempt)
         self._usage.count_call(call.job)
+        call.job.check_key()
         return response
 
     def _sent_once(
@@ -118,7 +120,7 @@
     ) -> WebResponse:
         try:
             endpoint = call.acquire()
-        except ApricotcartError:
+        except BaseException:
             self._orders.finish_later(attempt, 'not_run')
             raise
         try:
@@ -126,8 +128,10 @@
         except NotRunError:
             self._orders.finish_later(attempt, 'not_run')
             raise
-        except ApricotcartError:
+        except BaseException:
+            # A failure of any other type may follow the send.
             self._orders.finish_later(attempt, 'unknown')
+            call.job.check_key()
             raise
         with call.job.hop.child('order_finish') as hop:
             self._orders.finish(attempt, response, hop.traceparent())
--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -101,6 +101,7 @@
                 self.close()
                 _raise_broken(exc)
             if not chunk:
+                self._require_whole()
                 return
             yield chunk
 
@@ -123,8 +124,16 @@
         return b''.join(parts)
 
     def release(self) -> None:
-        """Give the connection back after the whole body was read."""
-        self._response.release_conn()
+        """Give the connection back; close it if the body was not read.
+
+        A stream ends for us at its end marker, before the last bytes of the
+        body. The next request on such a connection would be sent and then
+        fail for want of an answer.
+        """
+        if self._response.closed:
+            self._response.release_conn()
+        else:
+            self.close()
 
     def close(self) -> None:
         """Close the connection; unread bytes are lost."""
@@ -136,6 +145,12 @@
             self._aborted.set()
             _shutdown(self._response)
 
+    def _require_whole(self) -> None:
+        # The end of a body without a length looks like a closed connection.
+        if self._aborted.is_set():
+            self.close()
+            raise EndpointCrashedError('the read was ended by this host')
+
 
 class Upstream:
     """Connections to the endpoints.
--- a/src/apricotcart/entry/usage.py
+++ b/src/apricotcart/entry/usage.py
@@ -68,8 +68,8 @@
         counts = reported if isinstance(reported, dict) else {}
         self._add(
             job.grant.customer,
-            int(counts.get('prompt_tokens', 0)),
-            int(counts.get('completion_tokens', tokens)),
+            _figure(counts.get('prompt_tokens'), 0),
+            _figure(counts.get('completion_tokens'), tokens),
         )
 
     def _add(self, customer: str, tokens_in: int, tokens_out: int) -> None:
@@ -83,6 +83,12 @@
             counts[2] += 1
 
 
+def _figure(reported: Any, otherwise: int) -> int:
+    if isinstance(reported, int) and reported >= 0:
+        return reported
+    return otherwise
+
+
 class UsageSender:
     """Sends figures in numbered batches until each is acknowledged.
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 import urllib3
+from entry.fakes import EntryRig, Script, SocketEndpoint, route_view
 from support.cluster import Cluster
 from support.demo import start
 
@@ -72,6 +73,32 @@
         )
 
 
+@pytest.fixture
+def rig() -> Iterator[EntryRig]:
+    """Give the handlers of an entry host with a chat and an order route."""
+    built = EntryRig(
+        route_view('draft', 'chat'),
+        route_view('dies', 'service', is_idempotent=False),
+        route_view('stock', 'service'),
+    )
+    yield built
+    built.close()
+
+
+@pytest.fixture
+def endpoint() -> Iterator[Callable[..., SocketEndpoint]]:
+    """Give a function that starts an endpoint with its scripts."""
+    started: list[SocketEndpoint] = []
+
+    def start_one(*scripts: Script) -> SocketEndpoint:
+        started.append(SocketEndpoint(*scripts))
+        return started[-1]
+
+    yield start_one
+    for site in started:
+        site.close()
+
+
 @pytest.fixture(scope='session')
 def running(
     tmp_path_factory: pytest.TempPathFactory,
