--- a/src/apricotcart/transport/peers.py
+++ b/src/apricotcart/transport/peers.py
@@ -68,11 +68,13 @@
             _LOG.debug('message to %s dropped: %s', address, exc)
 
     def receive(self, timeout_s: float) -> WireMessage | None:
-        """Wait for the next message that carries a valid seal."""
-        self._pull.recv_timeout = max(1, int(timeout_s * _MS_PER_S))
+        """Wait for the next message that carries a valid seal.
+
+        None if none came in time, or once the links are closed.
+        """
         try:
-            sealed = self._pull.recv()
-        except pynng.Timeout:
+            sealed = self._received(max(1, int(timeout_s * _MS_PER_S)))
+        except (pynng.Timeout, pynng.Closed):
             return None
         return self._opened(sealed)
 
@@ -83,6 +85,11 @@
             for link in self._links.values():
                 link.close()
 
+    def _received(self, timeout_ms: int) -> bytes:
+        self._pull.recv_timeout = timeout_ms
+        sealed: bytes = self._pull.recv()
+        return sealed
+
     def _opened(self, sealed: bytes) -> WireMessage | None:
         try:
             message: WireMessage = self._sealer.open(sealed)
--- /dev/null
+++ b/tests/control/test_server.py
@@ -0,0 +1,77 @@
+"""Tests of the life of a control host's process."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from apricotcart.consensus.members import Members
+from apricotcart.control.identity import first_node_id
+from apricotcart.control.server import EXIT_FAILED, EXIT_OK, ControlServer
+from apricotcart.errors.tree import StorageError, UnavailableError
+from apricotcart.storage.identity import Identity
+from apricotcart.storage.log_store import DurableLogStore, initialise
+from apricotcart.storage.real_disk import RealDisk
+
+
+class LogOnlyServer(ControlServer):
+    """Runs the replicated log without the other parts."""
+
+    def _start(self) -> None:
+        self._loop.start()
+
+    def _stop(self) -> None:
+        self._loop.stop()
+        self._links.close()
+
+
+@pytest.fixture
+def server(
+    tmp_path: Path, unused_tcp_port: int, monkeypatch: pytest.MonkeyPatch
+) -> LogOnlyServer:
+    """Give the only voter of a cluster."""
+    monkeypatch.setattr(signal, 'signal', lambda *_: None)
+    disk = RealDisk(tmp_path)
+    members = Members(voters=[first_node_id('a')])
+    initialise(disk, Identity(name='a', incarnation='0'), members)
+    disk.close()
+    address = f'tcp://127.0.0.1:{unused_tcp_port}'
+    cfg: Any = SimpleNamespace(
+        cluster=SimpleNamespace(name='x', read_secret=lambda: b'secret'),
+        tls=SimpleNamespace(cert=None, key=None, ca=None),
+        tracing=SimpleNamespace(file=None),
+        host=SimpleNamespace(name='a'),
+        data=SimpleNamespace(folder=str(tmp_path)),
+        timing=SimpleNamespace(snapshot_entries=100, tick_interval_s=0.02),
+        peers=SimpleNamespace(listen=address, voters={'a': address}),
+    )
+    return LogOnlyServer(cfg)
+
+
+@pytest.mark.parametrize('method', ['append', 'save_vote'])
+def test_failed_write_ends_process(
+    server: LogOnlyServer, monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    """Guards against a host that goes on after a write has failed."""
+    calls: list[str] = []
+
+    def fail(*args: Any) -> None:
+        calls.append(method)
+        raise StorageError('the disk is full')
+
+    monkeypatch.setattr(DurableLogStore, method, fail)
+    assert server.run() == EXIT_FAILED
+    # A write that failed is not tried again.
+    assert calls == [method]
+    with pytest.raises(UnavailableError):
+        server._loop.propose({'kind': 'usage_close', 'window': 1}, 1)
+
+
+def test_signal_ends_process_well(server: LogOnlyServer) -> None:
+    """Guards against a planned stop that looks like a failure."""
+    server._on_signal()
+    assert server.run() == EXIT_OK
