Log failures on the workers of the duties

Cause: nobody waits for the futures of the workers, so an exception there, such as one from a malformed answer of the platform, left no trace.

Change: a failed job is logged with its traceback.

Result: scripts/test passes, 684 tests in 32 s; the new test finds no log line without the change (nothing logged it).

--- a/src/apricotcart/control/duties.py
+++ b/src/apricotcart/control/duties.py
@@ -5,7 +5,8 @@
 import logging
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
 from apricotcart.control.duty_plan import Duties, DutyPlan
@@ -96,9 +97,13 @@
             proposals = duties.leader.take_proposals()
             requests = duties.leader.take_requests()
         for proposal in proposals:
-            self._workers.submit(self._propose, duties, proposal)
+            self._submit(self._propose, duties, proposal)
         for request in requests:
-            self._workers.submit(self._send, duties, request)
+            self._submit(self._send, duties, request)
+
+    def _submit(self, job: Callable[..., None], *args: Any) -> None:
+        fut = self._workers.submit(job, *args)
+        fut.add_done_callback(_log_failure)
 
     def _rebuild_if_changed(self) -> None:
         pools = self._plan.pools()
@@ -126,6 +131,12 @@
             duties.leader.on_answer(time.monotonic(), request.ticket, answer)
 
 
+def _log_failure(fut: Future[None]) -> None:
+    # Nobody waits for the workers, so a failure would go unseen.
+    if not fut.cancelled() and fut.exception():
+        _LOG.error('a duty failed', exc_info=fut.exception())
+
+
 def _sizes(pools: Pools) -> Sizes:
     sizes: Sizes = {}
     for name, spec in pools.items():
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
+from concurrent.futures import Future
 from types import SimpleNamespace
 from typing import Any
 
@@ -17,6 +19,7 @@
 from apricotcart.state.machine import ClusterState
 
 Job = Callable[..., None]
+Held = tuple[Future[None], Job, Any]
 
 ORDERS = '/endpoints/orders'
 TICK_S = 0.1
@@ -34,18 +37,23 @@
 
     def __init__(self, *args: Any) -> None:
         """Start without jobs."""
-        self.jobs: list[tuple[Job, Any]] = []
+        self.jobs: list[Held] = []
 
-    def submit(self, job: Job, *args: Any) -> None:
+    def submit(self, job: Job, *args: Any) -> Future[None]:
         """Keep a job."""
-        self.jobs.append((job, args))
+        fut: Future[None] = Future()
+        self.jobs.append((fut, job, args))
+        return fut
 
     def run(self) -> None:
         """Run all jobs."""
         jobs = self.jobs
         self.jobs = []
-        for job, args in jobs:
-            job(*args)
+        for fut, job, args in jobs:
+            try:
+                fut.set_result(job(*args))
+            except Exception as exc:
+                fut.set_exception(exc)
 
 
 class World:
@@ -118,7 +126,7 @@
         """Give the requests that the workers hold."""
         return [
             argument
-            for _, arguments in self.workers.jobs
+            for _, _, arguments in self.workers.jobs
             for argument in arguments
             if isinstance(argument, Request)
         ]
@@ -206,3 +214,16 @@
     taken = world.loop.state.tables.fencing.token
     world.run(10)
     assert {fencing for _, fencing in world.orders()} == {taken + 1}
+
+
+def test_malformed_answer_is_logged(
+    world: World,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a failure on a worker that nobody sees."""
+    monkeypatch.setitem(ANSWERS, '/hosts', {'hosts': [{}]})
+    with caplog.at_level(logging.ERROR):
+        world.run(6)
+    assert 'a duty failed' in caplog.text
+    assert world.orders()
