Read a sync whole before any of it counts

Cause: EntryHosts.on_sync entered the host and reset the table for a new term before it decoded the demand, so a malformed sync left a host that counts as heard without its demand.

Change: the demand is decoded first.

Before: test_malformed_sync_changes_nothing fails.

--- a/src/apricotcart/control/entry_hosts.py
+++ b/src/apricotcart/control/entry_hosts.py
@@ -49,6 +49,9 @@
             zone=message['zone'],
             state=message['state'],
         )
+        # Read first, so that a malformed sync changes nothing.
+        demand = Demand.from_wire(message['demand'])
+        suspects = message['suspects']
         with self._lock:
             # A sync that was confirmed in an earlier term may come late; it
             # must not make this host forget what it heard in the next one.
@@ -59,8 +62,8 @@
             self._table.tick(now)
             if not self._table.on_sync(now, report):
                 return False
-            self._demands[report.host] = Demand.from_wire(message['demand'])
-            self._suspects[report.host] = message['suspects']
+            self._demands[report.host] = demand
+            self._suspects[report.host] = suspects
             return True
 
     def list_for(self, now: float, held: str | None) -> HostList:
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -49,6 +49,7 @@
         self.proposed: list[WireMessage] = []
         self.barriers = 0
         self.changes: list[Any] = []
+        self.at_ms = 1000
         self.lease = 1e12
         self.term_no = 1
         self.members = Members(voters=['a.0', 'b.0', 'c.0'])
@@ -57,7 +58,7 @@
         """Apply a command."""
         self._refuse()
         self.proposed.append(command)
-        blob = pack({**command, 'at_ms': 1000})
+        blob = pack({**command, 'at_ms': self.at_ms})
         with self.lock:
             index = self.state.tables.applied_index + 1
             reply: WireMessage = unpack(self.state.apply(index, blob))
--- a/tests/control/test_entry_hosts.py
+++ b/tests/control/test_entry_hosts.py
@@ -76,3 +76,12 @@
     assert not hosts.reports(1 + LOST_AFTER_S)
     hosts.on_sync(4, 1, sync_message('h1'))
     assert 'h1' in [report['host'] for report in hosts.reports(4)]
+
+
+def test_malformed_sync_changes_nothing(hosts: EntryHosts) -> None:
+    """Guards against a host that counts as heard without its demand."""
+    message = sync_message('h2', demand={'tiers': [{'x': 1}], 'running': {}})
+    with pytest.raises(TypeError):
+        hosts.on_sync(1, 2, message)
+    assert [report['host'] for report in hosts.reports(0)] == ['h1']
+    assert set(hosts.demands(0)) == {'h1'}
