Name unknown references beside invalid fields

Cause: references were checked only once every single field of the batch was valid, so that an operator saw them in a second attempt. Result: a key with a bad secret and an unknown customer gets both faults.

--- a/src/apricotcart/state/batch.py
+++ b/src/apricotcart/state/batch.py
@@ -57,8 +57,7 @@
             raise invalid([Fault(path='changes', message=message)])
         for position, fields in enumerate(given):
             self._read_change(f'changes[{position}]', fields)
-        if not self._faults:
-            self._check_together()
+        self._check_together()
         if self._faults:
             raise invalid(self._faults)
         self._check_versions()
@@ -105,8 +104,15 @@
 
     def _check_together(self) -> None:
         checks = BatchRules(self._store, self.changes)
+        faulty = {fault.path for fault in self._faults}
         for change in self.changes.values():
-            self._faults.extend(checks.faults(change))
+            self._faults.extend(checks.reference_faults(change, faulty))
+        # The other rules read fields of several changes, which all must be
+        # valid by themselves.
+        if faulty:
+            return
+        for valid_change in self.changes.values():
+            self._faults.extend(checks.rule_faults(valid_change))
 
     def _check_versions(self) -> None:
         faults = [
--- a/src/apricotcart/state/batch_rules.py
+++ b/src/apricotcart/state/batch_rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from typing import TYPE_CHECKING, Any, Final
 
 from apricotcart.state.records import Fault, Identity
@@ -69,17 +69,41 @@
             'route': self._route_faults,
         }
 
-    def faults(self, change: Change) -> Iterator[Fault]:
-        """Give the faults of a change whose single fields are valid."""
-        references = SPECS[change.kind].references_by_field(change.spec)
+    def reference_faults(
+        self,
+        change: Change,
+        faulty: Collection[str],
+    ) -> Iterator[Fault]:
+        """Give the references that lead nowhere.
+
+        Parameters
+        ----------
+        change : Change
+            The change; its spec may have invalid fields.
+        faulty : collection of str
+            Paths of invalid fields, which are not looked up.
+        """
+        valid = {
+            field: given
+            for field, given in change.spec.items()
+            if change.fault(field, '').path not in faulty
+        }
+        references = SPECS[change.kind].references_by_field(valid)
         for field, (kind, name) in references:
-            if self._spec_of(kind, name) is None:
+            if not self._exists(kind, name):
                 message = f'there is no {kind} named {name}'
                 yield change.fault(field, message)
+
+    def rule_faults(self, change: Change) -> Iterator[Fault]:
+        """Give the faults of a change whose single fields are valid."""
         rule = self._rules.get(change.kind)
         if rule:
             yield from rule(change)
 
+    def _exists(self, kind: str, name: str) -> bool:
+        identity = (kind, name)
+        return identity in self._changes or bool(self._store.get(*identity))
+
     def _spec_of(self, kind: str, name: str) -> Mapping[str, Any] | None:
         change = self._changes.get((kind, name))
         if change:
--- a/src/apricotcart/state/schema.py
+++ b/src/apricotcart/state/schema.py
@@ -61,8 +61,10 @@
         self,
         full: Mapping[str, Any],
     ) -> Iterator[tuple[str, Identity]]:
-        """Give field and target of each reference of a valid mapping."""
+        """Give field and target of each reference; fields may be missing."""
         for name, field in self._references:
+            if name not in full:
+                continue
             for target in field.references(full[name]):
                 yield name, (str(field.ref_kind), target)
 
--- a/tests/state/test_resources.py
+++ b/tests/state/test_resources.py
@@ -95,6 +95,18 @@
     assert not state.list('customer')
 
 
+def test_apply_references_beside_invalid_fields(put: Send) -> None:
+    """Guards against references that are checked only in a later attempt."""
+    spec = {'customer': 'nobody', 'sha256': 'short', 'withdrawn': False}
+    reply = put(('key', 'k9', spec), ('pool', 'p9', {}))
+    paths = {fault['path'] for fault in reply['faults']}
+    assert {
+        'changes[0].spec.sha256',
+        'changes[0].spec.customer',
+        'changes[1].spec.kind',
+    } <= paths
+
+
 def test_apply_equal_versions(put: Send) -> None:
     """Guards against a lost update of operators with equal versions."""
     first = put(('customer', 'acme', {'weight': 1}, 0))
