Refuse request bodies cut short and wait for closings in flight

* A caller that closed its sending side after part of the declared body had the part handled as the whole: half an order could be recorded and sent.
The server library gives a short read and no failure, also in a test over a real socket.
Such a body is now refused with `incomplete_body`, `not_run`.
* OrderLedger.unsent counted the queue only.
While the last closing was being sent it said 0, and a planned stop could end the process before the answer.
It now counts until the closing is acknowledged.

--- a/src/apricotcart/entry/orders.py
+++ b/src/apricotcart/entry/orders.py
@@ -72,7 +72,7 @@
         self._link = link
         self._host = host
         self._incarnation = incarnation
-        self._unsent: queue.SimpleQueue[WireMessage] = queue.SimpleQueue()
+        self._unsent: queue.Queue[WireMessage] = queue.Queue()
         threading.Thread(
             target=self._repeat,
             daemon=True,
@@ -81,8 +81,12 @@
 
     @property
     def unsent(self) -> int:
-        """Closings that no control host has acknowledged yet."""
-        return self._unsent.qsize()
+        """Closings that no control host has acknowledged yet.
+
+        This includes the one that is being sent: a planned stop must not end
+        the process before its answer.
+        """
+        return self._unsent.unfinished_tasks
 
     def begin(
         self,
@@ -167,6 +171,7 @@
     def _repeat(self) -> None:
         for command in iter(self._unsent.get, None):
             self._send(command)
+            self._unsent.task_done()
             if self.unsent:
                 time.sleep(_RETRY_PAUSE_S)
 
--- a/src/apricotcart/web/errors.py
+++ b/src/apricotcart/web/errors.py
@@ -65,3 +65,9 @@
 
     code = 'body_too_large'
     http_status = 413
+
+
+class IncompleteBodyError(RequestError):
+    """The connection ended before the whole body arrived."""
+
+    code = 'incomplete_body'
--- a/src/apricotcart/web/request.py
+++ b/src/apricotcart/web/request.py
@@ -10,6 +10,7 @@
 
 from apricotcart.web.errors import (
     BodyTooLargeError,
+    IncompleteBodyError,
     InvalidJsonError,
     RequestTimeoutError,
 )
@@ -74,6 +75,8 @@
             If the body has more than ``max_bytes`` bytes.
         RequestTimeoutError
             If the body did not arrive before the body deadline.
+        IncompleteBodyError
+            If the connection ended before the whole body arrived.
         """
         if self._body is None:
             self._body = self._read_body(max_bytes)
@@ -121,6 +124,10 @@
             if received > max_bytes:
                 raise _too_large(max_bytes)
             chunks.append(chunk)
+        if received < declared:
+            raise IncompleteBodyError(
+                f'{received} of {declared} bytes of the body arrived',
+            )
         return b''.join(chunks)
 
 
--- /dev/null
+++ b/tests/entry/test_running.py
@@ -0,0 +1,39 @@
+"""Failures of the check of running requests' keys."""
+
+from __future__ import annotations
+
+import pytest
+from entry.fakes import FakeConfiguration
+
+from apricotcart.entry.running import RunningTable
+
+
+@pytest.fixture
+def keys() -> FakeConfiguration:
+    """Give keys of which the one is withdrawn."""
+    configuration = FakeConfiguration(())
+    configuration.withdrawn = True
+    return configuration
+
+
+def test_revoked_before_connection(keys: FakeConfiguration) -> None:
+    """Guards against a connection that opens after the withdrawal."""
+    table = RunningTable()
+    running = table.add('r1', 'k1')
+    assert table.check(keys) == 1
+    aborted: list[str] = []
+    running.attach(lambda: aborted.append('r1'))
+    assert aborted == ['r1']
+
+
+def test_revoked_once_and_keyless_never(keys: FakeConfiguration) -> None:
+    """Guards against public requests that end with another's key."""
+    table = RunningTable()
+    public = table.add('r1', '')
+    table.add('r2', 'k1').attach(lambda: None)
+    assert table.check(keys) == 1
+    assert table.check(keys) == 0
+    assert not public.is_revoked
+    table.remove('r2')
+    table.remove('r2')
+    assert len(table) == 1
--- /dev/null
+++ b/tests/entry/test_upstream.py
@@ -0,0 +1,146 @@
+"""Failures of calls to endpoints over real sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+import pytest
+from entry.fakes import (
+    Received,
+    SocketEndpoint,
+    cut_reply,
+    hang_up,
+    reply,
+    stay_silent,
+)
+
+from apricotcart.entry.errors import (
+    EndpointCrashedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+    MismatchedAnswerError,
+)
+from apricotcart.entry.upstream import Upstream, UpstreamCall
+from apricotcart.errors.tree import MAY_HAVE_RUN, NOT_RUN
+
+Start = Callable[..., SocketEndpoint]
+MAX_BYTES = 1000
+
+
+@pytest.fixture
+def upstream() -> Upstream:
+    """Give connections to endpoints."""
+    return Upstream(2)
+
+
+def _call(url: str, timeout_s: float = 30) -> UpstreamCall:
+    return UpstreamCall(
+        method='POST',
+        url=f'{url}/x',
+        headers={'X-Request-Id': 'r1'},
+        body=b'{}',
+        request_id='r1',
+        read_timeout_s=timeout_s,
+    )
+
+
+@pytest.mark.parametrize('fresh', [True, False])
+def test_send_never_repeats(
+    upstream: Upstream,
+    endpoint: Start,
+    fresh: bool,
+) -> None:
+    """Guards against a library that sends a request again by itself."""
+    site = endpoint(hang_up)
+    with pytest.raises(EndpointCrashedError) as caught:
+        upstream.send(_call(site.url), fresh=fresh)
+    assert caught.value.run_state == MAY_HAVE_RUN
+    assert site.connections == 1
+    assert len(site.received) == 1
+
+
+def test_refused_connection_is_not_run(
+    upstream: Upstream,
+    unused_tcp_port: int,
+) -> None:
+    """Guards against doubt about a request that cannot have left."""
+    with pytest.raises(EndpointUnreachableError) as caught:
+        upstream.send(_call(f'http://127.0.0.1:{unused_tcp_port}'))
+    assert caught.value.run_state == NOT_RUN
+
+
+def test_silence_is_a_timeout(upstream: Upstream, endpoint: Start) -> None:
+    """Guards against `not_run` for a request that an endpoint holds."""
+    with pytest.raises(EndpointTimeoutError) as caught:
+        upstream.send(_call(endpoint(stay_silent).url, 0.1))
+    assert caught.value.run_state == MAY_HAVE_RUN
+
+
+def test_redirect_is_not_followed(upstream: Upstream, endpoint: Start) -> None:
+    """Guards against an endpoint that sends a request on elsewhere."""
+    other = endpoint(reply(b'{}'))
+
+    def redirect(conn: socket.socket, request: Received) -> None:
+        head = f'HTTP/1.1 307 X\r\nLocation: {other.url}/\r\n'
+        conn.sendall(f'{head}Content-Length: 0\r\n\r\n'.encode())
+
+    answer = upstream.send(_call(endpoint(redirect).url))
+    assert answer.status == 307
+    assert not other.connections
+
+
+def test_answer_of_other_request(upstream: Upstream, endpoint: Start) -> None:
+    """Guards against a swapped answer, and against its connection."""
+    site = endpoint(reply(b'{}', request_id='r2'), reply(b'{}'))
+    with pytest.raises(MismatchedAnswerError):
+        upstream.send(_call(site.url))
+    assert upstream.send(_call(site.url)).read(MAX_BYTES) == b'{}'
+    assert site.connections == 2
+
+
+def test_cut_body_is_a_crash(upstream: Upstream, endpoint: Start) -> None:
+    """Guards against half a body that is given as a whole one."""
+    answer = upstream.send(_call(endpoint(cut_reply).url))
+    with pytest.raises(EndpointCrashedError):
+        answer.read(MAX_BYTES)
+
+
+def test_body_too_large(upstream: Upstream, endpoint: Start) -> None:
+    """Guards against unbounded memory for an answer."""
+    answer = upstream.send(_call(endpoint(reply(b'x' * 20)).url))
+    with pytest.raises(EndpointCrashedError):
+        answer.read(10)
+
+
+def test_aborted_body_is_not_whole(
+    upstream: Upstream,
+    endpoint: Start,
+) -> None:
+    """Guards against the part read before an abort given as a whole body."""
+
+    def without_length(conn: socket.socket, request: Received) -> None:
+        conn.sendall(b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf')
+
+    answer = upstream.send(_call(endpoint(without_length).url))
+    chunks: Iterator[bytes] = answer.chunks()
+    assert next(chunks) == b'half'
+    threading.Thread(target=answer.abort).start()
+    with pytest.raises(EndpointCrashedError):
+        next(chunks)
+
+
+def test_unread_connection_is_not_reused(
+    upstream: Upstream,
+    endpoint: Start,
+) -> None:
+    """Guards against a connection given back in the middle of a body."""
+    site = endpoint(reply(b'{}'))
+    answer = upstream.send(_call(site.url))
+    answer.release()
+    again = upstream.send(_call(site.url))
+    assert again.read(MAX_BYTES) == b'{}'
+    again.release()
+    upstream.send(_call(site.url)).close()
+    assert site.connections == 2
--- /dev/null
+++ b/tests/entry/test_usage.py
@@ -0,0 +1,65 @@
+"""Failures of usage batches."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from entry.fakes import LOST, EntryRig, FakeControl
+
+from apricotcart.entry.attempt import Job
+from apricotcart.entry.configuration import Grant
+from apricotcart.entry.control_link import ControlLink
+from apricotcart.entry.usage import UsageCounter, UsageSender
+
+
+class CountedJob(Job):
+    """A job of which only the grant matters."""
+
+    def __init__(self, customer: str) -> None:
+        """Keep the grant."""
+        self.grant = Grant(customer=customer)
+
+
+def _sender(counter: UsageCounter, control: FakeControl) -> UsageSender:
+    return UsageSender(counter, ControlLink({'c1': control}), 'e1', 7)
+
+
+def test_lost_batch_is_sent_again_unchanged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against figures counted twice or under two numbers."""
+    monkeypatch.setattr('apricotcart.entry.usage._SEND_TIMEOUT_S', 0.1)
+    counter = UsageCounter(1e9)
+    control = FakeControl(LOST)
+    sender = _sender(counter, control)
+    counter.count_answer(CountedJob('guild'), {'completion_tokens': 3})
+    assert not sender.flush()
+    counter.count_answer(CountedJob('guild'), {'completion_tokens': 4})
+    control.answers = [{'ok': True}]
+    assert sender.flush()
+    assert sender.flush()
+    assert sender.flush()
+    batches = control.commands('usage_add')
+    assert all(batch == batches[0] for batch in batches[:-1])
+    sent: list[Any] = [batches[0], batches[-1]]
+    assert [batch['seq'] for batch in sent] == [1, 2]
+    tokens = [batch['figures'][0]['tokens_out'] for batch in sent]
+    assert tokens == [3, 4]
+
+
+@pytest.mark.parametrize(
+    'reported',
+    [None, 7, {}, {'completion_tokens': None}, {'completion_tokens': -1}],
+)
+def test_engine_figures_that_are_none(reported: Any) -> None:
+    """Guards against a failure, or a credit, by an engine's figures."""
+    counter = UsageCounter(1e9)
+    counter.count_stream(CountedJob('guild'), reported, 5)
+    assert list(counter.take().values()) == [[0, 5, 1]]
+
+
+def test_public_call_is_not_counted(rig: EntryRig) -> None:
+    """Guards against figures without a customer."""
+    rig.usage.count_call(CountedJob(''))
+    assert not rig.usage.take()
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -106,6 +106,17 @@
         assert _drip(conn, b'x' * 400)
 
 
+def test_server_half_body(echo_port: int) -> None:
+    """Guards against a body cut short that is handled as a whole one."""
+    head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n'
+    with socket.create_connection(('127.0.0.1', echo_port)) as conn:
+        conn.settimeout(20)
+        conn.sendall(b'%s{"a":1}' % head)
+        conn.shutdown(socket.SHUT_WR)
+        received = b''.join(iter(lambda: conn.recv(4096), b''))
+    assert b'"code":"incomplete_body"' in received
+
+
 def _drip(conn: socket.socket, content: bytes) -> bool:
     """Send single bytes until the server cuts the connection off."""
     for byte in content:
