--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -14,7 +14,7 @@
 
 from apricotcart.endpoints.records import Endpoint
 from apricotcart.entry.access import Access
-from apricotcart.entry.attempt import Runtime
+from apricotcart.entry.attempt import Job, Runtime
 from apricotcart.entry.chat import ChatHandler
 from apricotcart.entry.configuration import Configuration, Grant, RouteView
 from apricotcart.entry.control_link import ControlLink
@@ -383,6 +383,14 @@
         self.dispatcher.stop()
 
 
+class CountedJob(Job):
+    """A job of which only the grant matters."""
+
+    def __init__(self, customer: str) -> None:
+        """Keep the grant."""
+        self.grant = Grant(customer=customer)
+
+
 class FakeConnection:
     """A caller's connection as the server hands it to the application."""
 
--- a/tests/entry/test_usage.py
+++ b/tests/entry/test_usage.py
@@ -5,22 +5,12 @@
 from typing import Any
 
 import pytest
-from entry.fakes import LOST, EntryRig, FakeControl
+from entry.fakes import LOST, CountedJob, EntryRig, FakeControl
 
-from apricotcart.entry.attempt import Job
-from apricotcart.entry.configuration import Grant
 from apricotcart.entry.control_link import ControlLink
 from apricotcart.entry.usage import UsageCounter, UsageSender
 
 
-class CountedJob(Job):
-    """A job of which only the grant matters."""
-
-    def __init__(self, customer: str) -> None:
-        """Keep the grant."""
-        self.grant = Grant(customer=customer)
-
-
 def _sender(counter: UsageCounter, control: FakeControl) -> UsageSender:
     return UsageSender(counter, ControlLink({'c1': control}), 'e1', 7)
 
