--- a/tests/prove/guarantees.py
+++ b/tests/prove/guarantees.py
@@ -107,7 +107,7 @@
             'not-run-dead-service',
         ),
         tests=(
-            'entry/test_upstream.py',
+            'entry/test_upstream_proofs.py',
             'state/test_orders_model.py',
         ),
     ),
@@ -131,7 +131,7 @@
             'crashing-prompt',
         ),
         tests=(
-            'entry/test_upstream.py',
+            'entry/test_upstream_proofs.py',
             'scheduling/test_failures.py',
         ),
     ),
