Send service paths as they came and survive hints that loop

Cause: the path was decoded before it was sent on, so that an encoded question mark became a query; two control hosts that named each other kept a third from being asked; an untyped failure ended the thread that repeats closings of orders. All three were found by reading.

--- a/src/apricotcart/entry/control_link.py
+++ b/src/apricotcart/entry/control_link.py
@@ -29,13 +29,20 @@
         A client for each control host by its address.
     """
 
-    __slots__ = ('_addresses', '_clients', '_leader', '_lock')
+    __slots__ = (
+        '_addresses',
+        '_clients',
+        '_leader',
+        '_lock',
+        '_was_hinted',
+    )
 
     def __init__(self, clients: dict[str, RequestClient]) -> None:
         """Start with the first address."""
         self._clients = clients
         self._addresses: Sequence[str] = list(clients)
         self._leader = self._addresses[0]
+        self._was_hinted = False
         self._lock = threading.Lock()
 
     def command(
@@ -113,8 +120,12 @@
             if self._leader != failed:
                 return
             hinted = hint.get(_ADDRESS)
-            if hinted in self._clients and hinted != failed:
-                self._leader = hinted
+            # Two hosts that name each other must not keep a third from
+            # being asked, so a hint that failed is not followed by another.
+            is_useful = hinted in self._clients and hinted != failed
+            self._was_hinted = is_useful and not self._was_hinted
+            if self._was_hinted:
+                self._leader = str(hinted)
                 return
             position = self._addresses.index(failed) + 1
             self._leader = self._addresses[position % len(self._addresses)]
--- a/src/apricotcart/entry/orders.py
+++ b/src/apricotcart/entry/orders.py
@@ -170,7 +170,10 @@
 
     def _repeat(self) -> None:
         for command in iter(self._unsent.get, None):
-            self._send(command)
+            try:
+                self._send(command)
+            except Exception:
+                _LOG.exception('closing of an order failed')
             self._unsent.task_done()
             if self.unsent:
                 time.sleep(_RETRY_PAUSE_S)
--- a/src/apricotcart/entry/services.py
+++ b/src/apricotcart/entry/services.py
@@ -60,7 +60,7 @@
     def respond(self, req: WebRequest) -> WebResponse:
         """Answer one call."""
         grant = self._access.grant(req)
-        name, _, path = req.path.removeprefix(PREFIX).partition('/')
+        name, _, path = req.raw_path().removeprefix(PREFIX).partition('/')
         route = self._access.route(grant, name, SERVICE_KIND)
         body = req.body(self._max_body_bytes)
         job = Job(self._runtime, req, grant, route)
--- a/src/apricotcart/web/request.py
+++ b/src/apricotcart/web/request.py
@@ -4,7 +4,7 @@
 
 import select
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, quote, urlsplit
 
 import orjson
 
@@ -57,6 +57,15 @@
             return header[len(_BEARER) :].strip()
         return ''
 
+    def raw_path(self) -> str:
+        """Give the path as it was sent, without decoding it.
+
+        A decoded question mark or slash would change the meaning of a path
+        that is sent on.
+        """
+        uri = str(self.environ.get('REQUEST_URI') or quote(self.path))
+        return urlsplit(uri).path
+
     def query(self, name: str, default: str = '') -> str:
         """Give the first value of a query parameter."""
         fields = parse_qs(str(self.environ.get('QUERY_STRING', '')))
--- a/tests/entry/test_control_link.py
+++ b/tests/entry/test_control_link.py
@@ -62,3 +62,17 @@
     )
     with pytest.raises(UnavailableError):
         link.call({}, 0.2)
+
+
+def test_hosts_that_name_each_other() -> None:
+    """Guards against two stale hints that keep a third host from a call."""
+    third = FakeControl(OK)
+    link = ControlLink(
+        {
+            'c1': FakeControl(_not_leader('c2')),
+            'c2': FakeControl(_not_leader('c1')),
+            'c3': third,
+        }
+    )
+    assert link.call({}, PLENTY_S) == OK
+    assert len(third.messages) == 1
--- a/tests/web/test_request.py
+++ b/tests/web/test_request.py
@@ -64,3 +64,10 @@
     """Guards against an untyped failure on a body that is no JSON object."""
     with pytest.raises(InvalidJsonError):
         _request(io.BytesIO(body), len(body)).json(100)
+
+
+def test_raw_path_keeps_encoding() -> None:
+    """Guards against a decoded question mark that becomes a query."""
+    uri = '/v1/services/dies/a%3Fb%2Fc?x=1'
+    assert _request(None, 0, REQUEST_URI=uri).raw_path() == uri[:-4]
+    assert _request(None, 0, PATH_INFO='/a b').raw_path() == '/a%20b'
