--- a/tests/prove/__main__.py
+++ b/tests/prove/__main__.py
@@ -7,7 +7,7 @@
 
 from prove.figures import measure
 from prove.guarantees import GUARANTEES, Guarantee
-from prove.language import read_scenario
+from prove.language import SCENARIOS, read_scenario
 from prove.runner import Runner
 from prove.seeds import run_seeds
 
@@ -24,6 +24,8 @@
         for guarantee in GUARANTEES:
             _say(guarantee.line())
         return 0
+    if args.name not in _names():
+        parser.error(f'nothing is called {args.name}')
     if args.name == 'seeds':
         return run_seeds(args.count)
     if args.name == 'figures':
@@ -31,6 +33,12 @@
     return _run_all(args.name, args.seed)
 
 
+def _names() -> set[str]:
+    scenarios = {path.stem for path in SCENARIOS.glob('*.scn')}
+    guarantees = {guarantee.name for guarantee in GUARANTEES}
+    return {'all', 'seeds', 'figures'} | scenarios | guarantees
+
+
 def _run_all(name: str, seed: int) -> int:
     chosen = [each for each in GUARANTEES if name in {'all', each.name}]
     if chosen:
