End the wait of requests whose host is cut off or whose key is withdrawn

Result: both end within 0.25 s of the copy's age or the withdrawal, not_run; test_waiting_request_ends fails without the change.

--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -9,6 +9,7 @@
 from apricotcart.entry.configuration import Configuration, Grant, RouteView
 from apricotcart.entry.dispatcher import Dispatcher
 from apricotcart.entry.errors import (
+    CallerGoneError,
     DeadlineExceededError,
     EndpointUnreachableError,
     KeyWithdrawnError,
@@ -287,11 +288,23 @@
     def _dispatched(self, queued: QueuedRequest) -> str:
         dispatcher = self.runtime.dispatcher
         try:
-            return dispatcher.acquire(queued, self.req.is_disconnected)
+            return dispatcher.acquire(queued, self._check_waiting)
         except (ShedError, ShedMayHaveRunError) as exc:
             self.count(SHED, 'reason', str(exc.context['reason']))
             raise
 
+    def _check_waiting(self) -> None:
+        """End the wait of a caller that left or may no longer be served.
+
+        A host that is cut off from the control hosts would otherwise keep
+        its callers waiting until the longest wait of their class.
+        """
+        if self.req.is_disconnected():
+            raise CallerGoneError('the caller closed its connection')
+        self.runtime.configuration.require_fresh()
+        if self.running.is_revoked:
+            raise UnauthorizedError('the key was withdrawn')
+
 
 def _failure_code(failure: BaseException | None) -> str | None:
     if failure is None:
--- a/src/apricotcart/entry/dispatcher.py
+++ b/src/apricotcart/entry/dispatcher.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING, Any
 
 from apricotcart.entry.errors import (
-    CallerGoneError,
     ShedError,
     ShedMayHaveRunError,
 )
@@ -23,8 +22,8 @@
     from apricotcart.scheduling.scheduler import Scheduler
 
 TICK_S = 0.02
-# How often a waiting request looks whether its caller is still there.
-_CALLER_CHECK_S = 0.25
+# How often a waiting request looks whether it may go on waiting.
+_CHECK_S = 0.25
 
 Clock = Callable[[], float]
 EndpointName = str
@@ -66,23 +65,31 @@
     def acquire(
         self,
         queued: QueuedRequest,
-        is_gone: Callable[[], bool],
+        check: Callable[[], None],
     ) -> EndpointName:
         """Queue a request and wait for its endpoint.
 
+        Parameters
+        ----------
+        queued : QueuedRequest
+            The request.
+        check : callable
+            Called now and then while the request waits; what it raises ends
+            the wait and takes the request out of the queue.
+
         Raises
         ------
-        ShedError
-            If the scheduler refuses the request; it was not run.
-        CallerGoneError
-            If the caller left while the request waited.
+        ShedError, ShedMayHaveRunError
+            If the scheduler refuses the request.
+        ApricotcartError
+            What ``check`` raised; the request was not dispatched.
         """
         fut: Future[EndpointName] = Future()
         with self._lock:
             self._waiting[queued.request_id] = fut
             self._scheduler.submit(self._clock(), queued)
             self._step()
-        return self._wait(queued.request_id, fut, is_gone)
+        return self._wait(queued.request_id, fut, check)
 
     def notify(self, event: Callable[[Scheduler, float], Any]) -> Any:
         """Hand an event to the scheduler and act on what follows."""
@@ -110,23 +117,35 @@
         self,
         request_id: str,
         fut: Future[EndpointName],
-        is_gone: Callable[[], bool],
+        check: Callable[[], None],
     ) -> EndpointName:
         while True:
             try:
-                return fut.result(_CALLER_CHECK_S)
+                return fut.result(_CHECK_S)
             except FutureTimeoutError:
-                if is_gone():
-                    self._cancel(request_id, fut)
+                self._check(request_id, fut, check)
 
-    def _cancel(self, request_id: str, fut: Future[EndpointName]) -> None:
+    def _check(
+        self,
+        request_id: str,
+        fut: Future[EndpointName],
+        check: Callable[[], None],
+    ) -> None:
+        try:
+            check()
+        except ApricotcartError:
+            if self._leave_queue(request_id, fut):
+                raise
+
+    def _leave_queue(self, request_id: str, fut: Future[EndpointName]) -> bool:
+        """Cancel a waiting request; False if it was decided meanwhile."""
         with self._lock:
             if fut.done():
-                return
+                return False
             self._waiting.pop(request_id, None)
             self._scheduler.cancel(self._clock(), request_id)
             self._step()
-        raise CallerGoneError('the caller closed its connection')
+            return True
 
     def _run(self) -> None:
         while not self._stopping.wait(TICK_S):
--- a/tests/entry/test_chat.py
+++ b/tests/entry/test_chat.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import orjson
@@ -27,7 +29,7 @@
     StaleConfigurationError,
 )
 from apricotcart.errors.tree import MAY_HAVE_RUN, NOT_RUN, ApricotcartError
-from apricotcart.web.errors import InvalidFieldError
+from apricotcart.web.errors import InvalidFieldError, UnauthorizedError
 
 Start = Callable[..., SocketEndpoint]
 GOOD = reply(b'{"usage":{"prompt_tokens":2,"completion_tokens":3}}')
@@ -151,3 +153,27 @@
         rig.chat.respond(web_request('/v1/chat/completions', body))
     assert caught.value.run_state == NOT_RUN
     assert rig.is_idle()
+
+
+@pytest.mark.parametrize('is_cut_off', [True, False])
+def test_waiting_request_ends(rig: EntryRig, is_cut_off: bool) -> None:
+    """Guards against a wait that outlasts a fresh copy or a valid key."""
+    rig.serve(a='http://127.0.0.1:1')
+    rig.dispatcher.notify(
+        lambda scheduler, now: scheduler.set_share(now, {'a': 0}),
+    )
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(rig.chat.respond, chat_request())
+        while not rig.in_use():
+            time.sleep(0.01)
+        if is_cut_off:
+            rig.configuration.is_fresh = False
+        else:
+            rig.revoke()
+        failure = fut.exception(30)
+    assert isinstance(
+        failure,
+        StaleConfigurationError if is_cut_off else UnauthorizedError,
+    )
+    assert failure.run_state == NOT_RUN
+    assert rig.is_idle()
