Tell a host that is cut off from a key that is withdrawn

Cause: running requests of a host whose copy had grown too old ended with key_withdrawn, though nobody had withdrawn the key. Result: they end with stale_configuration, may_have_run.

--- a/src/apricotcart/entry/attempt.py
+++ b/src/apricotcart/entry/attempt.py
@@ -10,11 +10,13 @@
 from apricotcart.entry.dispatcher import Dispatcher
 from apricotcart.entry.errors import (
     CallerGoneError,
+    CutOffWhileRunningError,
     DeadlineExceededError,
     EndpointUnreachableError,
     KeyWithdrawnError,
     ShedError,
     ShedMayHaveRunError,
+    StaleConfigurationError,
 )
 from apricotcart.entry.past_attempts import PastAttempts
 from apricotcart.entry.running import RunningRequest, RunningTable
@@ -267,15 +269,22 @@
         return min(max(target_s * _STALL_FACTOR, _STALL_MIN_S), self.left_s())
 
     def check_key(self) -> None:
-        """End the request if its key was withdrawn.
+        """End the request if its key was withdrawn, or may be.
 
         Raises
         ------
         KeyWithdrawnError
             If the key was withdrawn.
+        CutOffWhileRunningError
+            If the copy is too old to tell.
         """
-        if self.running.is_revoked:
-            raise KeyWithdrawnError('the key was withdrawn')
+        if not self.running.is_revoked:
+            return
+        try:
+            self.runtime.configuration.require_fresh()
+        except StaleConfigurationError as exc:
+            raise CutOffWhileRunningError(exc.message) from exc
+        raise KeyWithdrawnError('the key was withdrawn')
 
     def _attributes(self) -> dict[str, str]:
         return {
--- a/src/apricotcart/entry/chat_stream.py
+++ b/src/apricotcart/entry/chat_stream.py
@@ -18,7 +18,6 @@
     EndpointError,
     EndpointRefusedError,
     EndpointUnreachableError,
-    KeyWithdrawnError,
     MismatchedAnswerError,
     TruncatedAnswerError,
 )
@@ -167,8 +166,7 @@
         returned = document.get('request_id')
         if returned is not None and returned != job.request_id:
             raise MismatchedAnswerError('an event of another request')
-        if job.running.is_revoked:
-            raise KeyWithdrawnError('the key was withdrawn')
+        job.check_key()
         job.left_s()
         self._count(document)
         self._has_begun = True
--- a/src/apricotcart/entry/errors.py
+++ b/src/apricotcart/entry/errors.py
@@ -32,6 +32,13 @@
     run_state = MAY_HAVE_RUN
 
 
+class CutOffWhileRunningError(MayHaveRunError):
+    """The host lost the control hosts, so the key may be withdrawn."""
+
+    code = 'stale_configuration'
+    http_status = 503
+
+
 class ShedError(NotRunError):
     """The scheduler refused the request; ``context['reason']`` says why."""
 
--- a/tests/entry/test_chat_stream.py
+++ b/tests/entry/test_chat_stream.py
@@ -255,6 +255,22 @@
     assert rig.is_idle()
 
 
+def test_stream_of_host_that_is_cut_off(
+    rig: EntryRig,
+    endpoint: Start,
+) -> None:
+    """Guards against a withdrawal that is reported and never happened."""
+    site = endpoint(stream(token('a'), then=stay_silent))
+    rig.serve(a=site.url)
+    events = iter(_events(rig))
+    next(events)
+    rig.configuration.is_fresh = False
+    rig.revoke()
+    error = _error(list(events))
+    assert error['code'] == 'stale_configuration'
+    assert error['run_state'] == MAY_HAVE_RUN
+
+
 def test_key_withdrawn_before_resume(
     rig: EntryRig,
     endpoint: Start,
