--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -4,11 +4,9 @@
 
 import logging
 import random
-import signal
-import threading
 import time
 from pathlib import Path
-from typing import Any, Self
+from typing import Self
 
 import cherrypy
 
@@ -28,10 +26,7 @@
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.reports import Reports
 from apricotcart.control.rpc import ControlRequests
-from apricotcart.observability.metrics import Metrics
-from apricotcart.observability.metrics_server import start_metrics_page
-from apricotcart.observability.telemetry import Telemetry
-from apricotcart.observability.tracing import Tracer
+from apricotcart.process.api import ServerProcess
 from apricotcart.settings.control import ControlConfig
 from apricotcart.storage.identity import open_identity
 from apricotcart.storage.log_store import DurableLogStore
@@ -54,13 +49,13 @@
 _HTTP_THREADS = 24
 _MAX_HEADER_BYTES = 32_768
 _REQUEST_TIMEOUT_S = 10.0
-EXIT_OK = 0
-EXIT_FAILED = 1
 
 
-class ControlServer:
+class ControlServer(ServerProcess):
     """Runs the replicated state, the RPC server and the operators' API."""
 
+    service = 'control'
+
     def __init__(self, cfg: ControlConfig) -> None:
         """Open the data folder and build the parts.
 
@@ -69,17 +64,12 @@
         StorageError
             If the data folder cannot be used.
         """
+        super().__init__(cfg)
         self._cfg = cfg
-        self._stopping = threading.Event()
-        self._failed = False
         self._duties: DutyRunner | None = None
         self._sealer = Sealer(cfg.cluster.read_secret())
         self._tls = _tls_files(cfg)
         self._machine = ReplicatedMachine()
-        self._telemetry = Telemetry(
-            Tracer.from_config(cfg.tracing, 'control', cfg.host.name),
-            Metrics(),
-        )
         self._hosts = EntryHosts(time.monotonic())
         self._build_consensus()
 
@@ -88,16 +78,6 @@
         """Build the server from checked settings."""
         return cls(cfg)
 
-    def run(self) -> int:
-        """Serve until SIGTERM or a failure; give the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_signal)
-        self._start()
-        _LOG.info('control host %s serves', self._cfg.host.name)
-        self._stopping.wait()
-        self._stop()
-        return EXIT_FAILED if self._failed else EXIT_OK
-
     def _build_consensus(self) -> None:
         cfg = self._cfg
         rng = random.SystemRandom()
@@ -161,11 +141,6 @@
         self._start_duties()
         gauges = ControlGauges(self._telemetry.metrics, self._loop, self._hosts)
         self._telemetry.metrics.add_source(gauges.update)
-        self._metrics_server = start_metrics_page(
-            self._telemetry.metrics,
-            cfg.host.address,
-            cfg.metrics.port,
-        )
         self._serve_operators()
 
     def _start_duties(self) -> None:
@@ -214,18 +189,10 @@
         self._loop.stop()
         self._links.close()
         cherrypy.engine.exit()
-        self._telemetry.tracer.close()
-        if self._metrics_server is not None:
-            self._metrics_server.stop()
-        _LOG.info('control host %s has stopped', self._cfg.host.name)
-
-    def _on_signal(self, *_args: Any) -> None:
-        self._stopping.set()
 
     def _on_failed(self) -> None:
         _LOG.error('the replicated log has failed; the process ends')
-        self._failed = True
-        self._stopping.set()
+        self.fail()
 
 
 def _tls_files(cfg: ControlConfig) -> TlsFiles | None:
--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -4,10 +4,8 @@
 
 import logging
 import random
-import signal
-import threading
 import time
-from typing import Any, Self
+from typing import Self
 
 import cherrypy
 
@@ -33,10 +31,7 @@
 from apricotcart.entry.usage import UsageCounter, UsageSender
 from apricotcart.membership.directory import HostDirectory
 from apricotcart.membership.drain import EndpointDrain
-from apricotcart.observability.metrics import Metrics
-from apricotcart.observability.metrics_server import start_metrics_page
-from apricotcart.observability.telemetry import Telemetry
-from apricotcart.observability.tracing import Tracer
+from apricotcart.process.api import ServerProcess
 from apricotcart.scheduling.config import SchedulerConfig
 from apricotcart.scheduling.scheduler import Scheduler
 from apricotcart.settings.entry import EntryConfig
@@ -57,16 +52,17 @@
 _MS_PER_S = 1000
 _DRAIN_CHECK_S = 0.05
 _NS_A_MS = 1_000_000
-EXIT_OK = 0
 
 
-class EntryServer:
-    """Serves callers until it is told to stop."""
+class EntryServer(ServerProcess):
+    """Serves callers; a stop finishes what is queued and running."""
+
+    service = 'entry'
 
     def __init__(self, cfg: EntryConfig) -> None:
         """Build the parts."""
+        super().__init__(cfg)
         self._cfg = cfg
-        self._stopping = threading.Event()
         self._identity = HostIdentity(
             name=cfg.host.name,
             zone=cfg.host.zone,
@@ -75,10 +71,6 @@
         )
         self._link = ControlLink(_clients(cfg))
         self._held = ConfigCopy()
-        self._telemetry = Telemetry(
-            Tracer.from_config(cfg.tracing, 'entry', cfg.host.name),
-            Metrics(),
-        )
         self._build_requests()
         self._build_timers()
 
@@ -87,16 +79,6 @@
         """Build the server from checked settings."""
         return cls(cfg)
 
-    def run(self) -> int:
-        """Serve until SIGTERM, finish what runs; give the exit code."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_signal)
-        self._start()
-        _LOG.info('entry host %s serves', self._cfg.host.name)
-        self._stopping.wait()
-        self._stop()
-        return EXIT_OK
-
     def _build_requests(self) -> None:
         cfg = self._cfg
         rng = random.Random()
@@ -211,11 +193,6 @@
         self._dispatcher.start()
         for timer in self._timers:
             timer.start()
-        self._metrics_server = start_metrics_page(
-            self._telemetry.metrics,
-            cfg.host.address,
-            cfg.metrics.port,
-        )
         quiet_engine()
         mount(self._application())
         add_server(
@@ -248,13 +225,6 @@
             timer.stop()
         flush(self._sender, self._orders)
         self._dispatcher.stop()
-        if self._metrics_server is not None:
-            self._metrics_server.stop()
-        self._telemetry.tracer.close()
-        _LOG.info('entry host %s has stopped', cfg.host.name)
-
-    def _on_signal(self, *_args: Any) -> None:
-        self._stopping.set()
 
 
 def _clients(cfg: EntryConfig) -> dict[str, RequestClient]:
--- /dev/null
+++ b/src/apricotcart/process/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes of both kinds of host share."""
--- /dev/null
+++ b/src/apricotcart/process/api.py
@@ -0,0 +1,80 @@
+"""A process that serves until it is told to stop."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import threading
+from abc import ABC, abstractmethod
+from typing import Any, ClassVar
+
+from apricotcart.observability.metrics import Metrics
+from apricotcart.observability.metrics_server import (
+    MetricsServer,
+    start_metrics_page,
+)
+from apricotcart.observability.telemetry import Telemetry
+from apricotcart.observability.tracing import Tracer
+from apricotcart.settings.control import ControlConfig
+from apricotcart.settings.entry import EntryConfig
+
+_LOG = logging.getLogger(__name__)
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+class ServerProcess(ABC):
+    """Signals, metrics page and tracer of one process.
+
+    Attributes
+    ----------
+    service : str
+        ``entry`` or ``control``, as spans and logs name it.
+    """
+
+    service: ClassVar[str]
+
+    def __init__(self, cfg: ControlConfig | EntryConfig) -> None:
+        """Prepare the tracer and the metrics."""
+        self._settings = cfg
+        self._stopping = threading.Event()
+        self._exit_code = EXIT_OK
+        self._metrics_server: MetricsServer | None = None
+        tracer = Tracer.from_config(cfg.tracing, self.service, cfg.host.name)
+        self._telemetry = Telemetry(tracer, Metrics())
+
+    def run(self) -> int:
+        """Serve until SIGTERM or a failure; give the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        cfg = self._settings
+        self._metrics_server = start_metrics_page(
+            self._telemetry.metrics,
+            cfg.host.address,
+            cfg.metrics.port,
+        )
+        self._start()
+        _LOG.info('%s host %s serves', self.service, cfg.host.name)
+        self._stopping.wait()
+        self._stop()
+        self._telemetry.tracer.close()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
+        _LOG.info('%s host %s has stopped', self.service, cfg.host.name)
+        return self._exit_code
+
+    def fail(self) -> None:
+        """Stop because of a failure."""
+        self._exit_code = EXIT_FAILED
+        self._stopping.set()
+
+    @abstractmethod
+    def _start(self) -> None:
+        """Start everything; returns while the process serves."""
+
+    @abstractmethod
+    def _stop(self) -> None:
+        """Finish what runs, then stop everything."""
+
+    def _on_signal(self, *_args: Any) -> None:
+        self._stopping.set()
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -11,8 +11,9 @@
 
 from apricotcart.consensus.members import Members
 from apricotcart.control.identity import first_node_id
-from apricotcart.control.server import EXIT_FAILED, EXIT_OK, ControlServer
+from apricotcart.control.server import ControlServer
 from apricotcart.errors.tree import StorageError, UnavailableError
+from apricotcart.process.api import EXIT_FAILED, EXIT_OK
 from apricotcart.storage.identity import Identity
 from apricotcart.storage.log_store import DurableLogStore, initialise
 from apricotcart.storage.real_disk import RealDisk
@@ -44,7 +45,8 @@
         cluster=SimpleNamespace(name='x', read_secret=lambda: b'secret'),
         tls=SimpleNamespace(cert=None, key=None, ca=None),
         tracing=SimpleNamespace(file=None),
-        host=SimpleNamespace(name='a'),
+        host=SimpleNamespace(name='a', address='127.0.0.1'),
+        metrics=SimpleNamespace(port=0),
         data=SimpleNamespace(folder=str(tmp_path)),
         timing=SimpleNamespace(snapshot_entries=100, tick_interval_s=0.02),
         peers=SimpleNamespace(listen=address, voters={'a': address}),
