--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from typing import Self
 
 import cherrypy
@@ -54,6 +55,9 @@
 _NS_A_MS = 1_000_000
 
 
+Task = tuple[str, float, Callable[[], object]]
+
+
 class EntryServer(ServerProcess):
     """Serves callers; a stop finishes what is queued and running."""
 
@@ -130,38 +134,28 @@
             cfg.host.name,
             self._identity.incarnation,
         )
-        self._timers = (
-            RepeatingTimer(
-                'sync',
-                cfg.control.sync_interval_s,
-                self._synchronizer.sync,
-            ),
-            RepeatingTimer(
-                'drain',
-                _DRAIN_CHECK_S,
-                self._synchronizer.hold_if_unsure,
-            ),
-            RepeatingTimer(
-                'load',
-                POLL_INTERVAL_S,
-                LoadPoller(self._held, self._dispatcher).poll,
-            ),
-            RepeatingTimer(
-                'gauges',
-                GAUGE_INTERVAL_S,
-                EntryGauges(self._telemetry.metrics, self._held).update,
-            ),
-            RepeatingTimer(
-                'usage',
-                cfg.usage.flush_interval_s,
-                self._sender.flush,
-            ),
-            RepeatingTimer(
-                'keys',
-                CHECK_INTERVAL_S,
-                lambda: self._running.check(self._configuration),
-            ),
-        )
+        self._timers = [
+            RepeatingTimer(name, interval_s, task)
+            for name, interval_s, task in self._tasks()
+        ]
+
+    def _tasks(self) -> list[Task]:
+        """Give name, interval in seconds and action of each timer."""
+        cfg = self._cfg
+        poller = LoadPoller(self._held, self._dispatcher)
+        gauges = EntryGauges(self._telemetry.metrics, self._held)
+        synchronizer = self._synchronizer
+        return [
+            ('sync', cfg.control.sync_interval_s, synchronizer.sync),
+            ('drain', _DRAIN_CHECK_S, synchronizer.hold_if_unsure),
+            ('load', POLL_INTERVAL_S, poller.poll),
+            ('gauges', GAUGE_INTERVAL_S, gauges.update),
+            ('usage', cfg.usage.flush_interval_s, self._sender.flush),
+            ('keys', CHECK_INTERVAL_S, self._check_keys),
+        ]
+
+    def _check_keys(self) -> None:
+        self._running.check(self._configuration)
 
     def _application(self) -> EntryApplication:
         access = Access(self._configuration)
