--- a/tests/policy/test_simulation.py
+++ b/tests/tools/policy/test_simulation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import pytest
-
 from policy.deployment import Deployment
 from policy.simulation import Simulation
 
--- a/tests/platform_sweep.py
+++ b/tools/platform_sweep.py
@@ -1,7 +1,7 @@
 """Seeded runs over random faults, with and without each mechanism.
 
-``PYTHONPATH=src:tests python -m platform_sweep 100`` prints in how many of
-100 runs the order of arrival or the figures of a window were wrong.
+``PYTHONPATH=src:tests:tools python -m platform_sweep 100`` prints in how many
+of 100 runs the order of arrival or the figures of a window were wrong.
 """
 
 from __future__ import annotations
--- a/tests/support/processes.py
+++ b/tools/support/processes.py
@@ -35,7 +35,10 @@
         self.name = name
         self.output = folder / f'{name}.out'
         command = [*(program or (sys.executable, '-m')), *args]
-        env = {**os.environ, 'PYTHONPATH': f'{ROOT}/src:{ROOT}/tests'}
+        env = {
+            **os.environ,
+            'PYTHONPATH': f'{ROOT}/src:{ROOT}/tests:{ROOT}/tools',
+        }
         with self.output.open('ab') as output:
             self._process = subprocess.Popen(
                 command,
