--- a/scripts/check_program.py
+++ b/scripts/check_program.py
@@ -16,7 +16,7 @@
 from urllib.request import urlopen
 
 ROOT = Path(__file__).resolve().parents[1]
-sys.path[:0] = [str(ROOT / 'src'), str(ROOT / 'tests')]
+sys.path[:0] = [str(ROOT / 'src'), str(ROOT / 'tools')]
 
 from support.cluster import Cluster  # noqa: E402
 
--- a/scripts/measure_consensus.py
+++ b/scripts/measure_consensus.py
@@ -1,6 +1,6 @@
 """Prints the figures of docs/notes/consensus.md.
 
-Usage: PYTHONPATH=src:tests python scripts/measure_consensus.py
+Usage: PYTHONPATH=src:tests:tools python scripts/measure_consensus.py
 """
 
 from __future__ import annotations
