Keep half of the first endpoints until requests come

Engines of 12 slots also counted as busy with 1.8 requests, which ordered 112 of them.

Regular endpoints are released only after their number stayed the same for two seconds, half of them stay until requests come, and an engine counts as busy with half of its slots, 9.6 requests at most.

--- a/src/apricotcart/provisioning/autoscaling.py
+++ b/src/apricotcart/provisioning/autoscaling.py
@@ -16,9 +16,11 @@
 from apricotcart.endpoints.instances import Instance
 from apricotcart.provisioning.fleet_api import EndpointOrder
 
-# Requests in progress at one engine up to which it keeps its pauses short,
-# as a share of its slots.
-_BUSY_SHARE: Final = 0.15
+# Requests in progress at one engine up to which it keeps its pauses short.
+_BUSY_REQUESTS: Final = 9.6
+# The same as a share of its slots: the rest takes the bursts that come while
+# further engines start.
+_BUSY_SHARE: Final = 0.5
 # Prompt tokens that one engine reads well within the time to a first token.
 _UNREAD_TOKENS: Final = 40_000
 # Endpoints of each zone while the load is low: with two, a zone that is
@@ -32,6 +34,12 @@
 _HOLD_S: Final = 10.0
 # How long no spot endpoints are asked for in a zone that had none.
 _DRY_S: Final = 2.5
+# Share of the regular endpoints that stay until requests come. The operator
+# chose their number for the highest load.
+_IDLE_SHARE: Final = 0.5
+# How long the list of an idle service must stay the same before regular
+# endpoints are released: those that have just started are listed one by one.
+_SETTLE_S: Final = 2.0
 # The list shows an order this much after its boot time.
 _LIST_LAG_S: Final = 2.0
 
@@ -87,6 +95,15 @@
         """All endpoints that stay."""
         return sum(self.spot.values()) + sum(self.regular.values())
 
+    @property
+    def idle_share(self) -> int:
+        """Endpoints that an idle service keeps."""
+        regular = sum(self.regular.values())
+        return max(
+            sum(self.spot.values()),
+            math.ceil(regular * _IDLE_SHARE),
+        )
+
 
 class Situation:
     """Everything that the orders of one moment follow from.
@@ -153,13 +170,29 @@
 class Autoscaler:
     """Orders for the endpoints of one service."""
 
-    __slots__ = ('_ask_again_at', '_orders', '_wanted', '_wanted_at')
+    __slots__ = (
+        '_ask_again_at',
+        '_has_load',
+        '_is_settled',
+        '_listed',
+        '_listed_at',
+        '_orders',
+        '_wanted',
+        '_wanted_at',
+    )
 
     def __init__(self) -> None:
         """Start without orders."""
         self._orders: dict[tuple[str, bool], Ordered] = {}
         # Zones without spot endpoints, and when they are asked again.
         self._ask_again_at: dict[str, float] = {}
+        # Whether requests have come: an idle service says nothing of the
+        # load to come.
+        self._has_load = False
+        # Whether the list has been seen whole.
+        self._is_settled = False
+        self._listed = -1
+        self._listed_at: float = 0
         self._wanted = 0
         self._wanted_at: float = 0
 
@@ -191,13 +224,17 @@
         counts = ZoneCounts(zones, instances)
         base = len(zones) * max(scaling.least, _BASE_EACH_ZONE)
         needed = max(base, _needed(service, load))
+        self._note_load(now, load, counts)
         situation = Situation(
             now=now,
             scaling=scaling,
             counts=counts,
-            wanted=self._hold(now, needed, counts.total),
+            wanted=self._hold(now, needed, counts),
         )
-        return list(self._orders_due(service.name, situation))
+        orders = self._orders_due(service.name, situation)
+        if self._is_settled:
+            return list(orders)
+        return [order for order in orders if order.is_spot]
 
     def note_sent(
         self,
@@ -215,11 +252,29 @@
         elif order.is_spot:
             self._ask_again_at[order.zone] = now + _DRY_S
 
-    def _hold(self, now: float, needed: int, present: int) -> int:
-        if not self._wanted:
+    def _note_load(
+        self,
+        now: float,
+        load: ServiceLoad,
+        counts: ZoneCounts,
+    ) -> None:
+        regular = sum(counts.regular.values())
+        if regular != self._listed:
+            self._listed = regular
+            self._listed_at = now
+        if load.requests and not self._has_load:
+            self._has_load = True
             # A new leader has not heard of all load yet and keeps what runs.
-            needed = max(needed, present)
-        if needed >= self._wanted or now > self._wanted_at + _HOLD_S:
+            self._wanted = max(self._wanted, counts.total)
+            self._wanted_at = now
+        if self._has_load or now >= self._listed_at + _SETTLE_S:
+            self._is_settled = True
+
+    def _hold(self, now: float, needed: int, counts: ZoneCounts) -> int:
+        if not self._is_settled:
+            needed = max(needed, counts.idle_share)
+        is_over = self._has_load and now > self._wanted_at + _HOLD_S
+        if needed >= self._wanted or is_over:
             self._wanted = needed
             self._wanted_at = now
         return self._wanted
@@ -323,7 +378,8 @@
 def _needed(service: Service, load: ServiceLoad) -> int:
     engine = service.engine
     slots = engine.slots if engine else 1
-    by_requests = load.requests / max(1, slots * _BUSY_SHARE)
+    busy = min(_BUSY_REQUESTS, slots * _BUSY_SHARE)
+    by_requests = load.requests / max(1, busy)
     by_tokens = load.unread_tokens / _UNREAD_TOKENS
     return math.ceil(max(by_requests, by_tokens))
 
--- a/tests/provisioning/test_autoscaling.py
+++ b/tests/provisioning/test_autoscaling.py
@@ -12,15 +12,20 @@
 _IDLE = ServiceLoad(requests=0, unread_tokens=0)
 
 
-def _service(spot_share: float | None = 0.22) -> Service:
+def _service(
+    spot_share: float | None = 0.22,
+    *,
+    slots: int = 64,
+    most: int = 3,
+) -> Service:
     return Service(
         name='lm',
         health_path='/h',
         max_conns=None,
-        engine=Engine(slots=64, kv_tokens=700_000),
+        engine=Engine(slots=slots, kv_tokens=700_000),
         scaling=Scaling(
             least=1,
-            most=3,
+            most=most,
             boot_s=_BOOT_S,
             spot_share=spot_share,
             zone_prices={'a': 0.85, 'b': 1.2, 'c': 1.0, 'd': 1.1},
@@ -33,6 +38,8 @@
 
     def __init__(self, service: Service, regular: int) -> None:
         self.service = service
+        assert service.scaling is not None
+        self.most = service.scaling.most
         self.scaler = Autoscaler()
         self.now: float = 0
         self.counts = {(zone, True): 0 for zone in _ZONES}
@@ -59,6 +66,11 @@
     def total(self, *, is_spot: bool) -> int:
         return sum(self.counts[(zone, is_spot)] for zone in _ZONES)
 
+    def spread_regular(self) -> None:
+        total = self.total(is_spot=False)
+        for position, zone in enumerate(_ZONES):
+            self.counts[(zone, False)] = (total + 3 - position) // 4
+
     def _send(self, order: EndpointOrder) -> None:
         self.orders.append(order)
         is_taken = not (order.is_spot and order.zone in self.dry)
@@ -66,7 +78,7 @@
         if is_taken:
             key = (order.zone, order.is_spot)
             other = self.counts[(order.zone, not order.is_spot)]
-            assert order.count + other <= 3
+            assert order.count + other <= self.most
             self.counts[key] = min(self.counts[key], order.count)
             self.coming.append((self.now + _BOOT_S, order))
 
@@ -156,6 +168,34 @@
     assert world.total(is_spot=True) >= running
 
 
+def test_half_of_the_first_endpoints_stay_until_requests_come() -> None:
+    """Guards against a first burst that meets endpoints released idly."""
+    world = World(_service(most=6), regular=20)
+    world.run(40)
+    assert world.total(is_spot=True) == 10
+    world.run(30, ServiceLoad(requests=1, unread_tokens=0))
+    assert world.total(is_spot=True) == 8
+
+
+def test_endpoints_listed_one_by_one_are_kept() -> None:
+    """Guards against releasing endpoints that are not listed yet."""
+    world = World(_service(most=6), regular=1)
+    for _ in range(19):
+        world.run(1)
+        assert all(order.is_spot for order in world.orders)
+        world.counts[('b', False)] += 1
+        world.spread_regular()
+    world.run(20)
+    assert world.total(is_spot=True) == 10
+
+
+def test_engines_with_few_slots_are_filled_to_half() -> None:
+    """Guards against many idle engines where each takes few requests."""
+    world = World(_service(slots=12), regular=8)
+    world.run(40, ServiceLoad(requests=60, unread_tokens=0))
+    assert world.total(is_spot=True) == 10
+
+
 def test_service_without_spot_keeps_regular_endpoints() -> None:
     world = World(_service(spot_share=None), regular=8)
     world.run(30)
