Divide free places among hosts, copy shared parts, rank by customer and route

A new row knows the number of hosts. Hosts draw for the free places of an engine, but for brief urgent requests, for tight streams and at the home of the shared parts. Requests rank by customer and then by route. Brief requests do not wait behind long ones. Shared parts are copied from their home, also from an engine that is leaving. The line of a sent request tells the levels, the age of the load and where parts are copied from.

Ruled out: urgent short requests under the draw (existing tests: they would wait a period beside free places).

Each new test fails without its mechanism, but for the levels of a service and the failed source, which were written with it.

--- a/src/apricotcart/desired/routing.py
+++ b/src/apricotcart/desired/routing.py
@@ -8,6 +8,7 @@
     Route,
     Service,
 )
+from apricotcart.desired.urgency import UrgencyTable
 
 
 class RoutingTable:
@@ -17,15 +18,16 @@
     ----------
     state : DesiredState
         The state that is indexed.
+    urgencies : UrgencyTable
+        Ranks the requests.
     """
 
     __slots__ = (
         '_customers',
-        '_pauses',
-        '_priorities',
         '_routes',
         '_services',
         'state',
+        'urgencies',
     )
 
     def __init__(self, state: DesiredState) -> None:
@@ -36,18 +38,7 @@
             of_host = self._routes.setdefault(listed.host.lower(), {})
             of_host[listed.prefix] = listed
         self._services = {service.name: service for service in state.services}
-        self._priorities = {route.priority for route in state.routes}
-        self._priorities.update(
-            customer.priority
-            for customer in state.customers or ()
-            if customer.priority is not None
-        )
-        self._pauses: dict[str, set[float]] = {}
-        for streamed in state.routes:
-            for split in streamed.splits:
-                pauses = self._pauses.setdefault(split.service, set())
-                if streamed.pause_s is not None:
-                    pauses.add(streamed.pause_s)
+        self.urgencies = UrgencyTable(state)
         self._customers = {
             key: customer
             for customer in state.customers or ()
@@ -84,24 +75,6 @@
         """Give the customer that holds a key."""
         return self._customers.get(key)
 
-    def has_tightest_pause(self, route: Route, service: str) -> bool:
-        """Tell whether other streams of a service have longer pauses."""
-        pauses = self._pauses.get(service, set())
-        if route.pause_s is None or len(pauses) < 2:
-            return False
-        return route.pause_s == min(pauses)
-
-    def levels_below(self, priority: int) -> int:
-        """Give how many levels of requests are less urgent."""
-        return sum(priority < other for other in self._priorities)
-
     def service(self, name: str) -> Service:
         """Give a service that a route names."""
         return self._services[name]
-
-
-def priority_of(route: Route, customer: Customer | None) -> int:
-    """Give the rank of a request; that of the customer precedes."""
-    if customer is not None and customer.priority is not None:
-        return customer.priority
-    return route.priority
--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -111,9 +111,13 @@
         Rank at the endpoint, 0 first.
     last_event_id : str
         Event after which the stream goes on; empty as the caller sent it.
+    cache_source : str
+        ``IP:PORT`` of an endpoint that the cached parts of the prompt are
+        copied from; empty without one.
     """
 
     __slots__ = (
+        'cache_source',
         'customer',
         'endpoint_id',
         'last_event_id',
@@ -129,8 +133,10 @@
         customer: str,
         urgency: int,
         last_event_id: str = '',
+        cache_source: str = '',
     ) -> None:
         """Keep the fields."""
+        self.cache_source = cache_source
         self.endpoint_id = endpoint_id
         self.wait_s = wait_s
         self.customer = customer
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -7,10 +7,9 @@
 from typing import Any, Final
 from urllib.parse import urlsplit
 
-from apricotcart.desired.routing import priority_of
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.api import CallMessage, CallTerms, Dialect, Headers
-from apricotcart.gateway.call import Call, Urgency
+from apricotcart.gateway.call import Call
 from apricotcart.gateway.dispatcher import Dispatcher
 from apricotcart.gateway.errors import LeavingError
 from apricotcart.gateway.forwarding import Forwarder
@@ -158,10 +157,7 @@
             route=route,
             customer=customer,
             service=service,
-            urgency=Urgency(
-                is_tight=table.has_tightest_pause(route, service),
-                level=table.levels_below(priority_of(route, customer)),
-            ),
+            urgency=table.urgencies.urgency(route, customer, service),
             started_at=started_at,
         )
 
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from apricotcart.desired.records import Customer, Route, RouteKind
-from apricotcart.desired.routing import priority_of
+from apricotcart.desired.urgency import Urgency
 from apricotcart.gateway.api import CallMessage, CallTerms
 from apricotcart.gateway.connections import EndpointConnection
 from apricotcart.gateway.dispatcher import Dispatcher
@@ -19,25 +19,6 @@
 _numbers = itertools.count(1)
 
 
-class Urgency:
-    """How a request stands among the others of its service.
-
-    Attributes
-    ----------
-    is_tight : bool
-        Whether no other stream has a shorter pause target.
-    level : int
-        How many levels of requests are less urgent.
-    """
-
-    __slots__ = ('is_tight', 'level')
-
-    def __init__(self, *, is_tight: bool, level: int) -> None:
-        """Keep the fields."""
-        self.is_tight = is_tight
-        self.level = level
-
-
 class Call:
     """A request that was read, with its route and customer.
 
@@ -109,11 +90,6 @@
         self.is_left = False
         self.failure: WebResponse | None = None
 
-    @property
-    def priority(self) -> int:
-        """Rank of the request, 0 is the most urgent."""
-        return priority_of(self.route, self.customer)
-
     @property
     def is_stream(self) -> bool:
         """Whether the answer is a stream of events."""
--- a/src/apricotcart/gateway/dispatcher.py
+++ b/src/apricotcart/gateway/dispatcher.py
@@ -51,7 +51,7 @@
         Table of the endpoints.
     """
 
-    __slots__ = ('_lock', '_placement', '_room', '_tickets')
+    __slots__ = ('_heard_at', '_lock', '_placement', '_room', '_tickets')
 
     def __init__(self, placement: Placement) -> None:
         """Start without requests."""
@@ -59,6 +59,7 @@
         self._placement = placement
         self._room = WaitingRoom(placement)
         self._tickets: dict[str, Ticket] = {}
+        self._heard_at = steady_s()
 
     def acquire(self, waiting: Waiting) -> EndpointRow:
         """Wait until a request is given an endpoint.
@@ -122,6 +123,17 @@
             change(self._placement)
             self._decide()
 
+    def hear(self, loads: dict[str, SharedLoad], hosts: int) -> None:
+        """Take what the other hosts put on each endpoint."""
+        with self._lock:
+            self._heard_at = steady_s()
+            self._placement.share(loads, hosts)
+            self._decide()
+
+    def load_age_s(self) -> float:
+        """Give how old the load of the other hosts is, in seconds."""
+        return steady_s() - self._heard_at
+
     def has_endpoint(self, service: str) -> bool:
         """Tell whether any endpoint of a service takes requests."""
         with self._lock:
--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -186,8 +186,9 @@
                 endpoint_id=self.row.instance.instance_id,
                 wait_s=left_s,
                 customer=call.customer_name,
-                urgency=call.priority,
+                urgency=call.urgency.place,
                 last_event_id=last_event_id,
+                cache_source=self.row.cache_source_of(call.request_id),
             ),
         )
         call.sends += 1
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -174,11 +174,8 @@
         loads = {
             name: SharedLoad(*figures) for name, figures in reply.loads.items()
         }
-        hosts = reply.hosts
-        self._dispatcher.update(
-            lambda placement: placement.share(loads, hosts),
-        )
-        self._policy.share_among(hosts)
+        self._dispatcher.hear(loads, reply.hosts)
+        self._policy.share_among(reply.hosts)
         self._leader.learn_members(reply.members)
         if abs(self._clock.now_s() - reply.unix_s) > _TIME_SLACK_S:
             self._clock.adopt(reply.unix_s)
--- a/src/apricotcart/gateway/placement.py
+++ b/src/apricotcart/gateway/placement.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final
@@ -30,6 +31,14 @@
 # read before is dropped for it. A request rather waits behind this many times
 # its shared tokens.
 _READ_WEIGHT: Final = 6
+# Share of the work of reading a shared part that copying it from another
+# engine costs, with the memory that the copy takes.
+_COPY_SHARE: Final = 0.25
+# Shared tokens below which reading is as quick as copying.
+_COPY_TOKENS: Final = 100
+# A leaving endpoint serves copies until this long before it is gone, in
+# seconds.
+_LEAVING_S: Final = 1.0
 # Prompt tokens that a warming endpoint counts as busy with.
 _WARMING_TOKENS: Final = 20_000
 _PENALTY_TOKENS: Final = 200_000
@@ -40,6 +49,11 @@
 # was given first, so a long backlog there delays urgent requests.
 _BACKLOG_TOKENS: Final = 28_000
 _BACKLOG_MORE: Final = 36_000
+# Time for which free places are divided among the hosts, in seconds. It is
+# about the age of what a host hears of the others.
+_PERIOD_S: Final = 0.4
+# Results of a checksum.
+_DRAW_RANGE: Final = 4_294_967_296
 # How many times its even share of a backlog one host may fill without
 # hearing of the others.
 _OWN_SHARE: Final = 2
@@ -52,13 +66,18 @@
     ----------
     zone : str
         Availability zone of this host.
+    host : str
+        Name of this host.
     """
 
-    __slots__ = ('_engines', '_rows', '_zone')
+    __slots__ = ('_engines', '_host', '_peers', '_period', '_rows', '_zone')
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, host: str = '') -> None:
         """Start without endpoints."""
         self._zone = zone
+        self._host = host
+        self._peers = 0
+        self._period = 0
         self._engines: dict[str, Engine] = {}
         self._rows: dict[str, EndpointRow] = {}
 
@@ -72,7 +91,7 @@
         for instance in instances:
             row = self._rows.get(instance.instance_id)
             if row is None or row.instance.key != instance.key:
-                row = EndpointRow(instance)
+                row = EndpointRow(instance, self._peers)
             row.instance = instance
             rows[instance.instance_id] = row
         self._rows = rows
@@ -87,9 +106,10 @@
         hosts : int
             Hosts that place requests, this one included.
         """
+        self._peers = max(0, hosts - 1)
         for name, row in self._rows.items():
             row.others = loads.get(name) or SharedLoad()
-            row.peers = max(0, hosts - 1)
+            row.peers = self._peers
             row.recent = 0
             row.recent_tokens = 0
 
@@ -118,8 +138,15 @@
         excluded : collection of str
             Endpoints that the request must not go to again.
         """
+        self._period = int(now / _PERIOD_S)
         group = self._group(need)
-        open_rows = [row for row in group if self._is_open(row, need, excluded)]
+        home = home_of(need.shared_part, group)
+        open_rows = [
+            row
+            for row in group
+            if self._is_open(row, need, excluded)
+            and (row is home or self._is_granted(row, need))
+        ]
         if not open_rows and need.is_tight:
             open_rows = [
                 row
@@ -128,10 +155,9 @@
             ]
         if not open_rows:
             return None
-        home = home_of(need.shared_part, group)
         return min(
             open_rows,
-            key=lambda row: self._cost(now, row, need, is_home=row is home),
+            key=lambda row: self._cost(now, row, need, home),
         )
 
     def has_endpoint(self, service: str) -> bool:
@@ -143,8 +169,13 @@
 
     def place(self, request_id: str, row: EndpointRow, need: Need) -> Placed:
         """Note that a request goes to an endpoint."""
-        placed = Placed(need, row.unread_of(need))
+        group = self._group(need)
+        source = self._source_of(row, need, group)
+        unread = _unread_of(row, need, home_of(need.shared_part, group))
+        address = source.instance.address if source else ''
+        placed = Placed(need, unread, address)
         row.placed[request_id] = placed
+        row.grants.take(self._period)
         row.recent += 1
         row.recent_tokens += placed.unread_tokens
         row.remember(need.parts)
@@ -163,6 +194,56 @@
         tight_count = max(1, round(len(rows) * _TIGHT_SHARE))
         return rows[:tight_count] if need.is_tight else rows[tight_count:]
 
+    def _source_of(
+        self,
+        chosen: EndpointRow,
+        need: Need,
+        group: Sequence[EndpointRow],
+    ) -> EndpointRow | None:
+        """Give the engine that most likely keeps the shared parts.
+
+        An engine that became the home a moment ago copies them from the one
+        that was the home before, which may be leaving.
+        """
+        if need.shared_tokens < _COPY_TOKENS or chosen.keeps(need.shared_part):
+            return None
+        leaving = [
+            row
+            for row in self._rows.values()
+            if row.instance.service == need.service and _is_leaving(row)
+        ]
+        others = [
+            row
+            for row in (*group, *leaving)
+            if row is not chosen and not row.has_failed
+        ]
+        return home_of(need.shared_part, others)
+
+    def _is_granted(self, row: EndpointRow, need: Need) -> bool:
+        """Tell whether this host may give a free place to a request.
+
+        The hosts divide the free places of an engine by a draw for each
+        period, since all of them would fill an engine that has just become
+        free. Brief urgent requests need no draw: they leave soon.
+        """
+        engine = self._engines.get(need.service)
+        if engine is None or need.is_tight:
+            return True
+        if need.level and need.is_brief:
+            return True
+        free = engine.slots * need.place_share - row.requests
+        share = free / (row.peers + 1)
+        granted = math.floor(share)
+        if self._draw(row) < share - granted:
+            granted += 1
+        return row.grants.taken(self._period) < granted
+
+    def _draw(self, row: EndpointRow) -> float:
+        """Draw a number from 0 to 1 for this host, engine and period."""
+        name = row.instance.instance_id
+        text = f'{self._host} {name} {self._period}'
+        return zlib.crc32(text.encode()) / _DRAW_RANGE
+
     def _is_open(
         self,
         row: EndpointRow,
@@ -185,13 +266,13 @@
         now: float,
         row: EndpointRow,
         need: Need,
-        *,
-        is_home: bool,
+        home: EndpointRow | None,
     ) -> float:
-        unread = row.unread_of(need, is_home=is_home)
+        unread = _unread_of(row, need, home)
         shared_unread = max(0, unread - need.read_work(need.own_tokens))
         cost: float = row.likely_unread_tokens + unread
-        cost += shared_unread * (_READ_WEIGHT - 1)
+        if not _can_copy(need, home):
+            cost += shared_unread * (_READ_WEIGHT - 1)
         cost += row.likely_requests * RUNNING_TOKENS
         if row.instance.zone != self._zone:
             cost += self._zone_cost(need)
@@ -209,6 +290,36 @@
         return RUNNING_TOKENS
 
 
+def _is_leaving(row: EndpointRow) -> bool:
+    leaves_s = row.instance.leaves_s
+    return leaves_s is not None and leaves_s > _LEAVING_S
+
+
+def _can_copy(need: Need, home: EndpointRow | None) -> bool:
+    if home is None or home.has_failed:
+        return False
+    return need.shared_tokens >= _COPY_TOKENS
+
+
+def _unread_of(
+    row: EndpointRow,
+    need: Need,
+    home: EndpointRow | None,
+) -> int:
+    """Give the work of a prompt at an engine.
+
+    All hosts send requests with the same shared parts to their home, so
+    that another host has most likely had them read there.
+    """
+    if row is home:
+        return need.read_work(need.own_tokens)
+    unread = row.unread_of(need)
+    if not _can_copy(need, home):
+        return unread
+    copied = need.own_tokens + int(need.shared_tokens * _COPY_SHARE)
+    return min(unread, need.read_work(copied))
+
+
 def _has_room(row: EndpointRow, need: Need, engine: Engine) -> bool:
     """Tell whether an engine has a place, memory and a short backlog."""
     if not row.requests:
--- a/src/apricotcart/gateway/rows.py
+++ b/src/apricotcart/gateway/rows.py
@@ -12,6 +12,9 @@
 # Share of an engine's memory that is filled on purpose: outputs grow, and
 # an engine without memory preempts running requests.
 _MEMORY_SHARE: Final = 0.9
+# Hosts that are taken to place alike before they hear of each other. Among
+# more of them, each has few requests at a time and they differ.
+_ALIKE_MAX: Final = 8
 # How long an endpoint that failed is chosen last.
 _PENALTY_S: Final = 2.0
 _PENALTY_MAX_S: Final = 8.0
@@ -24,6 +27,10 @@
 # whose places are taken lets nobody begin, however urgent.
 _LEFT_SHARE: Final = 0.15
 _LEFT_MEMORY: Final = 0.04
+# Work of a prompt and generated tokens up to which a request frees its place
+# within half a second.
+_BRIEF_READ: Final = 4000
+_BRIEF_OUTPUT: Final = 100
 # Length of a prompt whose tokens take twice as long to read as those of a
 # short one, since each attends to all tokens before it.
 _ATTENTION_TOKENS: Final = 60_000
@@ -78,11 +85,22 @@
         """Memory that the request takes, in tokens."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def shared_tokens(self) -> int:
+        """Prompt tokens that other requests may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
     @property
     def own_tokens(self) -> int:
         """Prompt tokens that no other request shares."""
-        shared = sum(part.tokens for part in self.parts[:-1])
-        return max(0, self.prompt_tokens - shared)
+        return max(0, self.prompt_tokens - self.shared_tokens)
+
+    @property
+    def is_brief(self) -> bool:
+        """Whether it frees its place soon."""
+        if self.output_tokens > _BRIEF_OUTPUT:
+            return False
+        return self.read_work(self.own_tokens) <= _BRIEF_READ
 
     @property
     def place_share(self) -> float:
@@ -109,14 +127,31 @@
 
 
 class Placed:
-    """A request that was given to an endpoint of this host."""
+    """A request that was given to an endpoint of this host.
+
+    Parameters
+    ----------
+    need : Need
+        What it needs.
+    unread_tokens : int
+        Work of reading its prompt, in tokens of a short one.
+    cache_source : str
+        Address of an endpoint that the shared parts are copied from, empty
+        without one.
+    """
 
-    __slots__ = ('has_begun', 'need', 'unread_tokens')
+    __slots__ = ('cache_source', 'has_begun', 'need', 'unread_tokens')
 
-    def __init__(self, need: Need, unread_tokens: int) -> None:
-        """Keep the need, and the prompt tokens that are not cached."""
+    def __init__(
+        self,
+        need: Need,
+        unread_tokens: int,
+        cache_source: str,
+    ) -> None:
+        """Keep the fields."""
         self.need = need
         self.unread_tokens = unread_tokens
+        self.cache_source = cache_source
         self.has_begun = False
 
 
@@ -137,11 +172,32 @@
         self.unread_tokens = unread_tokens
 
 
+class Grants:
+    """Free places of one endpoint that this host may take in a period."""
+
+    __slots__ = ('_period', '_taken')
+
+    def __init__(self) -> None:
+        """Start without places taken."""
+        self._period = -1
+        self._taken = 0
+
+    def take(self, period: int) -> None:
+        """Count a place as taken."""
+        self._taken = self.taken(period) + 1
+        self._period = period
+
+    def taken(self, period: int) -> int:
+        """Give the places taken in a period."""
+        return self._taken if period == self._period else 0
+
+
 class EndpointRow:
     """One endpoint and what this host knows of its load."""
 
     __slots__ = (
         '_failures',
+        'grants',
         'instance',
         'others',
         'parts',
@@ -152,8 +208,8 @@
         'recent_tokens',
     )
 
-    def __init__(self, instance: Instance) -> None:
-        """Start without load."""
+    def __init__(self, instance: Instance, peers: int = 0) -> None:
+        """Start without load beside a number of other hosts."""
         self.instance = instance
         self.placed: dict[str, Placed] = {}
         self.others = SharedLoad()
@@ -163,7 +219,8 @@
         # have most likely placed as much each.
         self.recent = 0
         self.recent_tokens = 0
-        self.peers = 0
+        self.peers = peers
+        self.grants = Grants()
         self._failures = 0
 
     @property
@@ -174,7 +231,7 @@
     @property
     def likely_requests(self) -> int:
         """Requests of all hosts, with those not heard of yet."""
-        return self.requests + self.recent * self.peers
+        return self.requests + self.recent * min(self.peers, _ALIKE_MAX)
 
     @property
     def tokens(self) -> int:
@@ -199,21 +256,25 @@
     @property
     def likely_unread_tokens(self) -> int:
         """The same, with those not heard of yet."""
-        return self.unread_tokens + self.recent_tokens * self.peers
-
-    def unread_of(self, need: Need, *, is_home: bool = False) -> int:
-        """Give the work of reading what is not cached here of a prompt.
-
-        Parameters
-        ----------
-        need : Need
-            The request.
-        is_home : bool
-            Whether all hosts send requests with these parts here, so that
-            another host has most likely had them read.
-        """
-        if is_home:
-            return need.read_work(need.own_tokens)
+        likely = self.recent_tokens * min(self.peers, _ALIKE_MAX)
+        return self.unread_tokens + likely
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the last request here failed."""
+        return self._failures > 0
+
+    def keeps(self, part_id: str) -> bool:
+        """Tell whether this host had a prompt part read here."""
+        return part_id in self.parts
+
+    def cache_source_of(self, request_id: str) -> str:
+        """Give where a request's shared parts are copied from."""
+        placed = self.placed.get(request_id)
+        return placed.cache_source if placed else ''
+
+    def unread_of(self, need: Need) -> int:
+        """Give the work of reading what is not cached here of a prompt."""
         cached = 0
         for part in need.parts:
             if part.part_id not in self.parts:
--- a/src/apricotcart/gateway/sending.py
+++ b/src/apricotcart/gateway/sending.py
@@ -79,7 +79,7 @@
         waiting = Waiting(
             request_id=call.request_id,
             need=call.need(),
-            rank=(call.priority, call.started_at),
+            rank=(call.urgency.place, call.started_at),
             refuse_at=steady_s() + patience,
             excluded=call.excluded,
         )
@@ -99,6 +99,10 @@
             running=len(row.placed),
             running_elsewhere=row.others.requests,
             unread_tokens=row.unread_tokens,
+            load_age_s=self.dispatcher.load_age_s(),
+            levels_above=call.urgency.place,
+            levels_below=call.urgency.level,
+            copied_from=row.cache_source_of(call.request_id),
         )
         return Exchange(call, row, self._pool, self.dialect)
 
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -67,7 +67,9 @@
         super().__init__(cfg, adapter)
         self._running = RunningCalls()
         self._clock = TrueClock.from_host()
-        self._dispatcher = Dispatcher(Placement(cfg.host.zone))
+        self._dispatcher = Dispatcher(
+            Placement(cfg.host.zone, cfg.host.name),
+        )
         self._state = StateCopy(adapter.document_format())
         self._watcher = CallerWatcher()
         self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
--- a/src/apricotcart/gateway/waiting.py
+++ b/src/apricotcart/gateway/waiting.py
@@ -27,6 +27,9 @@
 # What each waiting request adds to it.
 _RETURN_EACH_S: Final = 0.05
 
+# Service, tight pauses, and whether places are freed soon.
+_Group = tuple[str, bool, bool]
+
 
 class Waiting:
     """One request that waits for an endpoint.
@@ -120,7 +123,7 @@
     def decide(self, now: float) -> Iterator[Decision]:
         """Give the decisions that can be made now, most urgent first."""
         queue = sorted(self._waiting.values(), key=lambda each: each.rank)
-        blocked: set[tuple[str, bool]] = set()
+        blocked: set[_Group] = set()
         for waiting in queue:
             decision = self._decision(now, waiting, blocked)
             if decision is not None:
@@ -131,16 +134,18 @@
         self,
         now: float,
         waiting: Waiting,
-        blocked: set[tuple[str, bool]],
+        blocked: set[_Group],
     ) -> Decision | None:
-        # Streams with tight pauses have engines of their own.
-        group = (waiting.need.service, waiting.need.is_tight)
+        # Streams with tight pauses have engines of their own, and brief
+        # requests do not wait for the room that a long one needs.
+        need = waiting.need
+        group = (need.service, need.is_tight, need.is_brief)
         row = None
         # A less urgent request does not overtake one that found no room.
         if group not in blocked:
-            row = self._placement.choose(now, waiting.need, waiting.excluded)
+            row = self._placement.choose(now, need, waiting.excluded)
         if row is not None:
-            self._placement.place(waiting.request_id, row, waiting.need)
+            self._placement.place(waiting.request_id, row, need)
             return Assigned(waiting.request_id, row)
         if not waiting.excluded:
             blocked.add(group)
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -56,7 +56,9 @@
     'running_elsewhere',
     'unread_tokens',
     'load_age_s',
-    'version',
+    'levels_above',
+    'levels_below',
+    'copied_from',
 )
 SEND_FAILED: Final = Event(
     'send_failed',
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -100,6 +100,8 @@
         passed.append(('Request-Priority', str(urgency)))
         if terms.customer:
             passed.append(('Tenant', terms.customer))
+        if terms.cache_source:
+            passed.append(('Kv-Fetch', terms.cache_source))
         if terms.last_event_id:
             passed.append(('Last-Event-Id', terms.last_event_id))
         return passed
--- a/tests/desired/test_routing.py
+++ b/tests/desired/test_routing.py
@@ -14,7 +14,7 @@
 from apricotcart.desired.routing import RoutingTable
 
 
-def _route(prefix: str, pause_s: float | None = None) -> Route:
+def _route(prefix: str) -> Route:
     return Route(
         name=f'r{prefix}',
         host='a.example',
@@ -23,7 +23,6 @@
         splits=[Split(service='lm', weight=1)],
         timeout_s=3,
         target_s=1,
-        pause_s=pause_s,
     )
 
 
@@ -66,10 +65,3 @@
     assert found is not None and found.name == 'guild'
     assert table.customer('k3') is None
     assert not _table(_route('/a/'), keys=False).needs_key
-
-
-def test_tightest_pause_only_beside_longer_ones() -> None:
-    chat, survey = _route('/c/', 0.2), _route('/s/', 0.8)
-    assert _table(chat, survey).has_tightest_pause(chat, 'lm')
-    assert not _table(chat, survey).has_tightest_pause(survey, 'lm')
-    assert not _table(chat).has_tightest_pause(chat, 'lm')
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -10,9 +10,10 @@
 from gateway.endpoints import RawEndpoint, Script
 
 from apricotcart.desired.records import Customer, Route, RouteKind, Split
+from apricotcart.desired.urgency import Urgency
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import CallMessage, CallTerms
-from apricotcart.gateway.call import Call, Urgency
+from apricotcart.gateway.call import Call
 from apricotcart.gateway.connections import ConnectionPool
 from apricotcart.gateway.dispatcher import TICK_S, Dispatcher
 from apricotcart.gateway.forwarding import Forwarder
@@ -91,7 +92,7 @@
             ),
             customer=Customer(name='guild', keys=['k']),
             service='app',
-            urgency=Urgency(is_tight=False, level=0),
+            urgency=Urgency(place=0, level=0, is_tight=False),
             started_at=steady_s(),
         )
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -5,11 +5,13 @@
 import random
 from typing import Any
 
+import pytest
+
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import PromptPart
 from apricotcart.gateway.placement import Placement
-from apricotcart.gateway.rows import Need, SharedLoad
+from apricotcart.gateway.rows import EndpointRow, Need, SharedLoad
 
 _ENGINE = Engine(slots=8, kv_tokens=100_000)
 _HOSTS = 6
@@ -27,9 +29,15 @@
     return Instance(**{**base, **fields})
 
 
-def _placement(count: int = 6, **fields: Any) -> Placement:
-    placement = Placement('a')
-    placement.configure({'lm': _ENGINE})
+def _placement(
+    count: int = 6,
+    *,
+    host: str = '',
+    engine: Engine = _ENGINE,
+    **fields: Any,
+) -> Placement:
+    placement = Placement('a', host)
+    placement.configure({'lm': engine})
     placement.list_instances(
         [_instance(number, **fields) for number in range(count)],
     )
@@ -240,3 +248,91 @@
             host.place(str(number), row, _survey('x', str(number)))
         total += host.rows()[0].unread_tokens
     assert total <= 2 * 28_000 + _HOSTS * _survey().prompt_tokens
+
+
+@pytest.mark.parametrize('level', [0, 1, 2])
+def test_new_engine_takes_as_many_from_many_hosts_as_it_can_run(
+    level: int,
+) -> None:
+    """Guards against requests of all hosts on an engine just listed.
+
+    Seen on csft-sealdesk-grown, quiet-1: engines turned requests away since
+    60 hosts had each sent up to five at the moment the engine was listed.
+    """
+    hosts = 60
+    engine = Engine(slots=12, kv_tokens=466_000)
+    full = {f'i-{n}': SharedLoad(12, 150_000, 0) for n in range(19)}
+    total = 0
+    for number in range(hosts):
+        host = _placement(19, host=f'host-{number}', engine=engine)
+        host.share(full, hosts)
+        host.list_instances([_instance(each) for each in range(20)])
+        for each in range(5):
+            need = Need(
+                service='lm',
+                prompt_tokens=1500,
+                output_tokens=400,
+                level=level,
+            )
+            row = host.choose(0, need)
+            if row is not None:
+                host.place(str(each), row, need)
+                total += 1
+    assert 4 <= total <= 3 * engine.slots
+
+
+def _fill(placement: Placement, row: EndpointRow, count: int) -> None:
+    for number in range(count):
+        need = Need(service='lm', prompt_tokens=100, output_tokens=1)
+        placement.place(f'fill-{number}', row, need)
+
+
+def test_request_beside_its_full_home_copies_from_there() -> None:
+    """Guards against reading shared parts again beside a busy home."""
+    placement = _placement()
+    home = placement.choose(0, _survey())
+    assert home is not None
+    _fill(placement, home, 8)
+    other = placement.choose(0, _survey())
+    assert other is not None
+    placed = placement.place('r', other, _survey())
+    assert placed.cache_source == home.instance.address
+    assert placed.unread_tokens < _survey().read_work(12_000)
+
+
+def test_new_home_copies_from_the_leaving_one() -> None:
+    """Guards against reading shared parts again after a reclaim."""
+    placement = _placement()
+    home = placement.choose(0, _survey())
+    assert home is not None
+    instances = [row.instance for row in placement.rows()]
+    for instance in instances:
+        if instance is home.instance:
+            instance.is_ready = False
+            instance.leaves_s = 2
+    placement.list_instances(instances)
+    other = placement.choose(0, _survey())
+    assert other is not None
+    placed = placement.place('r', other, _survey())
+    assert placed.cache_source == home.instance.address
+
+
+def test_parts_are_not_copied_from_an_endpoint_that_failed() -> None:
+    """Guards against waiting for a copy from an endpoint that is down."""
+    placement = _placement()
+    home = placement.choose(0, _survey())
+    assert home is not None
+    home.on_failure(0)
+    other = placement.choose(0, _survey())
+    assert other is not None
+    placed = placement.place('r', other, _survey())
+    assert placed.cache_source != home.instance.address
+
+
+def test_endpoint_that_keeps_the_parts_copies_nothing() -> None:
+    """Guards against copies that bring nothing."""
+    placement = _placement()
+    home = placement.choose(0, _survey())
+    assert home is not None
+    placement.place('first', home, _survey())
+    assert not placement.place('next', home, _survey()).cache_source
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -141,3 +141,43 @@
     decided = list(room.decide(0))
     assert len(decided) < 21
     assert 'chat' in {each.request_id for each in decided}
+
+
+def test_long_prompt_without_room_does_not_hold_up_brief_requests() -> None:
+    """Guards against brief requests that wait for the room of a long one.
+
+    Seen on csft-sealdesk-grown, quiet-1: short requests of the middle level
+    were given up behind long prompts of urgent customers.
+    """
+    placement = Placement('a')
+    placement.configure({'lm': Engine(slots=8, kv_tokens=30_000)})
+    placement.list_instances(
+        [
+            Instance(
+                instance_id='i',
+                service='lm',
+                address='10.0.0.1:80',
+                zone='a',
+                slots=8,
+                is_ready=True,
+            ),
+        ],
+    )
+    room = WaitingRoom(placement)
+    needs = {
+        'running': Need(service='lm', prompt_tokens=20_000, level=2),
+        'long': Need(service='lm', prompt_tokens=25_000, level=2),
+        'brief': Need(service='lm', prompt_tokens=900, level=1),
+    }
+    for place, (name, need) in enumerate(needs.items()):
+        room.add(
+            Waiting(
+                request_id=name,
+                need=need,
+                rank=(place, 0),
+                refuse_at=9,
+                excluded=set(),
+            ),
+        )
+    decided = [each.request_id for each in room.decide(0)]
+    assert decided == ['running', 'brief']
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -78,6 +78,18 @@
     assert ('Last-Event-Id', '3') in _sent(('Last-Event-Id', '3'))
 
 
+def test_endpoint_headers_name_where_the_cache_is_copied_from() -> None:
+    """Guards against a caller that chooses where memory is copied from."""
+    terms = _terms()
+    terms.cache_source = '10.0.0.1:80'
+    sent = PlatformDialect().endpoint_headers(
+        [('kv-fetch', '10.9.9.9:1')],
+        terms,
+    )
+    named = [text for name, text in sent if name.lower() == 'kv-fetch']
+    assert named == ['10.0.0.1:80']
+
+
 def test_call_terms_read_prompt() -> None:
     terms = PlatformDialect().call_terms(
         [
