Let requests with the same shared parts meet at one of two engines

The checksum that chose the home is linear, so that a few engines were the home of most parts and full; what left a full home went to a different engine each time; and new homes copied from each other when a burst tripled the engines.

Homes are drawn by a hash, each part has a second home for what leaves the first one, and copies come from engines that were listed for five seconds. The decisions are a module of their own, caches.

The new tests fail with the checksum, without the second home and without the age of the engines.

--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -194,7 +194,7 @@
 
     def _list(self, instances: Sequence[Instance]) -> None:
         self._dispatcher.update(
-            lambda placement: placement.list_instances(instances),
+            lambda placement: placement.list_instances(instances, steady_s()),
         )
         self._pool.forget({each.address for each in instances})
 
--- a/src/apricotcart/gateway/placement.py
+++ b/src/apricotcart/gateway/placement.py
@@ -10,12 +10,18 @@
 from __future__ import annotations
 
 import math
-import zlib
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
+from apricotcart.gateway.caches import (
+    can_copy,
+    homes_of,
+    source_of,
+    unread_of,
+)
+from apricotcart.gateway.draws import draw
 from apricotcart.gateway.rows import EndpointRow, Need, Placed, SharedLoad
 
 # Prompt tokens whose reading costs about as much as one more running
@@ -31,14 +37,6 @@
 # read before is dropped for it. A request rather waits behind this many times
 # its shared tokens.
 _READ_WEIGHT: Final = 6
-# Share of the work of reading a shared part that copying it from another
-# engine costs, with the memory that the copy takes.
-_COPY_SHARE: Final = 0.25
-# Shared tokens below which reading is as quick as copying.
-_COPY_TOKENS: Final = 100
-# A leaving endpoint serves copies until this long before it is gone, in
-# seconds.
-_LEAVING_S: Final = 1.0
 # Prompt tokens that a warming endpoint counts as busy with.
 _WARMING_TOKENS: Final = 20_000
 _PENALTY_TOKENS: Final = 200_000
@@ -52,8 +50,6 @@
 # Time for which free places are divided among the hosts, in seconds. It is
 # about the age of what a host hears of the others.
 _PERIOD_S: Final = 0.4
-# Results of a checksum.
-_DRAW_RANGE: Final = 4_294_967_296
 # How many times its even share of a backlog one host may fill without
 # hearing of the others.
 _OWN_SHARE: Final = 2
@@ -70,12 +66,21 @@
         Name of this host.
     """
 
-    __slots__ = ('_engines', '_host', '_peers', '_period', '_rows', '_zone')
+    __slots__ = (
+        '_engines',
+        '_host',
+        '_now',
+        '_peers',
+        '_period',
+        '_rows',
+        '_zone',
+    )
 
     def __init__(self, zone: str, host: str = '') -> None:
         """Start without endpoints."""
         self._zone = zone
         self._host = host
+        self._now: float = 0
         self._peers = 0
         self._period = 0
         self._engines: dict[str, Engine] = {}
@@ -85,13 +90,25 @@
         """Take the engines of the services by service name."""
         self._engines = engines
 
-    def list_instances(self, instances: Iterable[Instance]) -> None:
-        """Replace the endpoints; known ones keep their load."""
+    def list_instances(
+        self,
+        instances: Iterable[Instance],
+        now: float = 0,
+    ) -> None:
+        """Replace the endpoints; known ones keep their load.
+
+        Parameters
+        ----------
+        instances : iterable of Instance
+            All endpoints.
+        now : float
+            Time in seconds.
+        """
         rows: dict[str, EndpointRow] = {}
         for instance in instances:
             row = self._rows.get(instance.instance_id)
             if row is None or row.instance.key != instance.key:
-                row = EndpointRow(instance, self._peers)
+                row = EndpointRow(instance, self._peers, now)
             row.instance = instance
             rows[instance.instance_id] = row
         self._rows = rows
@@ -138,14 +155,15 @@
         excluded : collection of str
             Endpoints that the request must not go to again.
         """
+        self._now = now
         self._period = int(now / _PERIOD_S)
         group = self._group(need)
-        home = home_of(need.shared_part, group)
+        homes = homes_of(need.shared_part, group)
         open_rows = [
             row
             for row in group
             if self._is_open(row, need, excluded)
-            and (row is home or self._is_granted(row, need))
+            and (row in homes or self._is_granted(row, need))
         ]
         if not open_rows and need.is_tight:
             open_rows = [
@@ -157,7 +175,7 @@
             return None
         return min(
             open_rows,
-            key=lambda row: self._cost(now, row, need, home),
+            key=lambda row: self._cost(now, row, need, homes),
         )
 
     def has_endpoint(self, service: str) -> bool:
@@ -170,8 +188,8 @@
     def place(self, request_id: str, row: EndpointRow, need: Need) -> Placed:
         """Note that a request goes to an endpoint."""
         group = self._group(need)
-        source = self._source_of(row, need, group)
-        unread = _unread_of(row, need, home_of(need.shared_part, group))
+        source = source_of(row, need, self._now, self._sources(need, group))
+        unread = unread_of(row, need, homes_of(need.shared_part, group))
         address = source.instance.address if source else ''
         placed = Placed(need, unread, address)
         row.placed[request_id] = placed
@@ -181,6 +199,19 @@
         row.remember(need.parts)
         return placed
 
+    def _sources(
+        self,
+        need: Need,
+        group: Sequence[EndpointRow],
+    ) -> list[EndpointRow]:
+        """Give the endpoints that shared parts may be copied from."""
+        leaving = [
+            row
+            for row in self._rows.values()
+            if row.instance.service == need.service and row.is_leaving
+        ]
+        return [*group, *leaving]
+
     def _group(self, need: Need) -> list[EndpointRow]:
         """Give the endpoints that are kept for requests of this kind."""
         rows = [
@@ -190,41 +221,17 @@
         ]
         if need.service not in self._engines or len(rows) < 2:
             return rows
-        rows.sort(key=lambda row: _rank('', row))
+        rows.sort(key=lambda row: row.order)
         tight_count = max(1, round(len(rows) * _TIGHT_SHARE))
         return rows[:tight_count] if need.is_tight else rows[tight_count:]
 
-    def _source_of(
-        self,
-        chosen: EndpointRow,
-        need: Need,
-        group: Sequence[EndpointRow],
-    ) -> EndpointRow | None:
-        """Give the engine that most likely keeps the shared parts.
-
-        An engine that became the home a moment ago copies them from the one
-        that was the home before, which may be leaving.
-        """
-        if need.shared_tokens < _COPY_TOKENS or chosen.keeps(need.shared_part):
-            return None
-        leaving = [
-            row
-            for row in self._rows.values()
-            if row.instance.service == need.service and _is_leaving(row)
-        ]
-        others = [
-            row
-            for row in (*group, *leaving)
-            if row is not chosen and not row.has_failed
-        ]
-        return home_of(need.shared_part, others)
-
     def _is_granted(self, row: EndpointRow, need: Need) -> bool:
         """Tell whether this host may give a free place to a request.
 
         The hosts divide the free places of an engine by a draw for each
         period, since all of them would fill an engine that has just become
-        free. Brief urgent requests need no draw: they leave soon.
+        free. Brief urgent requests need no draw since they leave soon, nor
+        do the tightest streams, which cannot wait for one.
         """
         engine = self._engines.get(need.service)
         if engine is None or need.is_tight:
@@ -234,16 +241,11 @@
         free = engine.slots * need.place_share - row.requests
         share = free / (row.peers + 1)
         granted = math.floor(share)
-        if self._draw(row) < share - granted:
+        period = str(self._period)
+        if draw(self._host, row.instance.instance_id, period) < share - granted:
             granted += 1
         return row.grants.taken(self._period) < granted
 
-    def _draw(self, row: EndpointRow) -> float:
-        """Draw a number from 0 to 1 for this host, engine and period."""
-        name = row.instance.instance_id
-        text = f'{self._host} {name} {self._period}'
-        return zlib.crc32(text.encode()) / _DRAW_RANGE
-
     def _is_open(
         self,
         row: EndpointRow,
@@ -266,12 +268,12 @@
         now: float,
         row: EndpointRow,
         need: Need,
-        home: EndpointRow | None,
+        homes: Sequence[EndpointRow],
     ) -> float:
-        unread = _unread_of(row, need, home)
+        unread = unread_of(row, need, homes)
         shared_unread = max(0, unread - need.read_work(need.own_tokens))
         cost: float = row.likely_unread_tokens + unread
-        if not _can_copy(need, home):
+        if not can_copy(need, homes):
             cost += shared_unread * (_READ_WEIGHT - 1)
         cost += row.likely_requests * RUNNING_TOKENS
         if row.instance.zone != self._zone:
@@ -290,36 +292,6 @@
         return RUNNING_TOKENS
 
 
-def _is_leaving(row: EndpointRow) -> bool:
-    leaves_s = row.instance.leaves_s
-    return leaves_s is not None and leaves_s > _LEAVING_S
-
-
-def _can_copy(need: Need, home: EndpointRow | None) -> bool:
-    if home is None or home.has_failed:
-        return False
-    return need.shared_tokens >= _COPY_TOKENS
-
-
-def _unread_of(
-    row: EndpointRow,
-    need: Need,
-    home: EndpointRow | None,
-) -> int:
-    """Give the work of a prompt at an engine.
-
-    All hosts send requests with the same shared parts to their home, so
-    that another host has most likely had them read there.
-    """
-    if row is home:
-        return need.read_work(need.own_tokens)
-    unread = row.unread_of(need)
-    if not _can_copy(need, home):
-        return unread
-    copied = need.own_tokens + int(need.shared_tokens * _COPY_SHARE)
-    return min(unread, need.read_work(copied))
-
-
 def _has_room(row: EndpointRow, need: Need, engine: Engine) -> bool:
     """Tell whether an engine has a place, memory and a short backlog."""
     if not row.requests:
@@ -339,19 +311,3 @@
 def _is_too_much(unread_tokens: int, need: Need, backlog: float) -> bool:
     work = need.read_work(need.own_tokens)
     return unread_tokens > 0 and unread_tokens + work > backlog
-
-
-def home_of(part_id: str, rows: Sequence[EndpointRow]) -> EndpointRow | None:
-    """Give the endpoint that caches a part, None without a shared part.
-
-    Each endpoint draws a number for the part and the highest wins, so that
-    all hosts agree and a change of the endpoints moves few parts.
-    """
-    if not part_id or not rows:
-        return None
-    return max(rows, key=lambda row: _rank(part_id, row))
-
-
-def _rank(part_id: str, row: EndpointRow) -> int:
-    name = row.instance.instance_id
-    return zlib.crc32(f'{part_id} {name}'.encode())
--- a/src/apricotcart/gateway/rows.py
+++ b/src/apricotcart/gateway/rows.py
@@ -8,6 +8,7 @@
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import PromptPart
+from apricotcart.gateway.draws import draw
 
 # Share of an engine's memory that is filled on purpose: outputs grow, and
 # an engine without memory preempts running requests.
@@ -18,6 +19,9 @@
 # How long an endpoint that failed is chosen last.
 _PENALTY_S: Final = 2.0
 _PENALTY_MAX_S: Final = 8.0
+# A leaving endpoint serves copies until this long before it is gone, in
+# seconds.
+_LEAVING_S: Final = 1.0
 # Prompt parts remembered for one endpoint.
 _PARTS_KEPT: Final = 4000
 # Levels of urgency that are told apart.
@@ -199,6 +203,8 @@
         '_failures',
         'grants',
         'instance',
+        'listed_at',
+        'order',
         'others',
         'parts',
         'penalty_until',
@@ -208,8 +214,16 @@
         'recent_tokens',
     )
 
-    def __init__(self, instance: Instance, peers: int = 0) -> None:
+    def __init__(
+        self,
+        instance: Instance,
+        peers: int = 0,
+        listed_at: float = 0,
+    ) -> None:
         """Start without load beside a number of other hosts."""
+        self.listed_at = listed_at
+        # Order in which all hosts see the endpoints of a service.
+        self.order = draw(instance.instance_id)
         self.instance = instance
         self.placed: dict[str, Placed] = {}
         self.others = SharedLoad()
@@ -259,6 +273,12 @@
         likely = self.recent_tokens * min(self.peers, _ALIKE_MAX)
         return self.unread_tokens + likely
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it goes soon and can still serve copies."""
+        leaves_s = self.instance.leaves_s
+        return leaves_s is not None and leaves_s > _LEAVING_S
+
     @property
     def has_failed(self) -> bool:
         """Whether the last request here failed."""
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -300,6 +300,24 @@
     assert placed.unread_tokens < _survey().read_work(12_000)
 
 
+def test_requests_beside_their_full_home_meet_at_the_second_one() -> None:
+    """Guards against a part that is read at a different engine each time."""
+    rng = random.Random(3)
+    chosen = set()
+    for number in range(_HOSTS):
+        placement = _placement(8, host=f'host-{number}')
+        home = placement.choose(0, _survey())
+        assert home is not None
+        loads = {
+            f'i-{each}': SharedLoad(rng.randrange(4), 9000, 0)
+            for each in range(8)
+        }
+        loads[home.instance.instance_id] = SharedLoad(8, 60_000, 0)
+        placement.share(loads, _HOSTS)
+        chosen.add(_id_of(placement, _survey()))
+    assert len(chosen) == 1
+
+
 def test_new_home_copies_from_the_leaving_one() -> None:
     """Guards against reading shared parts again after a reclaim."""
     placement = _placement()
@@ -317,6 +335,25 @@
     assert placed.cache_source == home.instance.address
 
 
+def test_home_that_was_just_listed_copies_from_the_one_before() -> None:
+    """Guards against reading shared parts again when engines are added.
+
+    Seen on csft-sealdesk-grown, quiet-1: a burst brought three times as many
+    engines, and the new homes copied from each other.
+    """
+    placement = _placement(6)
+    before = placement.choose(0, _survey())
+    assert before is not None
+    instances = [_instance(number) for number in range(40)]
+    placement.list_instances(instances, 60)
+    chosen = placement.choose(61, _survey())
+    assert chosen is not None
+    assert chosen is not before
+    placed = placement.place('r', chosen, _survey())
+    older = {f'10.0.0.{number}:80' for number in range(6)}
+    assert placed.cache_source in older
+
+
 def test_parts_are_not_copied_from_an_endpoint_that_failed() -> None:
     """Guards against waiting for a copy from an endpoint that is down."""
     placement = _placement()
