--- a/tests/coordinator/test_hosts.py
+++ b/tests/coordinator/test_hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 from apricotcart.coordinator.hosts import GatewayTable
@@ -51,6 +52,33 @@
     assert not table.loads_beside('', 60)
 
 
+def test_loads_follow_syncs_restarts_and_silence() -> None:
+    """Guards against totals that drift from what the gateways last said."""
+    rng = random.Random(5)
+    table = GatewayTable()
+    said: dict[str, tuple[float, dict[str, list[int]]]] = {}
+    now = 0.0
+    for _ in range(400):
+        now += 0.5 + rng.random()
+        name = f'g{rng.randrange(6)}'
+        loads = {
+            f'i{number}': [rng.randrange(1, 4), rng.randrange(50), 0]
+            for number in rng.sample(range(5), rng.randrange(4))
+        }
+        table.note(_sync(name, loads=loads), now)
+        said[name] = (now, loads)
+        expected: dict[str, list[int]] = {}
+        for other, (at, figures) in said.items():
+            if other == name or at < now - 3.0:
+                continue
+            for endpoint, load in figures.items():
+                total = expected.setdefault(endpoint, [0, 0, 0])
+                expected[endpoint] = [
+                    one + more for one, more in zip(total, load, strict=True)
+                ]
+        assert table.loads_beside(name, now) == expected
+
+
 def test_usage_counts_a_restarted_host_once_each_start() -> None:
     table = GatewayTable()
     table.note(_sync('a', usage={7: {'guild': 2}}), 0)
