--- a/tools/explained_failures.py
+++ b/tools/explained_failures.py
@@ -44,16 +44,19 @@
     found: list[Failure] = []
     kind = ''
     for line in lines:
-        heading = _HEADING.match(line)
-        if heading or not line.startswith(' '):
-            kind = heading['kind'] if heading else ''
-            continue
-        request = _REQUEST.search(line)
-        if kind and request:
+        if not line.startswith(' '):
+            kind = _kind_of(line)
+        request = _REQUEST.search(line) if kind else None
+        if request:
             found.append(Failure(request['id'], kind))
     return found
 
 
+def _kind_of(line: str) -> str:
+    heading = _HEADING.match(line)
+    return heading['kind'] if heading else ''
+
+
 def is_explained(story: Sequence[StoryLine]) -> bool:
     """Tell whether any line gives an outcome."""
     return any(outcome in str(line) for line in story for outcome in _OUTCOMES)
