Write nothing to an endpoint that drains by now; fetch the list after one lost sync

A request placed at 4.48 s reached its endpoint at 5.51 s; a new connection takes one second when its first packet is lost.

An exchange looks again at its endpoint once it is connected, and a list older than 1 s is fetched.

--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -105,6 +105,10 @@
         call.conn = conn
         if call.is_left:
             raise CallerLeftError('the caller left before the request')
+        if not self.row.takes_requests:
+            # It began to drain while the connection was made, which takes
+            # seconds if packets are lost.
+            raise UnreachableEndpointError('the endpoint drains by now')
         self._write(conn, last_event_id)
         self._read_head(conn)
         self._check()
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -37,8 +37,9 @@
 _SYNC_TIMEOUT_S: Final = 0.8
 # The same while no desired state is known: another host may answer sooner.
 _FIRST_TIMEOUT_S: Final = 0.25
-# A list of endpoints older than this is fetched by this host itself.
-_LIST_MAX_AGE_S: Final = 1.5
+# A list of endpoints older than this is fetched by this host itself: one sync
+# without an answer is enough, since the next may wait as long.
+_LIST_MAX_AGE_S: Final = 1.0
 # Pause between two fetches by this host itself.
 _FETCH_INTERVAL_S: Final = 0.7
 # Difference to the leader's time that is not a step of a clock.
--- a/src/apricotcart/gateway/placement.py
+++ b/src/apricotcart/gateway/placement.py
@@ -111,6 +111,8 @@
                 row = EndpointRow(instance, self._peers, now)
             row.instance = instance
             rows[instance.instance_id] = row
+        for name, known in self._rows.items():
+            known.is_listed = rows.get(name) is known
         self._rows = rows
 
     def share(self, loads: dict[str, SharedLoad], hosts: int) -> None:
--- a/src/apricotcart/gateway/rows.py
+++ b/src/apricotcart/gateway/rows.py
@@ -203,6 +203,7 @@
         '_failures',
         'grants',
         'instance',
+        'is_listed',
         'listed_at',
         'order',
         'others',
@@ -221,6 +222,7 @@
         listed_at: float = 0,
     ) -> None:
         """Start without load beside a number of other hosts."""
+        self.is_listed = True
         self.listed_at = listed_at
         # Order in which all hosts see the endpoints of a service.
         self.order = draw(instance.instance_id)
@@ -273,6 +275,11 @@
         likely = self.recent_tokens * min(self.peers, _ALIKE_MAX)
         return self.unread_tokens + likely
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the endpoint is still listed and does not drain."""
+        return self.is_listed and self.instance.is_ready
+
     @property
     def is_leaving(self) -> bool:
         """Whether it goes soon and can still serve copies."""
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -47,6 +47,10 @@
 
     def serve(self, *scripts: Script) -> list[RawEndpoint]:
         self.endpoints = [RawEndpoint(script) for script in scripts]
+        self.drain('')
+        return self.endpoints
+
+    def drain(self, address: str) -> None:
         self.placement.list_instances(
             Instance(
                 instance_id=f'i-{number}',
@@ -54,11 +58,10 @@
                 address=endpoint.address,
                 zone='a',
                 slots=4,
-                is_ready=True,
+                is_ready=endpoint.address != address,
             )
             for number, endpoint in enumerate(self.endpoints)
         )
-        return self.endpoints
 
     def call(
         self,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from typing import Any
 
 import pytest
 from gateway.conftest import Bench
@@ -19,6 +20,7 @@
 )
 
 from apricotcart.desired.records import RouteKind
+from apricotcart.gateway.connections import ConnectionPool
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     BusyError,
@@ -363,3 +365,30 @@
     bench.sender.policy = RepeatPolicy(0, 0)
     for _ in range(6):
         assert _body(bench.forwarder.answer(bench.call())) == b'ok'
+
+
+def test_endpoint_that_drains_while_it_is_connected_gets_nothing(
+    bench: Bench,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a slow connection to an endpoint that leaves.
+
+    Seen on csft-sealdesk, hunt-6bed-27: a request reached an endpoint 3.5 s
+    after it was listed as draining, and one second after it was placed.
+    """
+    endpoints = bench.serve(whole(), whole())
+    taken: list[str] = []
+    take = ConnectionPool.take
+
+    def take_slowly(pool: ConnectionPool, address: str) -> Any:
+        conn = take(pool, address)
+        if not taken:
+            bench.drain(address)
+        taken.append(address)
+        return conn
+
+    monkeypatch.setattr(ConnectionPool, 'take', take_slowly)
+    assert _body(bench.forwarder.answer(bench.call())) == b'ok'
+    first = next(each for each in endpoints if each.address == taken[0])
+    assert not first.seen
+    assert len(taken) == 2
--- /dev/null
+++ b/tests/gateway/test_link.py
@@ -0,0 +1,110 @@
+"""Guards against a gateway that acts on what the leader last said."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from apricotcart.coordinator.messages import SyncReply
+from apricotcart.endpoints.instances import Instance
+from apricotcart.errors.tree import UnavailableError
+from apricotcart.gateway import link as link_module
+from apricotcart.gateway.connections import ConnectionPool
+from apricotcart.gateway.dispatcher import Dispatcher
+from apricotcart.gateway.link import ControlLink
+from apricotcart.gateway.placement import Placement
+from apricotcart.gateway.repeating import RepeatPolicy
+from apricotcart.gateway.running import RunningCalls
+from apricotcart.gateway.usage import UsageCounter
+from apricotcart.timers.clock import TrueClock
+
+
+class Clock:
+    """Time that only the leader's silence moves."""
+
+    def __init__(self) -> None:
+        self.now: float = 100
+
+    def steady_s(self) -> float:
+        return self.now
+
+
+class Leader:
+    """Answers one sync and none after it."""
+
+    def __init__(self, clock: Clock, reply: SyncReply) -> None:
+        self.clock = clock
+        self.replies = [reply]
+
+    def call(self, message: Any, timeout_s: float) -> Any:
+        if self.replies:
+            return {'sync': self.replies.pop().to_wire()}
+        self.clock.now += timeout_s
+        raise UnavailableError('no answer')
+
+    def learn_members(self, members: Any) -> None:
+        """Take nothing."""
+
+
+class Platform:
+    """Lists no endpoints, and counts the calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def instances(self) -> list[Instance]:
+        self.calls += 1
+        return []
+
+
+def test_sync_without_an_answer_brings_the_platforms_own_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against endpoints that drain unseen while no leader answers.
+
+    Seen on csft-sealdesk, hunt-6bed-27: after the leader's end a gateway
+    fetched the list 2.5 s after the last one it had been given.
+    """
+    clock = Clock()
+    monkeypatch.setattr(link_module, 'steady_s', clock.steady_s)
+    platform = Platform()
+    true_clock = TrueClock.from_host()
+    cfg: Any = SimpleNamespace(
+        host=SimpleNamespace(name='h', zone='a'),
+        listen=SimpleNamespace(callers='10.0.0.1:80'),
+    )
+    reply = SyncReply(
+        document=None,
+        list_mark=7,
+        instances=[],
+        loads={},
+        hosts=1,
+        members=[],
+        unix_s=true_clock.now_s(),
+    )
+    leader: Any = Leader(clock, reply)
+    listed: Any = platform
+    state: Any = SimpleNamespace(
+        is_known=True,
+        version=1,
+        confirm=lambda asked_at: None,
+    )
+    link = ControlLink(
+        cfg=cfg,
+        leader=leader,
+        platform=listed,
+        state=state,
+        dispatcher=Dispatcher(Placement('a')),
+        pool=ConnectionPool(),
+        policy=RepeatPolicy(1, 100),
+        usage=UsageCounter(true_clock, 5),
+        clock=true_clock,
+        running=RunningCalls(),
+    )
+    link.sync()
+    assert platform.calls == 0
+    clock.now += link.pause_s()
+    link.sync()
+    assert platform.calls == 1
