Log which state decided a request and which control host failed

What the state decides about a request is one type, RoutingDecision. Result: tests of gateway, coordinator and observability pass.

--- a/src/apricotcart/coordinator/leader_client.py
+++ b/src/apricotcart/coordinator/leader_client.py
@@ -12,13 +12,16 @@
 from apricotcart.errors.tree import (
     ApricotcartError,
     CodecError,
+    NotLeaderError,
     UnavailableError,
 )
 from apricotcart.observability.decisions import (
+    CONTROL_CALL_FAILED,
     LEADER_FOUND,
     LEADER_LOST,
     log_decision,
 )
+from apricotcart.timers.clock import boot_clock_s
 from apricotcart.transport.redialing import RedialingClients, WireMessage
 
 
@@ -88,6 +91,25 @@
             another one.
         """
         ip = self._leader or self._random_host()
+        started_at = boot_clock_s()
+        try:
+            reply = self._call_host(ip, message, timeout_s)
+        except ApricotcartError as exc:
+            log_decision(
+                CONTROL_CALL_FAILED,
+                kind=message.get('kind'),
+                asked=ip,
+                reason=exc.code,
+                detail=exc.message,
+                duration_s=boot_clock_s() - started_at,
+            )
+            raise
+        self._set_leader(ip)
+        return reply
+
+    def _call_host(
+        self, ip: str, message: WireMessage, timeout_s: float
+    ) -> WireMessage:
         try:
             reply = self._clients.call(
                 self._ports.request_address(ip),
@@ -98,7 +120,6 @@
             self._clear_leader(ip)
             raise
         if reply.get('ok'):
-            self._set_leader(ip)
             return reply
         self._on_refused(ip, reply)
         raise _error_of(reply)
@@ -128,4 +149,7 @@
 
 def _error_of(reply: WireMessage) -> ApricotcartError:
     message = str(reply.get('message') or 'refused')
-    return UnavailableError(message, **dict(reply.get('context') or {}))
+    context = dict(reply.get('context') or {})
+    if reply.get('code') == NotLeaderError.code:
+        return NotLeaderError(message, **context)
+    return UnavailableError(message, **context)
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -20,6 +20,7 @@
 from apricotcart.gateway.errors import LeavingError
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.listener import HEADERS_KEY, REQUEST_KEY
+from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.observability.decisions import (
@@ -161,10 +162,14 @@
                 body=req.body(table.state.limits.body_bytes),
             ),
             metadata=metadata,
-            route=route,
-            customer=customer,
-            service=service,
-            urgency=table.urgencies.urgency(route, customer, service),
+            routing=RoutingDecision(
+                route=route,
+                customer=customer,
+                service=service,
+                urgency=table.urgencies.urgency(route, customer, service),
+                version=table.state.version,
+                state_age_s=state.age_s(),
+            ),
             started_at=started_at,
         )
 
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -5,12 +5,13 @@
 import itertools
 from typing import Any, Final
 
-from apricotcart.desired.records import Customer, Route, RouteKind
+from apricotcart.desired.records import Route, RouteKind
 from apricotcart.desired.urgency import Urgency
 from apricotcart.gateway.api import ForwardedRequest, RequestMetadata
 from apricotcart.gateway.connections import EndpointConnection
 from apricotcart.gateway.dispatcher import Dispatcher
 from apricotcart.gateway.endpoint_state import Requirements
+from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.response import WebResponse
 
@@ -40,19 +41,16 @@
 
     __slots__ = (
         'conn',
-        'customer',
         'deadline_at',
         'dispatcher',
         'excluded_endpoints',
         'failure_response',
         'may_have_run',
         'is_caller_gone',
-        'urgency',
         'message',
         'request_id',
-        'route',
+        'routing',
         'send_count',
-        'service',
         'started_at',
         'metadata',
     )
@@ -63,22 +61,16 @@
         dispatcher: Dispatcher,
         message: ForwardedRequest,
         metadata: RequestMetadata,
-        route: Route,
-        customer: Customer | None,
-        service: str,
-        urgency: Urgency,
+        routing: RoutingDecision,
         started_at: float,
     ) -> None:
         self.dispatcher = dispatcher
         self.request_id = str(next(_request_numbers))
         self.message = message
         self.metadata = metadata
-        self.route = route
-        self.customer = customer
-        self.service = service
-        self.urgency = urgency
+        self.routing = routing
         self.started_at = started_at
-        wait_s = route.timeout_s
+        wait_s = routing.route.timeout_s
         if metadata.wait_s is not None:
             wait_s = min(wait_s, metadata.wait_s)
         self.deadline_at = started_at + wait_s
@@ -89,6 +81,21 @@
         self.is_caller_gone = False
         self.failure_response: WebResponse | None = None
 
+    @property
+    def route(self) -> Route:
+        """Route of the request."""
+        return self.routing.route
+
+    @property
+    def service(self) -> str:
+        """Service that was chosen for the request."""
+        return self.routing.service
+
+    @property
+    def urgency(self) -> Urgency:
+        """Urgency of the request at its service."""
+        return self.routing.urgency
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is a stream of events."""
@@ -97,7 +104,8 @@
     @property
     def customer_name(self) -> str:
         """Name of the customer, empty on public routes."""
-        return '' if self.customer is None else self.customer.name
+        customer = self.routing.customer
+        return '' if customer is None else customer.name
 
     def remaining_s(self) -> float:
         """Return the time to the deadline in seconds."""
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -108,6 +108,8 @@
             levels_above=call.urgency.place,
             levels_below=call.urgency.level,
             copied_from=endpoint.cache_source_of(call.request_id),
+            version=call.routing.version,
+            state_age_s=call.routing.state_age_s,
         )
         return Exchange(call, endpoint, self._pool, self.header_codec)
 
--- a/src/apricotcart/gateway/state.py
+++ b/src/apricotcart/gateway/state.py
@@ -100,6 +100,7 @@
             STATE_IN_FORCE,
             version=state.version,
             routes=len(state.routes),
+            state_age_s=self.age_s() if self._confirmed_at else None,
         )
         return self._table
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -59,6 +59,8 @@
     'levels_above',
     'levels_below',
     'copied_from',
+    'version',
+    'state_age_s',
 )
 SEND_FAILED: Final = Event(
     'send_failed',
@@ -110,10 +112,23 @@
     'duration_s',
 )
 CALLER_LEFT: Final = Event('caller_left', 'request_id', 'duration_s')
-STATE_IN_FORCE: Final = Event('state_in_force', 'version', 'routes')
+STATE_IN_FORCE: Final = Event(
+    'state_in_force',
+    'version',
+    'routes',
+    'state_age_s',
+)
 STATE_ACKNOWLEDGED: Final = Event('state_acknowledged', 'version')
 STATE_REFUSED: Final = Event('state_refused', _REASON)
 LEADER_FOUND: Final = Event('leader_found', 'leader')
+CONTROL_CALL_FAILED: Final = Event(
+    'control_call_failed',
+    'kind',
+    'asked',
+    _REASON,
+    'detail',
+    'duration_s',
+)
 LEADER_LOST: Final = Event('leader_lost', 'leader', _REASON)
 DUTIES_TAKEN: Final = Event('duties_taken', 'fencing', 'term')
 DUTIES_LOST: Final = Event('duties_lost', 'fencing', _REASON)
@@ -140,6 +155,7 @@
     STATE_ACKNOWLEDGED,
     STATE_REFUSED,
     LEADER_FOUND,
+    CONTROL_CALL_FAILED,
     LEADER_LOST,
     DUTIES_TAKEN,
     DUTIES_LOST,
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -17,6 +17,7 @@
 # Names of the fields that a log line or a span may have; others are removed.
 ALLOWED_FIELDS: Final = frozenset(
     (
+        'asked',
         'attempt',
         'bytes_in',
         'bytes_out',
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -19,6 +19,7 @@
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.placement import Placement
 from apricotcart.gateway.retry_policy import RetryPolicy
+from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.platform.headers import PlatformHeaderCodec
@@ -82,20 +83,24 @@
             dispatcher=self.dispatcher,
             message=ForwardedRequest(**{**fields, **message}),
             metadata=RequestMetadata(attempt_id=attempt_id, wait_s=wait_s),
-            route=Route(
-                name='r',
-                host='h',
-                prefix='/a/',
-                kind=kind,
-                splits=[Split(service='app', weight=1)],
-                timeout_s=wait_s,
-                target_s=0.4,
-                max_endpoints=2,
-                resumable=resumable,
+            routing=RoutingDecision(
+                route=Route(
+                    name='r',
+                    host='h',
+                    prefix='/a/',
+                    kind=kind,
+                    splits=[Split(service='app', weight=1)],
+                    timeout_s=wait_s,
+                    target_s=0.4,
+                    max_endpoints=2,
+                    resumable=resumable,
+                ),
+                customer=Customer(name='guild', keys=['k']),
+                service='app',
+                urgency=Urgency(place=0, level=0, is_tight=False),
+                version=1,
+                state_age_s=0,
             ),
-            customer=Customer(name='guild', keys=['k']),
-            service='app',
-            urgency=Urgency(place=0, level=0, is_tight=False),
             started_at=boot_clock_s(),
         )
 
