Ask another control host when the known leader cannot lead

Cause: LeaderClient changed hosts only after a missing answer or the code not_leader, so that a leader without its quorum was kept; it drew the next host at random from all that were ever known, the failed one and replaced ones included; it followed hints of any term; one host was asked per sync. Change: LeaderSearch, a decision module, orders the hosts: the known leader, then the members that failed least recently; seeds that are no members only while every member fails; hints of older terms are ignored (not_leader now carries the term). A call asks further hosts until one answers or its time is over; a host that did not answer gets twice the time at the next call. Why it works: a host that cannot lead costs one timeout of 0.4 s, and every answer of the others names the new leader.

--- a/src/apricotcart/consensus/replica.py
+++ b/src/apricotcart/consensus/replica.py
@@ -155,4 +155,8 @@
 
 
 def _not_leader(core: Core) -> NotLeaderError:
-    return NotLeaderError('this node is not the leader', leader=core.leader_id)
+    return NotLeaderError(
+        'this node is not the leader',
+        leader=core.leader_id,
+        term=core.term,
+    )
--- a/src/apricotcart/coordinator/leader_client.py
+++ b/src/apricotcart/coordinator/leader_client.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import random
 import threading
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Collection, Iterable
+from typing import Final
 
-from apricotcart.control.identity import host_name
 from apricotcart.coordinator.addresses import Ports
+from apricotcart.coordinator.leader_search import LeaderSearch
+from apricotcart.coordinator.messages import KIND
 from apricotcart.errors.tree import (
     ApricotcartError,
+    ClusterError,
     CodecError,
     NotLeaderError,
     UnavailableError,
@@ -24,9 +25,15 @@
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.transport.redialing import RedialingClients, WireMessage
 
+# Timeout of one host, for calls that another host may answer. A leader confirms
+# itself with a quorum within two round trips and a disk sync.
+HOST_TIMEOUT_S: Final = 0.4
+# Multiple of it for a host that did not answer the last call and may be slow.
+_SLOW_HOST_FACTOR: Final = 2
+
 
 class LeaderClient:
-    """Sends requests to the last known leader, or to a random control host.
+    """Sends requests to the leader, which it finds by asking control hosts.
 
     Parameters
     ----------
@@ -34,117 +41,138 @@
         Builds the addresses of the control hosts.
     clients : RedialingClients
         Connections to the control hosts.
-    seeds : iterable of str
-        IP addresses of the control hosts that are known at the start.
+    search : LeaderSearch
+        Chooses the host to ask.
     """
 
-    __slots__ = ('_clients', '_known_ips', '_leader', '_lock', '_ports', '_rng')
+    __slots__ = ('_clients', '_lock', '_ports', '_search')
 
     def __init__(
         self,
         ports: Ports,
         clients: RedialingClients,
-        seeds: Iterable[str],
+        search: LeaderSearch,
     ) -> None:
         self._ports = ports
         self._clients = clients
+        self._search = search
         self._lock = threading.Lock()
-        self._known_ips = list(seeds)
-        self._leader = ''
-        self._rng = random.Random()
-
-    @property
-    def leader(self) -> str:
-        """IP address of the last known leader, or an empty string."""
-        return self._leader
 
     def prefer(self, ip: str) -> None:
         """Send the next request to this host, unless ``ip`` is empty."""
-        if ip:
-            self._leader = ip
+        with self._lock:
+            self._search.prefer(ip)
 
-    def add_hosts(self, ips: Iterable[str]) -> None:
-        """Add control hosts by IP address."""
+    def replace_members(self, node_ids: Iterable[str]) -> None:
+        """Set the members of the cluster, by their identities."""
         with self._lock:
-            for ip in ips:
-                if ip and ip not in self._known_ips:
-                    self._known_ips.append(ip)
+            self._search.replace_members(node_ids)
 
-    def add_members(self, node_ids: Iterable[str]) -> None:
-        """Add the control hosts of the given member identities."""
-        self.add_hosts(host_name(node_id) for node_id in node_ids)
+    def call(
+        self,
+        message: WireMessage,
+        timeout_s: float,
+        host_timeout_s: float | None = None,
+    ) -> WireMessage:
+        """Send a request to the control hosts until the leader answers it.
 
-    def call(self, message: WireMessage, timeout_s: float) -> WireMessage:
-        """Send a request to the leader.
+        The request must be idempotent, since a host that did not answer may
+        have processed it.
 
         Parameters
         ----------
         message : dict
             Request in wire form.
         timeout_s : float
-            Time limit for the reply of the host, in seconds.
+            Time limit of the whole call, in seconds.
+        host_timeout_s : float or None
+            Timeout of one host in seconds, after which another one is asked.
+            If None, it is the time that remains of the call.
 
         Raises
         ------
-        UnavailableError
-            If the host does not lead or did not answer; the next call tries
-            another one.
+        ClusterError
+            If no host answered as the leader.
+        CodecError
+            If the answer of the last host was invalid.
         """
-        ip = self._leader or self._random_host()
+        host_timeout_s = host_timeout_s or timeout_s
+        deadline = boot_clock_s() + timeout_s
+        asked: set[str] = set()
+        failure: ApricotcartError = UnavailableError('no control host is known')
+        while True:
+            ip = self._next_host(asked, deadline)
+            if ip is None:
+                raise failure
+            asked.add(ip)
+            try:
+                return self._call_host(
+                    ip, message, self._timeout_s(ip, host_timeout_s, deadline)
+                )
+            except (ClusterError, CodecError) as exc:
+                failure = exc
+
+    def _next_host(self, asked: Collection[str], deadline: float) -> str | None:
+        now = boot_clock_s()
+        if now >= deadline:
+            return None
+        with self._lock:
+            return self._search.choose(asked, now)
+
+    def _call_host(
+        self, ip: str, message: WireMessage, timeout_s: float
+    ) -> WireMessage:
         started_at = boot_clock_s()
         try:
-            reply = self._call_host(ip, message, timeout_s)
-        except ApricotcartError as exc:
+            reply = self._clients.call(
+                self._ports.request_address(ip),
+                message,
+                timeout_s,
+            )
+            _require_success(reply)
+        except (ClusterError, CodecError) as exc:
+            self._record_failure(ip, exc)
             log_decision(
                 CONTROL_CALL_FAILED,
-                kind=message.get('kind'),
+                kind=message.get(KIND),
                 asked=ip,
                 reason=exc.code,
                 detail=exc.message,
                 duration_s=boot_clock_s() - started_at,
             )
             raise
-        self._set_leader(ip)
+        self._record_success(ip)
         return reply
 
-    def _call_host(
-        self, ip: str, message: WireMessage, timeout_s: float
-    ) -> WireMessage:
-        try:
-            reply = self._clients.call(
-                self._ports.request_address(ip),
-                message,
-                timeout_s,
-            )
-        except (UnavailableError, CodecError):
-            self._clear_leader(ip)
-            raise
-        if reply.get('ok'):
-            return reply
-        self._on_refused(ip, reply)
-        raise _error_of(reply)
+    def _timeout_s(
+        self, ip: str, host_timeout_s: float, deadline: float
+    ) -> float:
+        with self._lock:
+            if self._search.has_failed(ip):
+                host_timeout_s *= _SLOW_HOST_FACTOR
+        return min(host_timeout_s, deadline - boot_clock_s())
 
-    def _on_refused(self, ip: str, reply: WireMessage) -> None:
-        if reply.get('code') != 'not_leader':
-            return
-        hint: Any = (reply.get('context') or {}).get('leader')
-        hinted_ip = host_name(str(hint or ''))
-        self._leader = '' if hinted_ip == ip else hinted_ip
-        self.add_hosts((hinted_ip,))
-
-    def _set_leader(self, ip: str) -> None:
-        if self._leader != ip:
-            self._leader = ip
+    def _record_success(self, ip: str) -> None:
+        with self._lock:
+            is_new = self._search.leader != ip
+            self._search.on_answer(ip)
+        if is_new:
             log_decision(LEADER_FOUND, leader=ip)
 
-    def _clear_leader(self, ip: str) -> None:
-        if self._leader == ip:
-            self._leader = ''
-            log_decision(LEADER_LOST, leader=ip, reason='no_answer')
-
-    def _random_host(self) -> str:
+    def _record_failure(self, ip: str, exc: ApricotcartError) -> None:
         with self._lock:
-            return self._rng.choice(self._known_ips)
+            was_leader = self._search.leader == ip
+            if isinstance(exc, NotLeaderError):
+                self._search.on_refusal(ip, exc)
+            else:
+                self._search.on_failure(ip, boot_clock_s())
+        if was_leader:
+            log_decision(LEADER_LOST, leader=ip, reason=exc.code)
+
+
+def _require_success(reply: WireMessage) -> None:
+    if not reply.get('ok'):
+        raise _error_of(reply)
 
 
 def _error_of(reply: WireMessage) -> ApricotcartError:
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -25,7 +25,11 @@
 from apricotcart.coordinator.formation import load_or_create_identity
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.joining import SeedJoiner
-from apricotcart.coordinator.leader_client import LeaderClient
+from apricotcart.coordinator.leader_client import (
+    HOST_TIMEOUT_S,
+    LeaderClient,
+)
+from apricotcart.coordinator.leader_search import LeaderSearch
 from apricotcart.coordinator.member_policy import MemberPolicy
 from apricotcart.coordinator.messages import CLUSTER_SECRET, KIND, VIEW
 from apricotcart.coordinator.peer_links import RedialingPeerLinks
@@ -144,7 +148,7 @@
         self._leader = LeaderClient(
             self._ports,
             self._clients,
-            [ip_of(address) for address in cfg.links.seeds],
+            LeaderSearch(ip_of(address) for address in cfg.links.seeds),
         )
         self._service = DesiredStateService(
             self._loop,
@@ -218,11 +222,11 @@
         status = self._loop.status()
         members = Members.from_wire(status['members'])
         self._hosts.replace_members(members.all_members)
-        self._leader.add_members(members.all_members)
+        self._leader.replace_members(members.all_members)
         if self._leads():
             self._directory.replace(self._gateways.serving(boot_clock_s()))
             return
-        reply = self._leader.call({KIND: VIEW}, _VIEW_TIMEOUT_S)
+        reply = self._leader.call({KIND: VIEW}, _VIEW_TIMEOUT_S, HOST_TIMEOUT_S)
         self._directory.replace(
             ServingHost.from_wire(host) for host in reply['hosts']
         )
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -7,7 +7,10 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from apricotcart.coordinator.leader_client import LeaderClient
+from apricotcart.coordinator.leader_client import (
+    HOST_TIMEOUT_S,
+    LeaderClient,
+)
 from apricotcart.coordinator.messages import (
     KIND,
     SYNC,
@@ -32,8 +35,8 @@
 _SYNC_INTERVAL_S: Final = 0.3
 # Sync interval while no desired state is known and requests wait for it.
 _FIRST_INTERVAL_S: Final = 0.08
-# Timeout of a sync.
-_SYNC_TIMEOUT_S: Final = 0.8
+# Timeout of a sync, in which several hosts may be asked.
+_SYNC_TIMEOUT_S: Final = 1.2
 # Timeout while no desired state is known; another host may respond sooner.
 _FIRST_TIMEOUT_S: Final = 0.25
 # Smaller differences to the leader's time are not clock steps.
@@ -107,7 +110,9 @@
         requested_at = boot_clock_s()
         message = {KIND: SYNC, **self._request().to_wire()}
         try:
-            fields = self._leader.call(message, self._timeout_s())
+            fields = self._leader.call(
+                message, self._timeout_s(), HOST_TIMEOUT_S
+            )
             self._apply(SyncReply.from_wire(fields['sync']), requested_at)
         except ApricotcartError as exc:
             _LOG.info('sync with the leader failed: %s', exc.message)
@@ -156,7 +161,7 @@
         }
         self._dispatcher.update_remote_loads(loads, reply.hosts)
         self._retry_policy.set_host_count(reply.hosts)
-        self._leader.add_members(reply.members)
+        self._leader.replace_members(reply.members)
         if abs(self._clock.now_s() - reply.unix_s) > _CLOCK_TOLERANCE_S:
             self._clock.synchronize(reply.unix_s)
 
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -10,6 +10,7 @@
 from apricotcart.codec.envelope import Sealer
 from apricotcart.coordinator.addresses import Ports, ip_of
 from apricotcart.coordinator.leader_client import LeaderClient
+from apricotcart.coordinator.leader_search import LeaderSearch
 from apricotcart.coordinator.messages import CLUSTER_SECRET
 from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.application import GatewayApplication
@@ -107,7 +108,7 @@
             leader=LeaderClient(
                 Ports(cfg.links.first_port),
                 self._clients,
-                [ip_of(seed) for seed in cfg.links.seeds],
+                LeaderSearch(ip_of(seed) for seed in cfg.links.seeds),
             ),
             state=self._state,
             dispatcher=self._dispatcher,
