Report a call on a closed connection as unavailable

Cause: threads of a process share a connection to a control host; the one whose call times out first closes it, and the close of the other's context raised pynng.Closed, which is no error of the project. Change: creating, using and closing the context are one guarded step. Why it works: every error of the library becomes UnavailableError, which is answered 503 and makes the search ask another host.

--- a/src/apricotcart/transport/requests.py
+++ b/src/apricotcart/transport/requests.py
@@ -62,30 +62,23 @@
         """Send a request and wait for its answer."""
         nonce = os.urandom(_NONCE_BYTES)
         sealed = self._sealer.seal([nonce, message])
-        with closing(self._socket.new_context()) as context:
-            sealed_answer = self._send_and_receive(context, sealed, timeout_s)
+        sealed_answer = self._exchange(sealed, timeout_s)
         return self._verify_answer(sealed_answer, nonce)
 
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
 
-    def _send_and_receive(
-        self,
-        context: pynng.Context,
-        sealed: bytes,
-        timeout_s: float,
-    ) -> bytes:
-        timeout_ms = max(1, int(timeout_s * _MS_PER_S))
+    def _exchange(self, sealed: bytes, timeout_s: float) -> bytes:
         try:
-            _set_timeouts(context, timeout_ms)
-            context.send(sealed)
-            answer: bytes = context.recv()
+            # Another thread may close the socket at any time, so that the
+            # context can neither be created nor closed.
+            with closing(self._socket.new_context()) as context:
+                return _send_and_receive(context, sealed, timeout_s)
         except pynng.NNGException as exc:
             raise UnavailableError(
                 f'no answer from {self.address}: {exc}',
             ) from exc
-        return answer
 
     def _verify_answer(self, sealed_answer: bytes, nonce: bytes) -> WireMessage:
         # The nonce binds the answer to this request, so that a recorded answer
@@ -194,6 +187,15 @@
     }
 
 
+def _send_and_receive(
+    context: pynng.Context, sealed: bytes, timeout_s: float
+) -> bytes:
+    _set_timeouts(context, max(1, int(timeout_s * _MS_PER_S)))
+    context.send(sealed)
+    answer: bytes = context.recv()
+    return answer
+
+
 def _set_timeouts(context: Any, timeout_ms: int) -> None:
     """Set both timeouts of a context.
 
