Refuse requests that an unconfirmed desired state would decide

Cause: the age of a gateway's copy counted only for unknown routes and keys; a known route or key was served however old the copy was. Change: the copy has a lease of state_apply_ms + state_skew_ms, which the settings take from the bounds of the platform (7 s there). After it, the gateway answers 503 as not run, is not ready and leaves the directory, until a sync succeeds. A first state counts as confirmed before waiting requests are woken. Weighed: the apply bound alone (2 s) would refuse all requests in each election, which takes 2.3 s; pushing versions to gateways would still leave those that cannot be reached. The lease costs callers the service of gateways that reach no majority for more than 7 s; before, those used withdrawn keys and old routes without limit. Why it works: whatever delays the syncs, no request is decided by a copy that was last the newest longer ago than the bound with failing hosts.

--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -120,7 +120,7 @@
     def is_serving(self) -> bool:
         """Return whether the directory may direct callers to this host."""
         return (
-            self._state.is_known
+            self._state.is_usable
             and self._active_requests.phase is Phase.SERVING
         )
 
@@ -151,7 +151,7 @@
 
     def _apply(self, reply: SyncReply, requested_at: float) -> None:
         if reply.document is not None:
-            self._configure(self._state.adopt(reply.document))
+            self._configure(self._state.adopt(reply.document, requested_at))
         self._state.confirm(requested_at)
         self._endpoints.apply_reply(
             _parse_instances(reply), reply.list_mark, requested_at
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -75,7 +75,9 @@
         self._dispatcher = Dispatcher(
             Placement(cfg.host.zone, cfg.host.name),
         )
-        self._state = StateCopy(adapter.document_format())
+        self._state = StateCopy(
+            adapter.document_format(), cfg.bounds.state_lease_s
+        )
         self._watcher = CallerWatcher()
         self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
         self._build_sender()
--- a/src/apricotcart/gateway/state.py
+++ b/src/apricotcart/gateway/state.py
@@ -39,12 +39,23 @@
     ----------
     document_format : DocumentFormat
         Decodes the documents of operators.
+    lease_s : float
+        Time in seconds for which the copy may be used after it was last
+        confirmed as the newest state.
     """
 
-    __slots__ = ('_confirmed_at', '_format', '_known', '_rng', '_table')
+    __slots__ = (
+        '_confirmed_at',
+        '_format',
+        '_known',
+        '_lease_s',
+        '_rng',
+        '_table',
+    )
 
-    def __init__(self, document_format: DocumentFormat) -> None:
+    def __init__(self, document_format: DocumentFormat, lease_s: float) -> None:
         self._format = document_format
+        self._lease_s = lease_s
         self._rng = random.Random()
         self._known = threading.Event()
         self._table: RoutingTable | None = None
@@ -58,7 +69,12 @@
     @property
     def is_known(self) -> bool:
         """Whether a state is known."""
-        return self._table is not None
+        return self._known.is_set()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a state is known that was confirmed recently enough."""
+        return self._table is not None and self.age_s() <= self._lease_s
 
     def wait_until_known(self, remaining_s: float) -> None:
         """Wait for the first state, for a limited time.
@@ -71,7 +87,7 @@
         remaining_s : float
             Timeout of the caller in seconds.
         """
-        if self._table is None:
+        if not self._known.is_set():
             self._known.wait(min(remaining_s * _WAIT_RATIO, _WAIT_MAX_S))
 
     def table(self) -> RoutingTable:
@@ -81,26 +97,47 @@
         ------
         NoDesiredStateError
             If no state is known yet.
+        NotReadyError
+            If the copy was not confirmed for too long.
         """
         if self._table is None:
             raise NoDesiredStateError(
                 'no desired state is known yet',
                 retry_after_s=_RETRY_AFTER_S,
             )
+        if self.age_s() > self._lease_s:
+            raise NotReadyError(
+                'no control host has confirmed the copy of the desired state '
+                f'for more than {self._lease_s} s',
+                retry_after_s=_RETRY_AFTER_S,
+            )
         return self._table
 
-    def adopt(self, document: bytes) -> RoutingTable | None:
-        """Apply a document; return None if it is not newer than the copy."""
+    def adopt(
+        self, document: bytes, confirmed_at: float
+    ) -> RoutingTable | None:
+        """Apply a document; return None if it is not newer than the copy.
+
+        Parameters
+        ----------
+        document : bytes
+            Document of an operator.
+        confirmed_at : float
+            When it was the newest one, in seconds.
+        """
         state = self._format.decode(document)
         if state.version <= self.version:
             return None
+        replaced_age_s = self.age_s() if self.is_known else None
         self._table = RoutingTable(state)
+        self._confirmed_at = confirmed_at
+        # Wakes waiting requests, which require a confirmed state.
         self._known.set()
         log_decision(
             STATE_IN_FORCE,
             version=state.version,
             routes=len(state.routes),
-            state_age_s=self.age_s() if self._confirmed_at else None,
+            state_age_s=replaced_age_s,
         )
         return self._table
 
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -20,6 +20,7 @@
 from apricotcart.settings.kinds import Number as NumberKind
 
 _SOCKET_ADDRESS_PATTERN: Final = re.compile(r'([0-9.]+):([0-9]+)')
+_MS_PER_S = 1000
 _MAX_BOUND: Final = 1_000_000
 # Each process needs a port for its peers and one for other processes.
 _MIN_LINK_PORTS: Final = 2
@@ -159,6 +160,8 @@
         'budget_extra',
         'budget_ratio',
         'fencing_lease_ms',
+        'state_apply_ms',
+        'state_skew_ms',
         'stop_s',
         'usage_late_s',
         'usage_window_s',
@@ -171,6 +174,8 @@
         Field('usage_window_s', NumberKind(0, _MAX_BOUND), '60'),
         Field('usage_late_s', NumberKind(0, _MAX_BOUND), '10'),
         Field('answer_ttl_max_s', NumberKind(0, _MAX_BOUND), '5'),
+        Field('state_apply_ms', NumberKind(0, _MAX_BOUND), '2000'),
+        Field('state_skew_ms', NumberKind(0, _MAX_BOUND), '5000'),
     )
 
     # Time in seconds from SIGTERM until the process is killed.
@@ -187,6 +192,15 @@
     usage_late_s: float
     # Maximum time in seconds for which callers may cache an answer.
     answer_ttl_max_s: float
+    # Time in milliseconds within which a change is in force on every host.
+    state_apply_ms: float
+    # Additional time in milliseconds while control hosts fail.
+    state_skew_ms: float
+
+    @property
+    def state_lease_s(self) -> float:
+        """Time in seconds for which an unconfirmed state may be used."""
+        return (self.state_apply_ms + self.state_skew_ms) / _MS_PER_S
 
 
 class FleetConfig:
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -111,6 +111,7 @@
         leader: Any = Leader(clock, reply)
         state: Any = SimpleNamespace(
             is_known=True,
+            is_usable=True,
             version=1,
             confirm=lambda asked_at: None,
         )
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from apricotcart.desired.records import CallerLimits, DesiredState
 from apricotcart.gateway import state as state_module
 from apricotcart.gateway.errors import NotReadyError
 from apricotcart.gateway.state import StateCopy
@@ -32,7 +33,7 @@
     clock = Clock()
     monkeypatch.setattr(state_module, 'boot_clock_s', clock.boot_clock_s)
     document_format: Any = SimpleNamespace()
-    copy = StateCopy(document_format)
+    copy = StateCopy(document_format, _OUTER_BOUND_S)
     route = object()
     table: Any = SimpleNamespace(
         state=SimpleNamespace(version=1),
@@ -45,3 +46,29 @@
     clock.now += 0.2
     with pytest.raises(NotReadyError):
         copy.route('h', '/a/')
+
+
+def test_first_state_is_usable_for_the_requests_that_wait_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A state that is known but not confirmed would refuse them."""
+    clock = Clock()
+    monkeypatch.setattr(state_module, 'boot_clock_s', clock.boot_clock_s)
+    state = DesiredState(
+        version=1,
+        routes=[],
+        services=[],
+        limits=CallerLimits(
+            header_bytes=1,
+            body_bytes=1,
+            header_timeout_s=1,
+            idle_timeout_s=1,
+        ),
+        customers=None,
+    )
+    document_format: Any = SimpleNamespace(decode=lambda document: state)
+    copy = StateCopy(document_format, _OUTER_BOUND_S)
+    assert not copy.is_usable
+    copy.adopt(b'', clock.now)
+    assert copy.is_usable
+    assert copy.table().state is state
