--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import pytest
@@ -12,7 +12,11 @@
 from apricotcart.desired.records import Customer, Route, RouteKind, Split
 from apricotcart.desired.urgency import Urgency
 from apricotcart.endpoints.instances import Instance
-from apricotcart.gateway.api import ForwardedRequest, RequestMetadata
+from apricotcart.gateway.api import (
+    ForwardedRequest,
+    PromptPart,
+    RequestMetadata,
+)
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.connections import ConnectionPool
 from apricotcart.gateway.dispatcher import TICK_INTERVAL_S, Dispatcher
@@ -70,6 +74,7 @@
         *,
         resumable: bool = False,
         wait_s: float = 2,
+        parts: Sequence[PromptPart] = (),
         **message: Any,
     ) -> Call:
         attempt_id = f'x{next(_ids)}'
@@ -82,7 +87,9 @@
         return Call(
             dispatcher=self.dispatcher,
             message=ForwardedRequest(**{**fields, **message}),
-            metadata=RequestMetadata(attempt_id=attempt_id, wait_s=wait_s),
+            metadata=RequestMetadata(
+                attempt_id=attempt_id, wait_s=wait_s, parts=parts
+            ),
             routing=RoutingDecision(
                 route=Route(
                     name='r',
