Quarantine parts of prompts that crash endpoints, on all gateways

Cause: no gateway connected the crashes by what the prompts have in common, and each request with the part was sent to a second engine. Change: PromptSuspects, a decision module, keeps crashes and successes by part. A crash counts against all parts but the last of requests that had sent no event yet, or their first within 0.5 s; a success clears its parts. A part with unrefuted crashes of three endpoints, 0.5 s apart or more, that no stronger part explains, is quarantined for 10 minutes. Gateways send what they know with each sync, the leader joins it, and every gateway keeps the evidence of quarantined parts. Requests with such a part get 503, not run, also after they were queued, and are not retried. Endpoints that drain, callers that leave and endpoints that end together are no evidence. Weighed: the fingerprint of the request (never comes twice here), key, route or first part (sound requests share them). Why it works: only the part itself has crashes without a success; evidence is joined within two syncs, 0.6 s.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -5,9 +5,13 @@
 import threading
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Any, Final
 
 from apricotcart.coordinator.messages import SyncRequest
+from apricotcart.endpoints.prompt_suspects import (
+    PromptSuspectReport,
+    merge_reports,
+)
 from apricotcart.membership.answers import ServingHost
 
 # A gateway without a sync for this long is no longer listed for callers. With a
@@ -17,6 +21,9 @@
 _LOAD_TTL_S: Final = 3.0
 # Time between two checks for such gateways.
 _EXPIRY_INTERVAL_S: Final = 0.2
+# Interval at which the evidence about prompts is merged; all syncs in between
+# get the same result.
+_MERGE_INTERVAL_S: Final = 0.1
 # Records are kept longer than the load, for the usage that they contain.
 _RECORD_TTL_S: Final = 60.0
 
@@ -49,13 +56,22 @@
     with the number of endpoints, not with the number of gateways.
     """
 
-    __slots__ = ('_lock', '_records', '_last_expiry_at', '_totals')
+    __slots__ = (
+        '_lock',
+        '_records',
+        '_last_expiry_at',
+        '_suspects',
+        '_suspects_merged_at',
+        '_totals',
+    )
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._records: dict[str, GatewayRecord] = {}
         self._totals: dict[str, list[int]] = {}
         self._last_expiry_at: float = 0
+        self._suspects: list[dict[str, Any]] = []
+        self._suspects_merged_at: float = 0
 
     def on_sync(self, sync: SyncRequest, now: float) -> None:
         """Update the record and the totals from a sync."""
@@ -108,6 +124,25 @@
                 totals[customer] += count
         return dict(totals)
 
+    def prompt_suspects(self, now: float) -> list[dict[str, Any]]:
+        """Return what all gateways know about prompt parts, in wire form.
+
+        The reports of gateways that have stopped count too.
+        """
+        if now >= self._suspects_merged_at + _MERGE_INTERVAL_S:
+            self._suspects_merged_at = now
+            self._suspects = self._merged_suspects(now)
+        return self._suspects
+
+    def _merged_suspects(self, now: float) -> list[dict[str, Any]]:
+        with self._lock:
+            records = list(self._records.values())
+        return merge_reports(
+            (PromptSuspectReport.from_wire(report), now - record.received_at)
+            for record in records
+            for report in record.last_sync.suspects
+        )
+
     def _add_load(self, record: GatewayRecord) -> None:
         record.is_counted = True
         for name, figures in record.last_sync.loads.items():
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -43,6 +43,8 @@
         The same figures of queued requests, by service.
     usage : dict
         Number of requests started, by window and customer.
+    suspects : list
+        Prompt parts that may crash endpoints, as known to the gateway.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         'list_mark',
         'loads',
         'place',
+        'suspects',
         'usage',
         'version',
         'waiting',
@@ -71,6 +74,7 @@
         loads: Mapping[str, Sequence[int]],
         waiting: Mapping[str, Sequence[int]],
         usage: Mapping[int, Mapping[str, int]],
+        suspects: Sequence[Mapping[str, Any]] = (),
     ) -> None:
         self.host = host
         self.incarnation = incarnation
@@ -82,6 +86,7 @@
         self.loads = loads
         self.waiting = waiting
         self.usage = usage
+        self.suspects = suspects
 
 
 class SyncReply(Record):
@@ -103,6 +108,8 @@
         Identities of the control hosts in the replicated log.
     unix_s : float
         Unix time of the leader in seconds.
+    suspects : list
+        Prompt parts that may crash endpoints, as known to all gateways.
     """
 
     __slots__ = (
@@ -112,6 +119,7 @@
         'list_mark',
         'loads',
         'members',
+        'suspects',
         'unix_s',
     )
 
@@ -125,6 +133,7 @@
         hosts: int,
         members: Sequence[str],
         unix_s: float,
+        suspects: Sequence[Mapping[str, Any]] = (),
     ) -> None:
         self.document = document
         self.list_mark = list_mark
@@ -133,3 +142,4 @@
         self.hosts = hosts
         self.members = members
         self.unix_s = unix_s
+        self.suspects = suspects
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -237,6 +237,7 @@
             hosts=len(self._gateways.serving(now)),
             members=self._members(),
             unix_s=self._clock.now_s(),
+            suspects=self._gateways.prompt_suspects(now),
         )
         return {'ok': True, 'sync': reply.to_wire()}
 
--- /dev/null
+++ b/src/apricotcart/endpoints/prompt_suspects.py
@@ -0,0 +1,272 @@
+"""Finds the part of a prompt that crashes endpoints, over all hosts.
+
+An engine runs many requests at a time, so that a crash casts suspicion on the
+parts of all requests that had just begun or were about to begin. Sound parts
+are cleared when a request with them is answered; what remains after crashes of
+several endpoints is quarantined.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+from typing import Any, Final
+
+from apricotcart.codec.record import Record
+
+# Endpoints that must have crashed before a part is quarantined.
+CRASHES_TO_QUARANTINE: Final = 3
+# Crashes closer together than this count as one, since a fault of the machines
+# ends several endpoints at a time.
+MIN_CRASH_SPACING_S: Final = 0.5
+# Time for which a crash counts against a part that is not quarantined.
+SUSPICION_TTL_S: Final = 60.0
+# Time for which it counts against one that is; the quarantine ends with it.
+QUARANTINE_TTL_S: Final = 600.0
+# Bounds on the parts that a host reports, and on those it has seen succeed.
+MAX_SUSPECTS: Final = 64
+MAX_CLEARED: Final = 4096
+# Endpoints that are kept for each part.
+_MAX_ENDPOINTS: Final = 8
+
+# Times of crashes in seconds, by endpoint.
+Crashes = dict[str, float]
+
+
+class PromptSuspectReport(Record):
+    """What a host, or all hosts together, know about one part.
+
+    Attributes
+    ----------
+    part_id : str
+        Id of the part.
+    crashes : dict of str to float
+        Age of each crash in seconds, by endpoint.
+    success_age_s : float or None
+        Age of the last success with the part in seconds; None without one.
+    """
+
+    __slots__ = ('crashes', 'part_id', 'success_age_s')
+
+    def __init__(
+        self,
+        *,
+        part_id: str,
+        crashes: Mapping[str, float],
+        success_age_s: float | None,
+    ) -> None:
+        self.part_id = part_id
+        self.crashes = dict(crashes)
+        self.success_age_s = success_age_s
+
+
+class PromptSuspects:
+    """Crashes and successes by prompt part, of this host and of others."""
+
+    __slots__ = (
+        '_crashes',
+        '_quarantined',
+        '_remote',
+        '_reported',
+        '_succeeded_at',
+    )
+
+    def __init__(self) -> None:
+        self._crashes: OrderedDict[str, Crashes] = OrderedDict()
+        self._remote: dict[str, Crashes] = {}
+        # Parts that other hosts suspect, those refuted here included.
+        self._reported: tuple[str, ...] = ()
+        self._succeeded_at: OrderedDict[str, float] = OrderedDict()
+        self._quarantined: frozenset[str] = frozenset()
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """Parts that no request may have."""
+        return self._quarantined
+
+    def endpoints_of(self, part_id: str) -> list[str]:
+        """Return the endpoints whose crashes count against a part."""
+        return sorted(self._evidence().get(part_id, ()))
+
+    def on_crash(
+        self, now: float, endpoint: str, part_ids: Iterable[str]
+    ) -> None:
+        """Record that an endpoint crashed as a request began to run there."""
+        for part_id in part_ids:
+            _add_crash(self._crashes, part_id, endpoint, now)
+        self._update(now)
+
+    def on_success(self, now: float, part_ids: Iterable[str]) -> None:
+        """Record that an endpoint survived a request with these parts."""
+        was_suspect = False
+        for part_id in part_ids:
+            was_suspect |= part_id in self._crashes or part_id in self._remote
+            self._record_success(part_id, now)
+        if was_suspect:
+            self._update(now)
+
+    def reports(self, now: float) -> list[PromptSuspectReport]:
+        """Return what this host knows, for its next sync."""
+        part_ids = dict.fromkeys((*self._crashes, *self._reported))
+        reports = (self._report(now, part_id) for part_id in part_ids)
+        return [
+            report
+            for report in reports
+            if report.crashes or report.success_age_s is not None
+        ]
+
+    def merge(self, now: float, reports: Iterable[PromptSuspectReport]) -> None:
+        """Replace what the other hosts know by the reports of a sync reply."""
+        self._remote = {}
+        for report in reports:
+            if report.success_age_s is not None:
+                self._record_success(report.part_id, now - report.success_age_s)
+            self._remote[report.part_id] = {
+                endpoint: now - age_s
+                for endpoint, age_s in report.crashes.items()
+            }
+        self._reported = tuple(self._remote)
+        self._update(now)
+        self._adopt(now)
+
+    def _report(self, now: float, part_id: str) -> PromptSuspectReport:
+        succeeded_at = self._succeeded_at.get(part_id)
+        return PromptSuspectReport(
+            part_id=part_id,
+            crashes={
+                endpoint: now - crashed_at
+                for endpoint, crashed_at in self._crashes.get(
+                    part_id, {}
+                ).items()
+            },
+            success_age_s=None if succeeded_at is None else now - succeeded_at,
+        )
+
+    def _record_success(self, part_id: str, at: float) -> None:
+        at = max(at, self._succeeded_at.pop(part_id, at))
+        self._succeeded_at[part_id] = at
+        while len(self._succeeded_at) > MAX_CLEARED:
+            self._succeeded_at.popitem(last=False)
+
+    def _update(self, now: float) -> None:
+        """Drop refuted and old evidence and find the quarantined parts."""
+        for table in (self._crashes, self._remote):
+            for part_id in list(table):
+                self._drop_refuted(table, part_id, now)
+        while len(self._crashes) > MAX_SUSPECTS:
+            self._crashes.popitem(last=False)
+        self._quarantined = find_culprits(self._evidence())
+
+    def _drop_refuted(
+        self, table: dict[str, Crashes], part_id: str, now: float
+    ) -> None:
+        is_quarantined = part_id in self._quarantined
+        ttl_s = QUARANTINE_TTL_S if is_quarantined else SUSPICION_TTL_S
+        refuted_until = max(self._succeeded_at.get(part_id, 0), now - ttl_s)
+        crashes = {
+            endpoint: crashed_at
+            for endpoint, crashed_at in table[part_id].items()
+            if crashed_at > refuted_until
+        }
+        if crashes:
+            table[part_id] = crashes
+        else:
+            table.pop(part_id)
+
+    def _evidence(self) -> dict[str, Crashes]:
+        evidence = {
+            part_id: dict(crashes) for part_id, crashes in self._remote.items()
+        }
+        for part_id, crashes in self._crashes.items():
+            for endpoint, crashed_at in crashes.items():
+                _add_crash(evidence, part_id, endpoint, crashed_at)
+        return evidence
+
+    def _adopt(self, now: float) -> None:
+        """Keep the evidence of quarantined parts if other hosts stop.
+
+        The age excludes delays of messages, so that hosts would renew each
+        other's evidence for ever if they adopted it up to its end.
+        """
+        for part_id in self._quarantined:
+            for endpoint, crashed_at in self._remote.get(part_id, {}).items():
+                if crashed_at > now - QUARANTINE_TTL_S / 2:
+                    _add_crash(self._crashes, part_id, endpoint, crashed_at)
+
+
+def find_culprits(evidence: Mapping[str, Crashes]) -> frozenset[str]:
+    """Return the parts that crashes of enough endpoints point to.
+
+    A crash that is explained by a part with more crashes does not count for
+    the parts that only shared its batch.
+    """
+    culprits: set[str] = set()
+    explained: set[str] = set()
+    for part_id in _strongest_first(evidence):
+        crashes = evidence[part_id]
+        unexplained = set(crashes) - explained
+        times = [crashes[endpoint] for endpoint in unexplained]
+        if _count_spaced(times) >= CRASHES_TO_QUARANTINE:
+            culprits.add(part_id)
+            explained.update(crashes)
+    return frozenset(culprits)
+
+
+def merge_reports(
+    reports: Iterable[tuple[PromptSuspectReport, float]],
+) -> list[dict[str, Any]]:
+    """Merge the reports of all hosts, and return them in wire form.
+
+    Parameters
+    ----------
+    reports : iterable of (PromptSuspectReport, float)
+        Reports, and the time in seconds since each was received.
+    """
+    crashes: dict[str, Crashes] = {}
+    success_ages_s: dict[str, float] = {}
+    for report, delay_s in reports:
+        for endpoint, age_s in report.crashes.items():
+            _add_crash(crashes, report.part_id, endpoint, -age_s - delay_s)
+        if report.success_age_s is not None:
+            _keep_min(
+                success_ages_s, report.part_id, report.success_age_s + delay_s
+            )
+    return [
+        PromptSuspectReport(
+            part_id=part_id,
+            crashes={name: -at for name, at in crashes[part_id].items()},
+            success_age_s=success_ages_s.get(part_id),
+        ).to_wire()
+        for part_id in _strongest_first(crashes)[:MAX_SUSPECTS]
+    ]
+
+
+def _strongest_first(evidence: Mapping[str, Crashes]) -> list[str]:
+    return sorted(
+        evidence,
+        key=lambda part_id: len(evidence[part_id]),
+        reverse=True,
+    )
+
+
+def _keep_min(table: dict[str, float], key: str, number: float) -> None:
+    table[key] = min(number, table.get(key, number))
+
+
+def _add_crash(
+    table: dict[str, Crashes], part_id: str, endpoint: str, at: float
+) -> None:
+    """Add a crash; several hosts may report the same one."""
+    crashes = table.setdefault(part_id, {})
+    if endpoint in crashes or len(crashes) < _MAX_ENDPOINTS:
+        _keep_min(crashes, endpoint, at)
+
+
+def _count_spaced(times: Iterable[float]) -> int:
+    count = 0
+    counted_at: float | None = None
+    for at in sorted(times):
+        if counted_at is None or at >= counted_at + MIN_CRASH_SPACING_S:
+            counted_at = at
+            count += 1
+    return count
--- a/src/apricotcart/gateway/errors.py
+++ b/src/apricotcart/gateway/errors.py
@@ -18,6 +18,12 @@
     code = 'not_ready'
 
 
+class QuarantinedPromptError(NotRunError):
+    """A part of the prompt has crashed several endpoints."""
+
+    code = 'prompt_quarantined'
+
+
 class LeavingError(NotRunError):
     """This host is shutting down."""
 
--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -47,6 +47,10 @@
         Metadata from these headers.
     sent_at : float
         When the request was written, in seconds.
+    began_at : float
+        When the first event of the response arrived, in seconds; 0 before.
+    is_proven : bool
+        Whether the endpoint has survived the request.
     """
 
     __slots__ = (
@@ -55,7 +59,9 @@
         '_header_codec',
         '_pool',
         '_response',
+        'began_at',
         'headers',
+        'is_proven',
         'endpoint',
         'sent_at',
         'status',
@@ -75,6 +81,8 @@
         self._conn: EndpointConnection | None = None
         self.endpoint = endpoint
         self.sent_at: float = 0
+        self.began_at: float = 0
+        self.is_proven = False
         self.status = 0
         self.headers: list[tuple[str, str]] = []
 
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -24,6 +24,7 @@
 from apricotcart.gateway.dispatcher import Dispatcher
 from apricotcart.gateway.endpoint_state import LoadSummary
 from apricotcart.gateway.endpoint_updates import EndpointUpdater
+from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.usage import UsageCounter
@@ -66,6 +67,8 @@
         Clock that is set to the leader's time.
     active_requests : ActiveRequests
         Holds the shutdown phase of this host.
+    quarantine : PromptQuarantine
+        Shares its evidence with the other hosts.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         '_endpoints',
         '_incarnation',
         '_leader',
+        '_quarantine',
         '_retry_policy',
         '_active_requests',
         '_state',
@@ -93,6 +97,7 @@
         usage: UsageCounter,
         clock: SteadyUnixClock,
         active_requests: ActiveRequests,
+        quarantine: PromptQuarantine,
     ) -> None:
         self._cfg = cfg
         self._leader = leader
@@ -101,6 +106,7 @@
         self._endpoints = endpoints
         self._retry_policy = retry_policy
         self._usage = usage
+        self._quarantine = quarantine
         self._clock = clock
         self._active_requests = active_requests
         self._incarnation = uuid.uuid4().hex
@@ -147,6 +153,7 @@
             loads=_wire_loads(self._dispatcher.local_loads()),
             waiting=_wire_loads(self._dispatcher.queued_loads()),
             usage=self._usage.counts(),
+            suspects=self._quarantine.reports(),
         )
 
     def _apply(self, reply: SyncReply, requested_at: float) -> None:
@@ -161,6 +168,7 @@
         }
         self._dispatcher.update_remote_loads(loads, reply.hosts)
         self._retry_policy.set_host_count(reply.hosts)
+        self._quarantine.merge(reply.suspects)
         self._leader.replace_members(reply.members)
         if abs(self._clock.now_s() - reply.unix_s) > _CLOCK_TOLERANCE_S:
             self._clock.synchronize(reply.unix_s)
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -9,11 +9,13 @@
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.connections import ConnectionPool
 from apricotcart.gateway.dispatcher import Dispatcher
+from apricotcart.gateway.endpoint_state import EndpointState
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     SilentEndpointError,
 )
 from apricotcart.gateway.exchange import Exchange
+from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.request_queue import QueuedRequest, queue_timeout_s
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
@@ -43,6 +45,8 @@
         Decides about retries.
     usage : UsageCounter
         Counts the requests that endpoints may have run.
+    quarantine : PromptQuarantine
+        Holds back prompts that crash endpoints.
     """
 
     __slots__ = (
@@ -50,6 +54,7 @@
         '_usage',
         'header_codec',
         'dispatcher',
+        'quarantine',
         'retry_policy',
     )
 
@@ -61,12 +66,14 @@
         header_codec: HeaderCodec,
         retry_policy: RetryPolicy,
         usage: UsageCounter,
+        quarantine: PromptQuarantine,
     ) -> None:
         self.dispatcher = dispatcher
         self._pool = pool
         self.header_codec = header_codec
         self.retry_policy = retry_policy
         self._usage = usage
+        self.quarantine = quarantine
 
     def acquire(self, call: Call) -> Exchange:
         """Wait for an endpoint and return the exchange with it.
@@ -75,7 +82,10 @@
         ------
         BusyError, CallerLeftError
             If no endpoint was assigned.
+        QuarantinedPromptError, BrokenEndpointError
+            If the prompt is quarantined.
         """
+        self.quarantine.require_allowed(call)
         timeout_s = queue_timeout_s(
             call.route.target_s,
             call.remaining_s(),
@@ -90,6 +100,7 @@
         )
         queued_at = boot_clock_s()
         endpoint = self.dispatcher.acquire(request)
+        self._recheck_quarantine(call, endpoint)
         log_decision(
             REQUEST_SENT,
             request_id=call.metadata.attempt_id,
@@ -115,7 +126,9 @@
 
     def may_retry(self, call: Call) -> bool:
         """Return whether the request may be retried."""
-        return not call.is_caller_gone and self.retry_policy.may_retry(
+        if call.is_caller_gone or self.quarantine.holds(call):
+            return False
+        return self.retry_policy.may_retry(
             call.route,
             may_have_run=call.may_have_run,
             send_count=call.send_count,
@@ -145,6 +158,7 @@
     def complete(self, call: Call, exchange: Exchange) -> None:
         """Release the slot at the endpoint after a complete response."""
         exchange.finish()
+        self.quarantine.on_success(call, exchange)
         self.dispatcher.record_success(exchange.endpoint)
         self.dispatcher.release(call.request_id, exchange.endpoint)
 
@@ -156,6 +170,7 @@
     ) -> None:
         """Release the slot at the endpoint after a failure."""
         exchange.abandon()
+        self.quarantine.on_failure(call, exchange, exc)
         call.excluded_endpoints.add(exchange.endpoint.instance.instance_id)
         if isinstance(exc, ApricotcartError) and not call.is_caller_gone:
             self.dispatcher.record_failure(exchange.endpoint)
@@ -171,3 +186,11 @@
         if isinstance(exc, (BrokenEndpointError, SilentEndpointError)):
             self.record_run(call, exchange.sent_at)
         self.dispatcher.release(call.request_id, exchange.endpoint)
+
+    def _recheck_quarantine(self, call: Call, endpoint: EndpointState) -> None:
+        # The part may have been quarantined while the request was queued.
+        try:
+            self.quarantine.require_allowed(call)
+        except ApricotcartError:
+            self.dispatcher.release(call.request_id, endpoint)
+            raise
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -28,6 +28,7 @@
     GrowingThreadPool,
 )
 from apricotcart.gateway.placement import Placement
+from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -93,12 +94,14 @@
             bounds.budget_ratio, bounds.budget_extra
         )
         self._usage = UsageCounter(self._clock, bounds.usage_window_s)
+        self._quarantine = PromptQuarantine()
         self._sender = Sender(
             dispatcher=self._dispatcher,
             pool=self._pool,
             header_codec=self._adapter.header_codec(),
             retry_policy=self._retry_policy,
             usage=self._usage,
+            quarantine=self._quarantine,
         )
         self._endpoints = EndpointUpdater(
             self._adapter.platform_client(cfg.platform.address),
@@ -119,6 +122,7 @@
             usage=self._usage,
             clock=self._clock,
             active_requests=self._active_requests,
+            quarantine=self._quarantine,
         )
 
     def _start(self) -> None:
--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/streams.py
@@ -71,6 +71,7 @@
         self._max_event_gap_s: float = 0
         sender.dispatcher.mark_prefilled(call.request_id, exchange.endpoint)
         sender.record_run(call, boot_clock_s())
+        sender.quarantine.on_event(call, exchange)
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the events as they arrive; raise if the stream breaks."""
@@ -125,11 +126,16 @@
                     self._max_event_gap_s, now - self._last_event_at
                 )
                 self._last_event_at = now
+                self._record_event()
                 yield events
         partial = self._splitter.flush()
         if partial:
             yield partial
 
+    def _record_event(self) -> None:
+        if self._exchange is not None:
+            self._sender.quarantine.on_event(self._call, self._exchange)
+
     def _resume(self, exc: ApricotcartError) -> None:
         """Resume the stream at another endpoint.
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -111,6 +111,14 @@
     _REASON,
     'duration_s',
 )
+PROMPT_SUSPECTED: Final = Event(
+    'prompt_suspected',
+    'request_id',
+    'endpoint',
+    'parts',
+)
+PROMPT_QUARANTINED: Final = Event('prompt_quarantined', 'parts', 'endpoints')
+PROMPT_RELEASED: Final = Event('prompt_released', 'parts')
 CALLER_LEFT: Final = Event('caller_left', 'request_id', 'duration_s')
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -150,6 +158,9 @@
     REQUEST_REFUSED,
     STREAM_RESUMED,
     STREAM_BROKEN,
+    PROMPT_SUSPECTED,
+    PROMPT_QUARANTINED,
+    PROMPT_RELEASED,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -49,6 +49,7 @@
         'name',
         'op_id',
         'outcome',
+        'parts',
         'pause_s',
         'pool',
         'queue_wait_s',
--- /dev/null
+++ b/tests/endpoints/test_prompt_suspects.py
@@ -0,0 +1,121 @@
+"""Guards against prompts that crash endpoints, and against wrong blame."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from apricotcart.endpoints.prompt_suspects import (
+    CRASHES_TO_QUARANTINE,
+    MAX_SUSPECTS,
+    QUARANTINE_TTL_S,
+    SUSPICION_TTL_S,
+    PromptSuspectReport,
+    PromptSuspects,
+    merge_reports,
+)
+
+_BAD: Final = 'bad'
+_SYSTEM: Final = 'system'
+
+
+def _crash(
+    hosts: list[PromptSuspects], count: int, *part_ids: str, start: float = 100
+) -> float:
+    """Crash one endpoint a second, seen by one host after the other."""
+    for number in range(count):
+        host = hosts[number % len(hosts)]
+        host.on_crash(start + number, f'i-{start}-{number}', part_ids)
+    return start + count
+
+
+def _sync(now: float, hosts: list[PromptSuspects]) -> None:
+    merged = merge_reports(
+        (report, 0) for host in hosts for report in host.reports(now)
+    )
+    for host in hosts:
+        host.merge(now, map(PromptSuspectReport.from_wire, merged))
+
+
+def test_crashes_that_several_hosts_saw_are_joined() -> None:
+    """Each of them alone has too little evidence."""
+    hosts = [PromptSuspects() for _ in range(3)]
+    now = _crash(hosts, CRASHES_TO_QUARANTINE, _SYSTEM, _BAD)
+    hosts[0].on_success(now, [_SYSTEM, 'other'])
+    _sync(now, hosts)
+    _sync(now, hosts)
+    assert all(host.quarantined == {_BAD} for host in hosts)
+
+
+def test_part_that_every_request_has_is_not_quarantined() -> None:
+    """Sound requests of the route share it and are answered."""
+    host = PromptSuspects()
+    now: float = 100
+    for number in range(10):
+        host.on_crash(now, f'i-{number}', [_SYSTEM, _BAD])
+        host.on_success(now + 0.1, [_SYSTEM, f'p{number}'])
+        now += 1
+    assert host.quarantined == {_BAD}
+
+
+def test_batch_mates_of_the_culprit_are_not_quarantined() -> None:
+    """A part that is rare was begun beside three crashes of another one."""
+    host = PromptSuspects()
+    _crash([host], CRASHES_TO_QUARANTINE + 1, _BAD)
+    for number in range(CRASHES_TO_QUARANTINE):
+        host.on_crash(100.1 + number, f'i-100-{number}', ['rare'])
+    assert host.quarantined == {_BAD}
+
+
+def test_endpoints_that_end_together_count_once() -> None:
+    """A zone that loses power ends many endpoints at a time."""
+    host = PromptSuspects()
+    for number in range(10):
+        host.on_crash(100 + number / 100, f'i-{number}', ['rare'])
+    assert not host.quarantined
+
+
+def test_quarantine_survives_the_host_that_saw_the_crashes() -> None:
+    """A gateway restarts, or the leader that joined the evidence is lost."""
+    first, second, third = (PromptSuspects() for _ in range(3))
+    now = _crash([first], CRASHES_TO_QUARANTINE, _BAD)
+    _sync(now, [first, second])
+    _sync(now + 1, [second, third])
+    assert third.quarantined == {_BAD}
+
+
+def test_success_on_one_host_releases_the_part_on_all() -> None:
+    """A part that is blamed wrongly is released."""
+    hosts = [PromptSuspects() for _ in range(3)]
+    now = _crash(hosts, CRASHES_TO_QUARANTINE, _BAD)
+    _sync(now, hosts)
+    hosts[1].on_success(now + 1, [_BAD])
+    _sync(now + 1, hosts)
+    assert not any(host.quarantined for host in hosts)
+    _sync(now + 2, hosts)
+    assert not any(host.reports(now + 2) for host in hosts)
+
+
+def test_quarantine_and_suspicion_end_with_time() -> None:
+    """Hosts must not renew each other's evidence."""
+    hosts = [PromptSuspects() for _ in range(2)]
+    now = _crash(hosts, CRASHES_TO_QUARANTINE, _BAD)
+    hosts[0].on_crash(now, 'i-x', ['rare'])
+    _sync(now, hosts)
+    later = now
+    while later < now + SUSPICION_TTL_S + 5:
+        later += 1
+        _sync(later, hosts)
+    assert all(host.quarantined == {_BAD} for host in hosts)
+    assert [report.part_id for report in hosts[0].reports(later)] == [_BAD]
+    while later < now + QUARANTINE_TTL_S + 5:
+        later += 1
+        _sync(later, hosts)
+    assert not any(host.quarantined for host in hosts)
+
+
+def test_reports_are_bounded() -> None:
+    """Many crashes must not make syncs large."""
+    host = PromptSuspects()
+    for number in range(10 * MAX_SUSPECTS):
+        host.on_crash(100 + number / 1000, 'i', [f'p{number}'])
+    assert len(host.reports(102)) <= MAX_SUSPECTS
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -22,6 +22,7 @@
 from apricotcart.gateway.dispatcher import TICK_INTERVAL_S, Dispatcher
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.placement import Placement
+from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.sender import Sender
@@ -47,6 +48,7 @@
             header_codec=PlatformHeaderCodec(),
             retry_policy=RetryPolicy(1, 100),
             usage=self.usage,
+            quarantine=PromptQuarantine(),
         )
         self.forwarder = Forwarder(self.sender)
 
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -19,6 +19,7 @@
 from apricotcart.gateway.endpoint_updates import EndpointUpdater
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.placement import Placement
+from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.provisioning.fleet_api import PlatformUnavailableError
@@ -127,6 +128,7 @@
             usage=UsageCounter(true_clock, 5),
             clock=true_clock,
             active_requests=ActiveRequests(),
+            quarantine=PromptQuarantine(),
         )
 
 
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import socket
 import time
-from itertools import repeat
+from itertools import count, repeat
 from typing import Final
 
 from gateway.conftest import Bench
@@ -30,7 +29,7 @@
 _CRASHES: Final = 5
 _LATE_REQUESTS: Final = 3
 _BAD: Final = 'bad'
-_numbers = itertools.count()
+_numbers = count()
 
 
 def _serve_or_crash(conn: socket.socket, request: ReceivedRequest) -> bool:
