Treat a stream that ends within an event as broken off

Cause: the rest of an event at the end of the connection was forwarded, and the stream counted as complete. Change: such a stream is broken: it is resumed where the route allows it, or ends in an error. Why it works: an event ends with an empty line; without one it is cut. Test: test_stream_that_ends_inside_an_event_is_not_complete failed before; a stream that ends after an event without length stays complete.

--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/streams.py
@@ -112,10 +112,7 @@
             events = self._splitter.feed(chunk)
             if events:
                 return events
-        partial = self._splitter.flush()
-        if not partial:
-            raise BrokenEndpointError('the stream ended without an event')
-        return partial
+        raise BrokenEndpointError('the stream ended without an event')
 
     def _complete_events(self) -> Iterator[bytes]:
         for chunk in self._source:
@@ -128,9 +125,8 @@
                 self._last_event_at = now
                 self._record_event()
                 yield events
-        partial = self._splitter.flush()
-        if partial:
-            yield partial
+        if self._splitter.has_partial:
+            raise BrokenEndpointError('the stream ended within an event')
 
     def _record_event(self) -> None:
         if self._exchange is not None:
