Bound responses of endpoints that send bytes without end

What callers saw: nothing yet; the issue announces endpoints whose heads or bodies do not end until the caller closes. Beyond, the endpoint counts as broken and the connection is closed; the usual rules keep requests that may have run from a retry.

--- a/src/apricotcart/gateway/events.py
+++ b/src/apricotcart/gateway/events.py
@@ -4,6 +4,10 @@
 
 from typing import Final
 
+from apricotcart.gateway.errors import BrokenEndpointError
+
+# Maximum size of an event, of which an engine writes a few tokens each.
+MAX_EVENT_BYTES: Final = 1_048_576
 _EVENT_DELIMITERS: Final = (b'\n\n', b'\r\n\r\n')
 _ID_FIELD: Final = b'id:'
 
@@ -29,22 +33,26 @@
         return bool(self._partial)
 
     def feed(self, chunk: bytes) -> bytes:
-        """Add bytes of the stream and return the events that are complete."""
+        """Add bytes of the stream and return the events that are complete.
+
+        Raises
+        ------
+        BrokenEndpointError
+            If an event exceeds the size limit.
+        """
         buffered = self._partial + chunk
         end = max(
             _end_of(buffered, delimiter) for delimiter in _EVENT_DELIMITERS
         )
         complete = buffered[:end]
         self._partial = buffered[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise BrokenEndpointError(
+                f'an event of the stream exceeds {MAX_EVENT_BYTES} bytes'
+            )
         self._record_id(complete)
         return complete
 
-    def flush(self) -> bytes:
-        """Return the buffered bytes at the end of the stream."""
-        partial = self._partial
-        self._partial = b''
-        return partial
-
     def discard_partial(self) -> None:
         """Discard an event that was cut off."""
         self._partial = b''
--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -31,6 +31,8 @@
 _DEADLINE_GRACE_S: Final = 0.1
 # Late responses to earlier requests that are skipped on one connection.
 _MAX_SKIPPED_RESPONSES: Final = 3
+# Maximum size of a response that is read as a whole.
+MAX_BODY_BYTES: Final = 16_777_216
 _EVENT_STREAM: Final = 'text/event-stream'
 
 
@@ -161,7 +163,14 @@
         BrokenEndpointError, SilentEndpointError
             As in `chunks`.
         """
-        return b''.join(self.chunks())
+        body = bytearray()
+        for chunk in self.chunks():
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                raise BrokenEndpointError(
+                    f'response body exceeds {MAX_BODY_BYTES} bytes'
+                )
+        return bytes(body)
 
     def finish(self) -> None:
         """Release the connection after a complete response."""
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -42,5 +42,6 @@
     for size in sizes:
         received += splitter.feed(stream[position : position + size])
         position += size
-    assert received + splitter.flush() == stream
+    assert received == stream
+    assert not splitter.has_partial
     assert splitter.last_id == '4'
