Name the address of a host and the level of a request as what they are

Cause: place stood for the address of a host and for the number of more urgent levels, and is_tight needed an explanation. Change: ServingHost.address, SyncRequest.address, Urgency.levels_above and is_latency_critical, over all uses. No behaviour changes; the sync's field is written and read under the new name by both programs of one version.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -85,7 +85,7 @@
         """Return the hosts that callers may be sent to."""
         return [
             ServingHost(
-                place=record.last_sync.place, zone=record.last_sync.zone
+                address=record.last_sync.address, zone=record.last_sync.zone
             )
             for record in self._recent(now, _SERVING_TIMEOUT_S)
             if record.last_sync.is_serving
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -27,7 +27,7 @@
         Name of the host.
     incarnation : str
         Identifies one start of the process.
-    place : str
+    address : str
         Address for callers, as ``IP:PORT``.
     zone : str
         Availability zone.
@@ -53,7 +53,7 @@
         'is_serving',
         'list_mark',
         'loads',
-        'place',
+        'address',
         'suspects',
         'usage',
         'version',
@@ -66,7 +66,7 @@
         *,
         host: str,
         incarnation: str,
-        place: str,
+        address: str,
         zone: str,
         is_serving: bool,
         version: int,
@@ -78,7 +78,7 @@
     ) -> None:
         self.host = host
         self.incarnation = incarnation
-        self.place = place
+        self.address = address
         self.zone = zone
         self.is_serving = is_serving
         self.version = version
--- a/src/apricotcart/desired/urgency.py
+++ b/src/apricotcart/desired/urgency.py
@@ -15,21 +15,23 @@
 
     Attributes
     ----------
-    place : int
+    levels_above : int
         Number of more urgent levels.
     level : int
         Number of less urgent levels.
-    is_tight : bool
+    is_latency_critical : bool
         Whether its stream has the lowest inter-token latency target of the
         service, where targets differ.
     """
 
-    __slots__ = ('is_tight', 'level', 'place')
+    __slots__ = ('is_latency_critical', 'level', 'levels_above')
 
-    def __init__(self, *, place: int, level: int, is_tight: bool) -> None:
-        self.place = place
+    def __init__(
+        self, *, levels_above: int, level: int, is_latency_critical: bool
+    ) -> None:
+        self.levels_above = levels_above
         self.level = level
-        self.is_tight = is_tight
+        self.is_latency_critical = is_latency_critical
 
 
 class UrgencyTable:
@@ -69,9 +71,9 @@
         ranks = self._ranks.get(service, [])
         own = _rank_of(route, customer)
         return Urgency(
-            place=sum(rank < own for rank in ranks),
+            levels_above=sum(rank < own for rank in ranks),
             level=sum(rank > own for rank in ranks),
-            is_tight=self._is_tight(route, service),
+            is_latency_critical=self._is_tight(route, service),
         )
 
     def _is_tight(self, route: Route, service: str) -> bool:
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -124,7 +124,7 @@
             prompt_tokens=metadata.prompt_tokens,
             output_tokens=output_tokens,
             parts=metadata.parts,
-            is_tight=self.urgency.is_tight,
+            is_latency_critical=self.urgency.is_latency_critical,
             level=self.urgency.level,
         )
 
--- a/src/apricotcart/gateway/endpoint_state.py
+++ b/src/apricotcart/gateway/endpoint_state.py
@@ -52,7 +52,7 @@
         Size of the prompt, and the expected size of the output.
     parts : sequence of PromptPart
         Parts of the prompt in order; all but the last may be shared.
-    is_tight : bool
+    is_latency_critical : bool
         Whether the request has the lowest inter-token latency target of
         the service.
     level : int
@@ -60,7 +60,7 @@
     """
 
     __slots__ = (
-        'is_tight',
+        'is_latency_critical',
         'level',
         'output_tokens',
         'parts',
@@ -75,12 +75,12 @@
         prompt_tokens: int = 0,
         output_tokens: int = 0,
         parts: Sequence[PromptPart] = (),
-        is_tight: bool = False,
+        is_latency_critical: bool = False,
         level: int = 0,
     ) -> None:
         self.service = service
         self.level = min(level, _MAX_LEVEL)
-        self.is_tight = is_tight
+        self.is_latency_critical = is_latency_critical
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.parts = parts
--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -222,7 +222,7 @@
                 endpoint_id=self.endpoint.instance.instance_id,
                 wait_s=remaining_s,
                 customer=call.customer_name,
-                urgency=call.urgency.place,
+                urgency=call.urgency.levels_above,
                 last_event_id=last_event_id,
                 cache_source=self.endpoint.cache_source_of(call.request_id),
             ),
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -145,7 +145,7 @@
         return SyncRequest(
             host=self._cfg.host.name,
             incarnation=self._incarnation,
-            place=str(self._cfg.listen.callers),
+            address=str(self._cfg.listen.callers),
             zone=self._cfg.host.zone,
             is_serving=self.is_serving(),
             version=self._state.version,
--- a/src/apricotcart/gateway/placement.py
+++ b/src/apricotcart/gateway/placement.py
@@ -37,7 +37,7 @@
 ZONE_COST_TOKENS: Final = 500
 # Ratio of the engines of a service that are reserved for the streams with the
 # lowest inter-token latency target.
-_TIGHT_ENGINE_RATIO: Final = 0.25
+_LATENCY_CRITICAL_ENGINE_RATIO: Final = 0.25
 # Weight of prefilling a shared prefix again. It costs more than its time, since
 # it evicts other prefixes: a request is queued behind up to this many times its
 # shared tokens instead.
@@ -177,7 +177,7 @@
                 or self._has_slot_grant(endpoint, requirements)
             )
         ]
-        if not candidates and requirements.is_tight:
+        if not candidates and requirements.is_latency_critical:
             candidates = [
                 endpoint
                 for endpoint in self._endpoints.values()
@@ -252,11 +252,13 @@
         if requirements.service not in self._engines or len(endpoints) < 2:
             return endpoints
         endpoints.sort(key=lambda endpoint: endpoint.hash_order)
-        tight_count = max(1, round(len(endpoints) * _TIGHT_ENGINE_RATIO))
+        critical_count = max(
+            1, round(len(endpoints) * _LATENCY_CRITICAL_ENGINE_RATIO)
+        )
         return (
-            endpoints[:tight_count]
-            if requirements.is_tight
-            else endpoints[tight_count:]
+            endpoints[:critical_count]
+            if requirements.is_latency_critical
+            else endpoints[critical_count:]
         )
 
     def _has_slot_grant(
@@ -271,7 +273,7 @@
         target, which cannot wait for a grant.
         """
         engine = self._engines.get(requirements.service)
-        if engine is None or requirements.is_tight:
+        if engine is None or requirements.is_latency_critical:
             return True
         if requirements.level and requirements.is_short:
             return True
--- a/src/apricotcart/gateway/request_queue.py
+++ b/src/apricotcart/gateway/request_queue.py
@@ -137,7 +137,7 @@
         requirements = request.requirements
         group = (
             requirements.service,
-            requirements.is_tight,
+            requirements.is_latency_critical,
             requirements.is_short,
         )
         endpoint = None
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -94,7 +94,7 @@
         request = QueuedRequest(
             request_id=call.request_id,
             requirements=call.requirements(),
-            rank=(call.urgency.place, call.started_at),
+            rank=(call.urgency.levels_above, call.started_at),
             refuse_at=boot_clock_s() + timeout_s,
             excluded=call.excluded_endpoints,
         )
@@ -116,7 +116,7 @@
             running_elsewhere=endpoint.remote_load.requests,
             unread_tokens=endpoint.prefill_tokens,
             load_age_s=self.dispatcher.load_age_s(),
-            levels_above=call.urgency.place,
+            levels_above=call.urgency.levels_above,
             levels_below=call.urgency.level,
             copied_from=endpoint.cache_source_of(call.request_id),
             version=call.routing.version,
--- a/src/apricotcart/membership/answers.py
+++ b/src/apricotcart/membership/answers.py
@@ -18,16 +18,16 @@
 
     Attributes
     ----------
-    place : str
+    address : str
         Address as ``IP:PORT``.
     zone : str
         Availability zone.
     """
 
-    __slots__ = ('place', 'zone')
+    __slots__ = ('address', 'zone')
 
-    def __init__(self, *, place: str, zone: str) -> None:
-        self.place = place
+    def __init__(self, *, address: str, zone: str) -> None:
+        self.address = address
         self.zone = zone
 
 
@@ -72,5 +72,5 @@
         with self._lock:
             hosts = self._hosts
         ordered = sorted(hosts, key=lambda host: host.zone != zone)
-        addresses = [host.place for host in ordered[:limit]]
+        addresses = [host.address for host in ordered[:limit]]
         return ServingHostAnswer(addresses=addresses, ttl_s=self._ttl_s)
--- a/tests/coordinator/test_hosts.py
+++ b/tests/coordinator/test_hosts.py
@@ -13,7 +13,7 @@
     base: dict[str, Any] = {
         'host': name,
         'incarnation': name,
-        'place': f'{name}:80',
+        'address': f'{name}:80',
         'zone': 'a',
         'is_serving': True,
         'version': 1,
@@ -36,7 +36,7 @@
 
 
 def _serving(table: GatewayTable, now: float) -> list[str]:
-    return [host.place for host in table.serving(now)]
+    return [host.address for host in table.serving(now)]
 
 
 def test_host_without_syncs_is_not_listed() -> None:
--- a/tests/desired/test_urgency.py
+++ b/tests/desired/test_urgency.py
@@ -64,7 +64,7 @@
     urgencies: list[Urgency] = [
         table.urgency(route, customer, 'lm') for route in (_CHAT, _SHORT, _LONG)
     ]
-    return [urgency.place for urgency in urgencies]
+    return [urgency.levels_above for urgency in urgencies]
 
 
 def test_routes_of_one_customer_keep_their_order() -> None:
@@ -82,7 +82,7 @@
     table = _table(_CHAT, _SHORT, _LONG, customers=[_GUILD, _COURT])
     court = table.urgency(_LONG, _COURT, 'lm')
     guild = table.urgency(_CHAT, _GUILD, 'lm')
-    assert court.place < guild.place
+    assert court.levels_above < guild.levels_above
     assert court.level > guild.level
 
 
@@ -101,6 +101,6 @@
 
 def test_lowest_latency_target_is_tight_only_if_targets_differ() -> None:
     both = _table(_CHAT, _LONG)
-    assert both.urgency(_CHAT, None, 'lm').is_tight
-    assert not both.urgency(_LONG, None, 'lm').is_tight
-    assert not _table(_CHAT).urgency(_CHAT, None, 'lm').is_tight
+    assert both.urgency(_CHAT, None, 'lm').is_latency_critical
+    assert not both.urgency(_LONG, None, 'lm').is_latency_critical
+    assert not _table(_CHAT).urgency(_CHAT, None, 'lm').is_latency_critical
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -106,7 +106,9 @@
                 ),
                 customer=Customer(name='guild', keys=['k']),
                 service='app',
-                urgency=Urgency(place=0, level=0, is_tight=False),
+                urgency=Urgency(
+                    levels_above=0, level=0, is_latency_critical=False
+                ),
                 version=1,
                 state_age_s=0,
             ),
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -54,7 +54,7 @@
         prompt_tokens=800,
         output_tokens=300,
         level=2,
-        is_tight=True,
+        is_latency_critical=True,
     )
 
 
--- a/tests/gateway/test_request_queue.py
+++ b/tests/gateway/test_request_queue.py
@@ -125,7 +125,9 @@
     )
     queue = RequestQueue(placement)
     long_prompt = Requirements(service='lm', prompt_tokens=30_000)
-    chat = Requirements(service='lm', prompt_tokens=800, is_tight=True, level=2)
+    chat = Requirements(
+        service='lm', prompt_tokens=800, is_latency_critical=True, level=2
+    )
     for number in range(20):
         queue.add(
             QueuedRequest(
