Blame the most specific part of a prompt that has enough crashes

Cause: parts that always come together have the same crashes; among equals the first in the table was blamed, and the deeper one counted as explained. Evidence: all prompt_suspected lines name both parts; prompt_quarantined names the one before until a success with it, at 40.8 s, releases it. Change: reports carry the position of a part. The leader merges reports in a type of its own. Why it works: a part is shared by fewer requests than those before it. If an earlier part is the culprit, its successors differ and have too few crashes. Test: test_most_specific_of_several_parts_is_blamed failed before; test_part_that_crashes_with_different_successors_is_blamed guards the other direction and passed before.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -9,8 +9,8 @@
 
 from apricotcart.coordinator.messages import SyncRequest
 from apricotcart.endpoints.prompt_suspects import (
+    MergedReports,
     PromptSuspectReport,
-    merge_reports,
 )
 from apricotcart.membership.answers import ServingHost
 
@@ -137,11 +137,12 @@
     def _merged_suspects(self, now: float) -> list[dict[str, Any]]:
         with self._lock:
             records = list(self._records.values())
-        return merge_reports(
-            (PromptSuspectReport.from_wire(report), now - record.received_at)
-            for record in records
-            for report in record.last_sync.suspects
-        )
+        merged = MergedReports()
+        for record in records:
+            delay_s = now - record.received_at
+            for report in record.last_sync.suspects:
+                merged.add(PromptSuspectReport.from_wire(report), delay_s)
+        return [report.to_wire() for report in merged.strongest()]
 
     def _add_load(self, record: GatewayRecord) -> None:
         record.is_counted = True
--- a/src/apricotcart/endpoints/prompt_suspects.py
+++ b/src/apricotcart/endpoints/prompt_suspects.py
@@ -10,7 +10,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from typing import Any, Final
+from typing import Final
 
 from apricotcart.codec.record import Record
 
@@ -40,22 +40,26 @@
     ----------
     part_id : str
         Id of the part.
+    depth : int
+        Number of parts before it in the prompt.
     crashes : dict of str to float
         Age of each crash in seconds, by endpoint.
     success_age_s : float or None
         Age of the last success with the part in seconds; None without one.
     """
 
-    __slots__ = ('crashes', 'part_id', 'success_age_s')
+    __slots__ = ('crashes', 'depth', 'part_id', 'success_age_s')
 
     def __init__(
         self,
         *,
         part_id: str,
+        depth: int,
         crashes: Mapping[str, float],
         success_age_s: float | None,
     ) -> None:
         self.part_id = part_id
+        self.depth = depth
         self.crashes = dict(crashes)
         self.success_age_s = success_age_s
 
@@ -65,6 +69,7 @@
 
     __slots__ = (
         '_crashes',
+        '_depths',
         '_quarantined',
         '_remote',
         '_reported',
@@ -74,6 +79,7 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, Crashes] = OrderedDict()
         self._remote: dict[str, Crashes] = {}
+        self._depths: dict[str, int] = {}
         # Parts that other hosts suspect, those refuted here included.
         self._reported: tuple[str, ...] = ()
         self._succeeded_at: OrderedDict[str, float] = OrderedDict()
@@ -91,8 +97,19 @@
     def on_crash(
         self, now: float, endpoint: str, part_ids: Iterable[str]
     ) -> None:
-        """Record that an endpoint crashed as a request began to run there."""
-        for part_id in part_ids:
+        """Record that an endpoint crashed as a request began to run there.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        endpoint : str
+            Id of the endpoint.
+        part_ids : iterable of str
+            Parts of the prompt in order.
+        """
+        for depth, part_id in enumerate(part_ids):
+            self._depths[part_id] = depth
             _add_crash(self._crashes, part_id, endpoint, now)
         self._update(now)
 
@@ -121,6 +138,7 @@
         for report in reports:
             if report.success_age_s is not None:
                 self._record_success(report.part_id, now - report.success_age_s)
+            self._depths[report.part_id] = report.depth
             self._remote[report.part_id] = {
                 endpoint: now - age_s
                 for endpoint, age_s in report.crashes.items()
@@ -133,6 +151,7 @@
         succeeded_at = self._succeeded_at.get(part_id)
         return PromptSuspectReport(
             part_id=part_id,
+            depth=self._depths.get(part_id, 0),
             crashes={
                 endpoint: now - crashed_at
                 for endpoint, crashed_at in self._crashes.get(
@@ -155,7 +174,10 @@
                 self._drop_refuted(table, part_id, now)
         while len(self._crashes) > MAX_SUSPECTS:
             self._crashes.popitem(last=False)
-        self._quarantined = find_culprits(self._evidence())
+        evidence = self._evidence()
+        for part_id in self._depths.keys() - evidence.keys():
+            self._depths.pop(part_id)
+        self._quarantined = find_culprits(evidence, self._depths)
 
     def _drop_refuted(
         self, table: dict[str, Crashes], part_id: str, now: float
@@ -194,15 +216,25 @@
                     _add_crash(self._crashes, part_id, endpoint, crashed_at)
 
 
-def find_culprits(evidence: Mapping[str, Crashes]) -> frozenset[str]:
+def find_culprits(
+    evidence: Mapping[str, Crashes], depths: Mapping[str, int]
+) -> frozenset[str]:
     """Return the parts that crashes of enough endpoints point to.
 
-    A crash that is explained by a part with more crashes does not count for
-    the parts that only shared its batch.
+    A part mostly comes with the parts before it. The deepest part with enough
+    crashes is blamed, since that refuses the fewest sound requests; a crash
+    that it explains does not count for other parts.
+
+    Parameters
+    ----------
+    evidence : mapping of str to Crashes
+        Crashes by part that no success refutes.
+    depths : mapping of str to int
+        Number of parts before each part.
     """
     culprits: set[str] = set()
     explained: set[str] = set()
-    for part_id in _strongest_first(evidence):
+    for part_id in _deepest_first(evidence, depths):
         crashes = evidence[part_id]
         unexplained = set(crashes) - explained
         times = [crashes[endpoint] for endpoint in unexplained]
@@ -212,39 +244,52 @@
     return frozenset(culprits)
 
 
-def merge_reports(
-    reports: Iterable[tuple[PromptSuspectReport, float]],
-) -> list[dict[str, Any]]:
-    """Merge the reports of all hosts, and return them in wire form.
+class MergedReports:
+    """What all hosts together know about each part."""
 
-    Parameters
-    ----------
-    reports : iterable of (PromptSuspectReport, float)
-        Reports, and the time in seconds since each was received.
-    """
-    crashes: dict[str, Crashes] = {}
-    success_ages_s: dict[str, float] = {}
-    for report, delay_s in reports:
+    __slots__ = ('_crashes', '_depths', '_success_ages_s')
+
+    def __init__(self) -> None:
+        self._crashes: dict[str, Crashes] = {}
+        self._depths: dict[str, int] = {}
+        self._success_ages_s: dict[str, float] = {}
+
+    def add(self, report: PromptSuspectReport, delay_s: float) -> None:
+        """Add the report of a host that was received ``delay_s`` ago."""
+        part_id = report.part_id
+        self._depths[part_id] = max(report.depth, self._depths.get(part_id, 0))
         for endpoint, age_s in report.crashes.items():
-            _add_crash(crashes, report.part_id, endpoint, -age_s - delay_s)
+            _add_crash(self._crashes, part_id, endpoint, -age_s - delay_s)
         if report.success_age_s is not None:
             _keep_min(
-                success_ages_s, report.part_id, report.success_age_s + delay_s
+                self._success_ages_s, part_id, report.success_age_s + delay_s
             )
-    return [
-        PromptSuspectReport(
+
+    def strongest(self) -> list[PromptSuspectReport]:
+        """Return the parts with the most crashes, up to the limit."""
+        part_ids = sorted(
+            self._crashes,
+            key=lambda part_id: len(self._crashes[part_id]),
+            reverse=True,
+        )
+        return [self._report(part_id) for part_id in part_ids[:MAX_SUSPECTS]]
+
+    def _report(self, part_id: str) -> PromptSuspectReport:
+        crashes = self._crashes[part_id]
+        return PromptSuspectReport(
             part_id=part_id,
-            crashes={name: -at for name, at in crashes[part_id].items()},
-            success_age_s=success_ages_s.get(part_id),
-        ).to_wire()
-        for part_id in _strongest_first(crashes)[:MAX_SUSPECTS]
-    ]
+            depth=self._depths[part_id],
+            crashes={name: -at for name, at in crashes.items()},
+            success_age_s=self._success_ages_s.get(part_id),
+        )
 
 
-def _strongest_first(evidence: Mapping[str, Crashes]) -> list[str]:
+def _deepest_first(
+    evidence: Mapping[str, Crashes], depths: Mapping[str, int]
+) -> list[str]:
     return sorted(
         evidence,
-        key=lambda part_id: len(evidence[part_id]),
+        key=lambda part_id: (depths.get(part_id, 0), len(evidence[part_id])),
         reverse=True,
     )
 
--- a/tests/endpoints/test_prompt_suspects.py
+++ b/tests/endpoints/test_prompt_suspects.py
@@ -9,9 +9,8 @@
     MAX_SUSPECTS,
     QUARANTINE_TTL_S,
     SUSPICION_TTL_S,
-    PromptSuspectReport,
+    MergedReports,
     PromptSuspects,
-    merge_reports,
 )
 
 _BAD: Final = 'bad'
@@ -29,11 +28,12 @@
 
 
 def _sync(now: float, hosts: list[PromptSuspects]) -> None:
-    merged = merge_reports(
-        (report, 0) for host in hosts for report in host.reports(now)
-    )
+    merged = MergedReports()
     for host in hosts:
-        host.merge(now, map(PromptSuspectReport.from_wire, merged))
+        for report in host.reports(now):
+            merged.add(report, 0)
+    for receiver in hosts:
+        receiver.merge(now, merged.strongest())
 
 
 def test_crashes_that_several_hosts_saw_are_joined() -> None:
@@ -119,3 +119,20 @@
     for number in range(10 * MAX_SUSPECTS):
         host.on_crash(100 + number / 1000, 'i', [f'p{number}'])
     assert len(host.reports(102)) <= MAX_SUSPECTS
+
+
+def test_most_specific_of_several_parts_is_blamed() -> None:
+    """Seen on csft-sealdesk: the part before the culprit was held for 29 s."""
+    host = PromptSuspects()
+    now = _crash([host], CRASHES_TO_QUARANTINE, _SYSTEM, 'shared', _BAD)
+    host.on_crash(now, 'i-x', [_SYSTEM, 'shared', 'rare'])
+    host.on_success(now, [_SYSTEM])
+    assert host.quarantined == {_BAD}
+
+
+def test_part_that_crashes_with_different_successors_is_blamed() -> None:
+    """None of the parts after it has enough crashes of its own."""
+    host = PromptSuspects()
+    for number in range(CRASHES_TO_QUARANTINE):
+        host.on_crash(100 + number, f'i-{number}', [_BAD, f'p{number}'])
+    assert host.quarantined == {_BAD}
