Keep joined evidence about prompts across a change of the leader

Cause: evidence of other hosts was kept only when a sync reply was merged. A quarantine that an own crash completed between two syncs lost it with the first reply of a new leader, which knew nothing yet. Evidence: prompt_quarantined at 5.015 s on edge-scot-central-a-2, the leader killed at 5.0 s, prompt_released at 7.431 s on that host alone. Change: evidence of a quarantined part is kept whenever the quarantine is computed. Why it works: from then on the host holds all of it itself. Test: test_new_leader_without_evidence_does_not_end_a_quarantine failed before.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -142,7 +142,7 @@
             delay_s = now - record.received_at
             for report in record.last_sync.suspects:
                 merged.add(PromptSuspectReport.from_wire(report), delay_s)
-        return [report.to_wire() for report in merged.strongest()]
+        return [suspect.to_wire() for suspect in merged.strongest()]
 
     def _add_load(self, record: GatewayRecord) -> None:
         record.is_counted = True
--- a/src/apricotcart/endpoints/prompt_suspects.py
+++ b/src/apricotcart/endpoints/prompt_suspects.py
@@ -145,7 +145,6 @@
             }
         self._reported = tuple(self._remote)
         self._update(now)
-        self._adopt(now)
 
     def _report(self, now: float, part_id: str) -> PromptSuspectReport:
         succeeded_at = self._succeeded_at.get(part_id)
@@ -178,6 +177,7 @@
         for part_id in self._depths.keys() - evidence.keys():
             self._depths.pop(part_id)
         self._quarantined = find_culprits(evidence, self._depths)
+        self._adopt(now)
 
     def _drop_refuted(
         self, table: dict[str, Crashes], part_id: str, now: float
@@ -257,7 +257,8 @@
     def add(self, report: PromptSuspectReport, delay_s: float) -> None:
         """Add the report of a host that was received ``delay_s`` ago."""
         part_id = report.part_id
-        self._depths[part_id] = max(report.depth, self._depths.get(part_id, 0))
+        known_depth = self._depths.get(part_id, 0)
+        self._depths[part_id] = max(report.depth, known_depth)
         for endpoint, age_s in report.crashes.items():
             _add_crash(self._crashes, part_id, endpoint, -age_s - delay_s)
         if report.success_age_s is not None:
--- a/tests/endpoints/test_prompt_suspects.py
+++ b/tests/endpoints/test_prompt_suspects.py
@@ -136,3 +136,14 @@
     for number in range(CRASHES_TO_QUARANTINE):
         host.on_crash(100 + number, f'i-{number}', [_BAD, f'p{number}'])
     assert host.quarantined == {_BAD}
+
+
+def test_new_leader_without_evidence_does_not_end_a_quarantine() -> None:
+    """Seen on csft-sealdesk: own and joined evidence made three crashes."""
+    first, second = PromptSuspects(), PromptSuspects()
+    now = _crash([first], CRASHES_TO_QUARANTINE - 1, _BAD)
+    _sync(now, [first, second])
+    second.on_crash(now, 'i-x', [_BAD])
+    assert second.quarantined == {_BAD}
+    second.merge(now + 1, [])
+    assert second.quarantined == {_BAD}
