Keep the culprit when many new parts are suspected

What callers saw: nothing yet; found on reading the diff. With more than 64 suspected parts, a host forgot the oldest first, which is the part that has been crashing engines, and could release it. Cause: the table evicted by age alone. One crash of a busy engine adds the parts of all requests that had just begun there. Change: the parts with the fewest crashes are evicted first, among equals the oldest. Why it works: parts of batch mates have one crash, the culprit has three. Test: test_many_new_suspects_do_not_displace_the_culprit failed before.

--- a/src/apricotcart/endpoints/prompt_suspects.py
+++ b/src/apricotcart/endpoints/prompt_suspects.py
@@ -77,7 +77,7 @@
     )
 
     def __init__(self) -> None:
-        self._crashes: OrderedDict[str, Crashes] = OrderedDict()
+        self._crashes: dict[str, Crashes] = {}
         self._remote: dict[str, Crashes] = {}
         self._depths: dict[str, int] = {}
         # Parts that other hosts suspect, those refuted here included.
@@ -171,14 +171,23 @@
         for table in (self._crashes, self._remote):
             for part_id in list(table):
                 self._drop_refuted(table, part_id, now)
-        while len(self._crashes) > MAX_SUSPECTS:
-            self._crashes.popitem(last=False)
+        self._evict_weakest()
         evidence = self._evidence()
         for part_id in self._depths.keys() - evidence.keys():
             self._depths.pop(part_id)
         self._quarantined = find_culprits(evidence, self._depths)
         self._adopt(now)
 
+    def _evict_weakest(self) -> None:
+        """Keep the parts with the most crashes, among equals the newest."""
+        excess = len(self._crashes) - MAX_SUSPECTS
+        if excess > 0:
+            weakest_first = sorted(
+                self._crashes, key=lambda name: len(self._crashes[name])
+            )
+            for part_id in weakest_first[:excess]:
+                self._crashes.pop(part_id)
+
     def _drop_refuted(
         self, table: dict[str, Crashes], part_id: str, now: float
     ) -> None:
--- a/tests/endpoints/test_prompt_suspects.py
+++ b/tests/endpoints/test_prompt_suspects.py
@@ -147,3 +147,12 @@
     assert second.quarantined == {_BAD}
     second.merge(now + 1, [])
     assert second.quarantined == {_BAD}
+
+
+def test_many_new_suspects_do_not_displace_the_culprit() -> None:
+    """The table is bounded, and the culprit is its oldest entry."""
+    host = PromptSuspects()
+    now = _crash([host], CRASHES_TO_QUARANTINE, _BAD)
+    for number in range(2 * MAX_SUSPECTS):
+        host.on_crash(now, 'i-x', [f'p{number}'])
+    assert host.quarantined == {_BAD}
