--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -8,14 +8,9 @@
 from typing import Any
 
 import pytest
-from cheroot.wsgi import Server
+from gateway.served_gateway import start_listener
 
-from apricotcart.gateway.listener import (
-    HEADERS_KEY,
-    CallerConnection,
-    CallerGateway,
-    GrowingThreadPool,
-)
+from apricotcart.gateway.listener import HEADERS_KEY
 
 _TIMEOUT_S = 5
 
@@ -28,17 +23,7 @@
         self.headers: list[Any] = []
         self.release = threading.Event()
         self.release.set()
-        server: Any = Server(('127.0.0.1', 0), self._app, timeout=_TIMEOUT_S)
-        server.ConnectionClass = CallerConnection
-        server.gateway = CallerGateway
-        server.header_timeout_s = _TIMEOUT_S
-        server.body_timeout_s = _TIMEOUT_S
-        server.requests = GrowingThreadPool(server, min=1, max=16)
-        server.error_log = lambda *args, **options: None
-        server.prepare()
-        self.server = server
-        self._thread = threading.Thread(target=server.serve, daemon=True)
-        self._thread.start()
+        self.server = start_listener(self._app)
 
     def send(self, request: bytes) -> bytes:
         with socket.create_connection(
