--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -24,6 +24,7 @@
     NotExecutedError,
     UnreachableEndpointError,
 )
+from apricotcart.gateway.framing import Framing
 from apricotcart.timers.clock import boot_clock_s
 
 # Time after the deadline during which the endpoint's own time-out response may
@@ -53,6 +54,8 @@
         When the first event of the response arrived, in seconds; 0 before.
     is_proven : bool
         Whether the endpoint has survived the request.
+    framing : Framing or None
+        What says where the body ends; None before the headers.
     """
 
     __slots__ = (
@@ -62,6 +65,7 @@
         '_pool',
         '_response',
         'began_at',
+        'framing',
         'headers',
         'is_proven',
         'endpoint',
@@ -86,6 +90,7 @@
         self.began_at: float = 0
         self.is_proven = False
         self.status = 0
+        self.framing: Framing | None = None
         self.headers: list[tuple[str, str]] = []
 
     @property
@@ -249,6 +254,7 @@
     def _store_head(self, response: HTTPResponse) -> None:
         self._response = response
         self.status = response.status
+        self.framing = Framing.of_response(response)
         self.headers = response.getheaders()
         self.metadata: ResponseMetadata = (
             self._header_codec.parse_response_headers(self.headers)
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -115,6 +115,7 @@
             endpoint=exchange.endpoint.instance.instance_id,
             attempt=call.send_count,
             status=status,
+            framing=exchange.framing,
             duration_s=boot_clock_s() - call.started_at,
             bytes_out=len(body),
         )
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -181,6 +181,7 @@
                 attempt=call.send_count,
                 reason=exc.code,
                 detail=exc.message,
+                framing=exchange.framing,
                 duration_s=exchange.age_s(),
             )
         if isinstance(exc, (BrokenEndpointError, SilentEndpointError)):
--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/streams.py
@@ -102,6 +102,7 @@
             zone=exchange.endpoint.instance.zone,
             attempt=self._call.send_count,
             status=exchange.status,
+            framing=exchange.framing,
             first_s=self._first_event_s,
             pause_s=self._max_event_gap_s,
             duration_s=boot_clock_s() - self._call.started_at,
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -69,6 +69,7 @@
     'attempt',
     _REASON,
     'detail',
+    'framing',
     'duration_s',
 )
 REQUEST_ANSWERED: Final = Event(
@@ -80,6 +81,7 @@
     'zone',
     'attempt',
     'status',
+    'framing',
     'first_s',
     'pause_s',
     'duration_s',
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -35,6 +35,7 @@
         'event',
         'fencing',
         'first_s',
+        'framing',
         'host',
         'incarnation',
         'index',
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -63,11 +63,12 @@
         self.is_complete = False
         if 'transfer-encoding' in self.headers:
             self._decode_chunks(rest)
-        elif 'content-length' in self.headers:
-            length = int(self.headers['content-length'])
-            self.is_complete = len(rest) == length
-        else:
+            return
+        length = self.headers.get('content-length')
+        if length is None:
             self.is_complete = bool(words) and not was_reset
+        else:
+            self.is_complete = len(rest) == int(length)
 
     def _decode_chunks(self, rest: bytes) -> None:
         self.body = b''
