Read unmarked responses of streaming routes as streams

Cause: whether a body is a stream of events was decided by the exact spelling of its content type. Anything else was read as a whole, and a body that ends with its connection then got a length from the gateway. Change: media types are compared without case and parameters; on a streaming route, a body without a type, or one that ends with its connection, is a stream too, so that it has to end with an event.

--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -95,11 +95,18 @@
 
     @property
     def is_stream(self) -> bool:
-        """Whether the response is a stream of events."""
-        return any(
-            name.lower() == 'content-type' and text.startswith(_EVENT_STREAM)
-            for name, text in self.headers
-        )
+        """Whether the body is read as a stream of events.
+
+        On a streaming route, a body of another type that ends with its
+        connection is too: nothing else tells whether it is complete.
+        """
+        if self._call.message.method == 'HEAD':
+            return False
+        content_type = self._content_type()
+        if content_type == _EVENT_STREAM:
+            return True
+        is_framed = self.framing is not Framing.CLOSE
+        return self._call.is_stream and not (content_type and is_framed)
 
     def age_s(self) -> float | None:
         """Return the time since the request was written, None if it was not."""
@@ -268,6 +275,12 @@
             raise BrokenEndpointError('the response has no attempt id')
         return True
 
+    def _content_type(self) -> str:
+        for name, text in self.headers:
+            if name.lower() == 'content-type':
+                return text.partition(';')[0].strip().lower()
+        return ''
+
     def _content_length(self) -> int | None:
         if self._call.message.method == 'HEAD' or self._response.chunked:
             return None
--- a/tests/gateway/test_response_framing.py
+++ b/tests/gateway/test_response_framing.py
@@ -323,8 +323,13 @@
 
 @pytest.mark.parametrize(
     'content_type',
-    ['', 'Text/Event-Stream', 'text/event-stream;charset=utf-8'],
-    ids=['none', 'other-case', 'parameter'],
+    [
+        '',
+        'Text/Event-Stream',
+        'text/event-stream;charset=utf-8',
+        'application/octet-stream',
+    ],
+    ids=['none', 'other-case', 'parameter', 'other-type'],
 )
 @pytest.mark.parametrize('route', ['stream', 'resumable'])
 @pytest.mark.parametrize('place', ['event', 'delimiter'])
