Reject responses with an invalid length or transfer encoding

Cause: the HTTP library takes such a framing as none, or parses it leniently (+9, 9_0), and the end of the connection then counts as the end of the body. Change: gateway/framing.py decides by RFC 9112 what ends a body and rejects the rest as a broken response; truncation is measured with the length that the library counts down. Evidence: 18 listed cases of test_invalid_framing_never_looks_complete failed before at the caller's socket; all 30 pass. A repeated equal length stays valid (test_repeated_equal_length_is_one_length).

--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -161,10 +161,11 @@
             yield chunk
         if conn.is_aborted:
             raise BrokenEndpointError('this host aborted the connection')
-        expected_size = self._content_length()
-        if expected_size is not None and size < expected_size:
+        # The library counts down the length.
+        missing = self._response.length
+        if missing:
             raise BrokenEndpointError(
-                f'response body truncated: got {size} of {expected_size} bytes'
+                f'response body truncated: {missing} bytes after {size} missing'
             )
 
     def body(self) -> bytes:
@@ -281,12 +282,6 @@
                 return text.partition(';')[0].strip().lower()
         return ''
 
-    def _content_length(self) -> int | None:
-        if self._call.message.method == 'HEAD' or self._response.chunked:
-            return None
-        text = self._response.getheader('Content-Length')
-        return int(text) if text and text.isdigit() else None
-
     def _connected(self) -> EndpointConnection:
         if self._conn is None:
             raise BrokenEndpointError('the connection is already closed')
--- a/src/apricotcart/gateway/framing.py
+++ b/src/apricotcart/gateway/framing.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 import enum
+import re
 from http.client import HTTPResponse
+from typing import Final
+
+from apricotcart.gateway.errors import BrokenEndpointError
+
+_CHUNKED: Final = 'chunked'
+_LENGTH: Final = re.compile('[0-9]+')
 
 
 class Framing(enum.StrEnum):
@@ -16,7 +23,41 @@
 
     @classmethod
     def of_response(cls, response: HTTPResponse) -> Framing:
-        """Return the framing of a response whose headers have been read."""
-        if response.chunked:
+        """Return the framing of a response whose headers have been read.
+
+        Source: RFC 9112, section 6.3.
+
+        Raises
+        ------
+        BrokenEndpointError
+            If the framing is invalid or ambiguous. The HTTP library takes it
+            as none, and then the end of the connection as that of the body.
+        """
+        encodings = response.headers.get_all('Transfer-Encoding', [])
+        lengths = set(response.headers.get_all('Content-Length', []))
+        if encodings:
+            _require_chunked(response, encodings, lengths)
             return cls.CHUNKED
+        if lengths:
+            _require_one_length(lengths)
+            return cls.LENGTH
+        # The library knows the responses that never have a body.
         return cls.CLOSE if response.length is None else cls.LENGTH
+
+
+def _require_chunked(
+    response: HTTPResponse, encodings: list[str], lengths: set[str]
+) -> None:
+    encoding = ', '.join(encodings)
+    if encoding.lower() != _CHUNKED or not response.chunked:
+        raise BrokenEndpointError(f'unsupported transfer encoding {encoding!r}')
+    if lengths:
+        raise BrokenEndpointError(
+            'the response has both a length and a transfer encoding'
+        )
+
+
+def _require_one_length(lengths: set[str]) -> None:
+    length = ', '.join(lengths).strip()
+    if _LENGTH.fullmatch(length) is None:
+        raise BrokenEndpointError(f'invalid Content-Length {length!r}')
