Check sizes and ends of chunks in endpoints' responses

Cause: the HTTP library parses sizes with int(text, 16) and discards two bytes after each chunk without a look. Change: the reader below the library checks each size line and each end of a chunk by RFC 9112. It moves from connections.py to a module of its own, response_reader.py, otherwise unchanged.

--- a/src/apricotcart/gateway/connections.py
+++ b/src/apricotcart/gateway/connections.py
@@ -20,6 +20,7 @@
     SilentEndpointError,
     UnreachableEndpointError,
 )
+from apricotcart.gateway.response_reader import ResponseReader
 from apricotcart.timers.clock import boot_clock_s
 
 # An endpoint accepts a connection within a round trip; a lost packet delays
@@ -34,68 +35,11 @@
 _MAX_IDLE_PER_ENDPOINT: Final = 32
 # Methods whose requests have no Content-Length without a body.
 _BODYLESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE'))
-# Maximum size of the headers before a response, interim ones included.
-_MAX_HEAD_BYTES: Final = 262_144
 _READ_BYTES: Final = 65_536
 # Lower bound, since a timeout of 0 makes the socket non-blocking.
 _TIMEOUT_MIN_S: Final = 0.001
 
 
-class _PersistentReader:
-    """The buffered reader of a connection, shared by all its responses.
-
-    The HTTP library opens a new reader for each response, which would lose
-    the bytes of the next response that the old reader has buffered.
-    """
-
-    __slots__ = ('_head_bytes', '_is_head', '_reader', 'closed')
-
-    def __init__(self, reader: Any) -> None:
-        self._reader = reader
-        self._head_bytes = 0
-        self._is_head = True
-        self.closed = False
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._reader, name)
-
-    def readline(self, limit: int = -1) -> bytes:
-        """Read a line; raise if the connection ends within it.
-
-        The HTTP library treats the end of the connection as the end of the
-        headers, and would accept a truncated header block as that of a
-        response without a length.
-        """
-        line: bytes = self._reader.readline(limit)
-        if self._is_head:
-            self._count_head(len(line))
-        if not line.endswith(b'\n') and len(line) != limit:
-            raise ConnectionResetError(
-                'the connection ended within a header line'
-            )
-        return line
-
-    def end_head(self) -> None:
-        """Stop counting lines, which can now be those of a chunked body."""
-        self._is_head = False
-
-    def makefile(self, mode: str) -> _PersistentReader:
-        """Return this reader where the library would open a new one."""
-        return self
-
-    def close(self) -> None:
-        """Leave the reader open, since the next response needs it."""
-
-    def _count_head(self, size: int) -> None:
-        # The HTTP library limits each block of headers, but not the number
-        # of interim responses.
-        self._head_bytes += size
-        if self._head_bytes > _MAX_HEAD_BYTES:
-            raise ConnectionResetError(
-                f'the headers of the response exceed {_MAX_HEAD_BYTES} bytes'
-            )
-
-
 class EndpointConnection(HTTPConnection):
     """A connection that can carry several requests and responses.
 
@@ -179,7 +123,7 @@
             raise SilentEndpointError('no response before the timeout') from exc
         except (OSError, HTTPException) as exc:
             raise BrokenEndpointError(f'no valid response: {exc!r}') from exc
-        self._response_reader.end_head()
+        self._response_reader.end_head(is_chunked=response.chunked)
         return response
 
     def read_next_response(self, method: str) -> HTTPResponse:
@@ -200,7 +144,7 @@
             raise SilentEndpointError('no response before the timeout') from exc
         except (OSError, HTTPException) as exc:
             raise BrokenEndpointError(f'no valid response: {exc!r}') from exc
-        self._response_reader.end_head()
+        self._response_reader.end_head(is_chunked=response.chunked)
         return response
 
     def set_read_timeout(self, timeout_s: float) -> None:
@@ -234,7 +178,7 @@
                 self._reader.close()
 
     def _create_response(self, *_: Any, **options: Any) -> Any:
-        self._response_reader = _PersistentReader(self._reader)
+        self._response_reader = ResponseReader(self._reader)
         reader: Any = self._response_reader
         return HTTPResponse(reader, **options)
 
