Treat a resumed stream without length and events as broken off

Callers saw: a stream that ended as complete after a part of its events, when the second endpoint broke off before its first event and its response ended with its connection. Cause: only the first endpoint's stream had to have an event; a resumed one that ends with its connection counted as complete even if it was empty. Change: such a response has to bring an event; one with a length or chunks may still be empty, as its end is stated. Evidence: test_stream_that_breaks_again_never_looks_complete[none-no-event-fin] failed before at the caller's socket; all 54 cases pass.

--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/streams.py
@@ -13,6 +13,7 @@
 )
 from apricotcart.gateway.events import EventSplitter
 from apricotcart.gateway.exchange import Exchange
+from apricotcart.gateway.framing import Framing
 from apricotcart.gateway.sender import Sender
 from apricotcart.observability.decisions import (
     CALLER_LEFT,
@@ -126,8 +127,17 @@
                 self._last_event_at = now
                 self._record_event()
                 yield events
+        self._require_end()
+
+    def _require_end(self) -> None:
+        """Raise if the end of the response is not the end of the stream."""
         if self._splitter.has_partial:
             raise BrokenEndpointError('the stream ended within an event')
+        exchange = self._exchange
+        if exchange is None or exchange.framing is not Framing.CLOSE:
+            return
+        if not exchange.began_at:
+            raise BrokenEndpointError('the resumed stream has no event')
 
     def _record_event(self) -> None:
         if self._exchange is not None:
