Reset the connection of HTTP/1.0 callers when a stream breaks

Cause: the web server ends the connection in the same way in both cases. Change: a response without chunks that fails is ended with a reset.

--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 from urllib.parse import urlsplit
 
@@ -19,7 +19,11 @@
 from apricotcart.gateway.dispatcher import Dispatcher
 from apricotcart.gateway.errors import LeavingError
 from apricotcart.gateway.forwarding import Forwarder
-from apricotcart.gateway.listener import HEADERS_KEY, REQUEST_KEY
+from apricotcart.gateway.listener import (
+    HEADERS_KEY,
+    REQUEST_KEY,
+    CallerRequest,
+)
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.watcher import CallerWatcher
@@ -91,7 +95,9 @@
         """Handle one WSGI call and count the request as in progress."""
         headers: Headers = environ[HEADERS_KEY]
         self._active_requests.enter()
-        guard = GuardedResponse(self._active_requests, self._watcher)
+        guard = GuardedResponse(
+            self._active_requests, self._watcher, environ[REQUEST_KEY]
+        )
         try:
             response = self._response(environ, headers, guard)
         except BaseException:
@@ -210,11 +216,21 @@
 class GuardedResponse:
     """Response chunks; releases the resources of the request at the end."""
 
-    __slots__ = ('_watched_fileno', '_active_requests', '_watcher', 'chunks')
+    __slots__ = (
+        '_active_requests',
+        '_req',
+        '_watched_fileno',
+        '_watcher',
+        'chunks',
+    )
 
     def __init__(
-        self, active_requests: ActiveRequests, watcher: CallerWatcher
+        self,
+        active_requests: ActiveRequests,
+        watcher: CallerWatcher,
+        req: CallerRequest,
     ) -> None:
+        self._req = req
         self._active_requests = active_requests
         self._watcher = watcher
         self._watched_fileno: int | None = None
@@ -224,9 +240,13 @@
         """Cancel the call when the caller closes its connection."""
         self._watched_fileno = self._watcher.watch(sock, call.on_caller_gone)
 
-    def __iter__(self) -> Any:
-        """Return an iterator over the chunks."""
-        return iter(self.chunks)
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the chunks, and mark the response as broken if they fail."""
+        try:
+            yield from self.chunks
+        except Exception:
+            self._mark_broken()
+            raise
 
     def close(self) -> None:
         """Stop watching the caller and close the chunks."""
@@ -238,6 +258,12 @@
             close()
         self._active_requests.leave()
 
+    def _mark_broken(self) -> None:
+        # Without chunks, as for HTTP/1.0, a normal end of the connection
+        # would complete the response.
+        if not self._req.chunked_write:
+            self._req.conn.reset_on_close()
+
 
 def _target(environ: Environ) -> str:
     target = str(environ['REQUEST_URI'])
--- a/src/apricotcart/gateway/listener.py
+++ b/src/apricotcart/gateway/listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import socket
+import struct
 from typing import Any, Final
 
 from cheroot.server import HeaderReader
@@ -28,6 +30,8 @@
 # Threads that are started together when all are busy.
 _THREADS_PER_GROWTH: Final = 8
 _HEADER_ENCODING: Final = 'latin-1'
+# Value of SO_LINGER that discards unsent data and resets the connection.
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
 
 class HeaderTable(dict[bytes, bytes]):
@@ -93,6 +97,22 @@
 
     RequestHandlerClass = CallerRequest  # noqa: WPS115 (the library's name)
 
+    def __init__(self, server: Any, sock: Any, *args: Any) -> None:
+        super().__init__(server, sock, *args)
+        self._resets_on_close = False
+
+    def reset_on_close(self) -> None:
+        """Close the connection later with a reset instead of a normal end."""
+        self._resets_on_close = True
+
+    def _close_kernel_socket(self) -> None:
+        if self._resets_on_close:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+            return
+        super()._close_kernel_socket()  # type: ignore[misc]
+
 
 class CallerGateway(ConnectionGateway):
     """WSGI gateway that passes the request and raw headers on."""
