Skip interim responses of endpoints

Callers saw: status 102 or 103 with the stamp of the endpoint in place of the response that followed, or 502. Cause: the HTTP library skips interim responses with status 100 only. Change: all others are skipped too, within the bound on the size of headers; a change of the protocol is a broken response. The two ways of reading a response share the translation of errors. Evidence: the 4 cases of test_interim_response_is_not_the_response failed before and pass.

--- a/src/apricotcart/gateway/connections.py
+++ b/src/apricotcart/gateway/connections.py
@@ -5,7 +5,9 @@
 import socket
 import threading
 from collections import deque
+from collections.abc import Callable
 from contextlib import suppress
+from http import HTTPStatus
 from http.client import HTTPConnection as PlainConnection
 from http.client import HTTPException, HTTPResponse
 from typing import Any, Final
@@ -59,6 +61,7 @@
         self.is_reused = False
         self._socket: socket.socket | None = None
         self._reader: Any = None
+        self._sent_method = ''
 
     def connect(self) -> None:
         """Open the connection.
@@ -97,6 +100,7 @@
         BrokenEndpointError
             If the request may have been written in part.
         """
+        self._sent_method = message.method
         self.timeout = timeout_s
         self.sock.settimeout(timeout_s)
         try:
@@ -117,16 +121,9 @@
             If the data is not a valid response.
         """
         self.set_read_timeout(timeout_s)
-        try:
-            response = PlainConnection.getresponse(self)
-        except TimeoutError as exc:
-            raise SilentEndpointError('no response before the timeout') from exc
-        except (OSError, HTTPException) as exc:
-            raise BrokenEndpointError(f'no valid response: {exc!r}') from exc
-        self._response_reader.end_head(is_chunked=response.chunked)
-        return response
+        return self._receive(lambda: PlainConnection.getresponse(self))
 
-    def read_next_response(self, method: str) -> HTTPResponse:
+    def read_next_response(self) -> HTTPResponse:
         """Read the next status line and headers on the connection.
 
         Raises
@@ -134,18 +131,7 @@
         SilentEndpointError, BrokenEndpointError
             As in `read_response`.
         """
-        response: HTTPResponse = self._create_response(
-            self._reader,
-            method=method,
-        )
-        try:
-            response.begin()
-        except TimeoutError as exc:
-            raise SilentEndpointError('no response before the timeout') from exc
-        except (OSError, HTTPException) as exc:
-            raise BrokenEndpointError(f'no valid response: {exc!r}') from exc
-        self._response_reader.end_head(is_chunked=response.chunked)
-        return response
+        return self._receive(lambda: self._begin(self._create_response()))
 
     def set_read_timeout(self, timeout_s: float) -> None:
         """Set the timeout of subsequent reads, in seconds."""
@@ -177,10 +163,36 @@
             with suppress(OSError):
                 self._reader.close()
 
-    def _create_response(self, *_: Any, **options: Any) -> Any:
+    def _create_response(self, *_: Any, **options: Any) -> HTTPResponse:
         self._response_reader = ResponseReader(self._reader)
+        return self._response_of_reader()
+
+    def _response_of_reader(self) -> HTTPResponse:
         reader: Any = self._response_reader
-        return HTTPResponse(reader, **options)
+        return HTTPResponse(reader, method=self._sent_method)
+
+    def _receive(self, read_head: Callable[[], HTTPResponse]) -> HTTPResponse:
+        try:
+            response = self._skip_interim(read_head())
+        except TimeoutError as exc:
+            raise SilentEndpointError('no response before the timeout') from exc
+        except (OSError, HTTPException) as exc:
+            raise BrokenEndpointError(f'no valid response: {exc!r}') from exc
+        self._response_reader.end_head(is_chunked=response.chunked)
+        return response
+
+    def _skip_interim(self, response: HTTPResponse) -> HTTPResponse:
+        # The HTTP library skips only those with status 100.
+        while response.status < HTTPStatus.OK:
+            if response.status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise HTTPException('the endpoint switched the protocol')
+            response.close()
+            response = self._begin(self._response_of_reader())
+        return response
+
+    def _begin(self, response: HTTPResponse) -> HTTPResponse:
+        response.begin()
+        return response
 
     def _write(self, message: ForwardedRequest, headers: Headers) -> None:
         self.putrequest(
--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -254,7 +254,7 @@
                 return
             # Skips a late response to an earlier request.
             _drain(response)
-            response = conn.read_next_response(self._call.message.method)
+            response = conn.read_next_response()
         raise BrokenEndpointError(
             'got only responses to other requests on the connection'
         )
