Log the software version of endpoints

The entry of the platform's list is decoded with its version, which the lines request_sent and stream_resumed show as software. A run of an endpoint is identified by its version too. No logic of routing changes.

--- a/src/apricotcart/endpoints/instances.py
+++ b/src/apricotcart/endpoints/instances.py
@@ -24,6 +24,8 @@
         Whether the platform may reclaim it at short notice.
     leaves_s : float or None
         Time until it is removed in seconds; None if unknown.
+    software_version : str
+        Version of its software, which differs from that of its weights.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         'leaves_s',
         'service',
         'slots',
+        'software_version',
         'warmup_s',
         'zone',
     )
@@ -52,6 +55,7 @@
         warmup_s: float = 0,
         is_spot: bool = False,
         leaves_s: float | None = None,
+        software_version: str = '',
     ) -> None:
         self.instance_id = instance_id
         self.service = service
@@ -63,8 +67,9 @@
         self.warmup_s = warmup_s
         self.is_spot = is_spot
         self.leaves_s = leaves_s
+        self.software_version = software_version
 
     @property
-    def key(self) -> tuple[str, int]:
-        """Id and start time, which identify one run of the endpoint."""
-        return (self.instance_id, self.born_ms)
+    def key(self) -> tuple[str, int, str]:
+        """Id, start time and version, which identify one run of it."""
+        return (self.instance_id, self.born_ms, self.software_version)
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -112,6 +112,7 @@
             queue_wait_s=boot_clock_s() - queued_at,
             deadline_s=call.remaining_s(),
             zone=endpoint.instance.zone,
+            software=endpoint.instance.software_version,
             running=len(endpoint.local_requests),
             running_elsewhere=endpoint.remote_load.requests,
             unread_tokens=endpoint.prefill_tokens,
--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/streams.py
@@ -167,6 +167,7 @@
                 STREAM_RESUMED,
                 request_id=self._call.metadata.attempt_id,
                 endpoint=exchange.endpoint.instance.instance_id,
+                software=exchange.endpoint.instance.software_version,
                 attempt=self._call.send_count,
                 reason=cause.code,
             )
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -49,6 +49,7 @@
     'customer',
     'endpoint',
     'zone',
+    'software',
     'attempt',
     'queue_wait_s',
     'deadline_s',
@@ -102,6 +103,7 @@
     'stream_resumed',
     'request_id',
     'endpoint',
+    'software',
     'attempt',
     _REASON,
 )
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -66,6 +66,7 @@
         'run_state',
         'running',
         'running_elsewhere',
+        'software',
         'source',
         'span_id',
         'state_age_s',
--- a/src/apricotcart/platform/cloud.py
+++ b/src/apricotcart/platform/cloud.py
@@ -188,6 +188,7 @@
         warmup_s=reader.number('warmup_left_ms', 0) / _MS_PER_S,
         is_spot=reader.flag('spot'),
         leaves_s=None if leaves_ms < 0 else leaves_ms / _MS_PER_S,
+        software_version=reader.text('version'),
     )
     if not _is_address(instance.address):
         reader.add_fault('address', 'is not of the form HOST:PORT')
--- a/tests/platform/test_cloud.py
+++ b/tests/platform/test_cloud.py
@@ -29,6 +29,7 @@
     'slots': 4,
     'state': 'ready',
     'born': 5,
+    'version': 'v1',
 }
 
 
@@ -78,6 +79,8 @@
                 {**_INSTANCE, 'state': 'gone'},
                 {**_INSTANCE, 'slots': 'four'},
                 {**_INSTANCE, 'address': 'nowhere'},
+                {**_INSTANCE, 'version': 2},
+                {**_INSTANCE, 'version': None},
                 {'id': 'i-9'},
                 'text',
                 None,
