--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -39,6 +39,8 @@
 
     def __init__(self) -> None:
         self.endpoints: list[RawEndpoint] = []
+        # Software versions of the endpoints; the same for all if empty.
+        self.software_versions: Sequence[str] = ()
         self.placement = Placement('a')
         self.dispatcher = Dispatcher(self.placement)
         self.usage = UsageCounter(SteadyUnixClock.from_host(), 5)
@@ -66,6 +68,7 @@
                 zone='a',
                 slots=4,
                 is_ready=endpoint.address != address,
+                software_version=self._software_version(number),
             )
             for number, endpoint in enumerate(self.endpoints)
         )
@@ -115,6 +118,11 @@
             started_at=boot_clock_s(),
         )
 
+    def _software_version(self, number: int) -> str:
+        if not self.software_versions:
+            return 'v1'
+        return self.software_versions[number]
+
     def running(self) -> int:
         return sum(
             len(endpoint.local_requests)
