Copy KV caches only between endpoints of one software version

Change: the source of a copy has the version of its destination; otherwise the prefix is prefilled, and the cost of an endpoint counts that. Without a release nothing changes. Evidence: test_cache_is_not_copied_from_another_version failed before.

--- a/src/apricotcart/gateway/prefix_homes.py
+++ b/src/apricotcart/gateway/prefix_homes.py
@@ -80,7 +80,9 @@
     others = [
         endpoint
         for endpoint in endpoints
-        if endpoint is not chosen and not endpoint.has_failed
+        if endpoint is not chosen
+        and not endpoint.has_failed
+        and _has_same_software(endpoint, chosen)
     ]
     warm = [
         endpoint
@@ -115,6 +117,8 @@
     prefill_work = endpoint.uncached_prefill_work(requirements)
     if not is_copy_worthwhile(requirements, homes):
         return prefill_work
+    if not _has_same_software(endpoint, homes[0]):
+        return prefill_work
     cost_ratio = (
         _SECOND_HOME_COST_RATIO if endpoint in homes else _COPY_COST_RATIO
     )
@@ -122,3 +126,8 @@
         requirements.shared_prefix_tokens * cost_ratio
     )
     return min(prefill_work, requirements.prefill_work(copy_cost_tokens))
+
+
+def _has_same_software(one: EndpointState, other: EndpointState) -> bool:
+    # A KV cache is not assumed to be readable by another version.
+    return one.instance.software_version == other.instance.software_version
