Resume a broken stream only at the version that began it

Cause: a gateway resumed a broken stream at any endpoint of the service; nothing beyond the list knew the version. Change: the first event pins a request to the service and version of its endpoint, which becomes a requirement like the service: for placement, which may then use an endpoint that is reserved for other requests, and for the queue, where such a request does not hold back others. If no endpoint of the version is left, the stream ends as broken at once, which its caller can see.

--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -10,8 +10,9 @@
 from apricotcart.gateway.api import ForwardedRequest, RequestMetadata
 from apricotcart.gateway.connections import EndpointConnection
 from apricotcart.gateway.dispatcher import Dispatcher
-from apricotcart.gateway.endpoint_state import Requirements
+from apricotcart.gateway.endpoint_state import EndpointState, Requirements
 from apricotcart.gateway.routing_decision import RoutingDecision
+from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.response import WebResponse
 
@@ -35,6 +36,9 @@
         Whether an endpoint may have run it.
     is_caller_gone : bool
         Whether the caller has closed its connection.
+    origin : StreamOrigin or None
+        Where the stream began, once it has events or if the caller resumes
+        it; only endpoints of the same origin may go on with it.
     failure_response : WebResponse or None
         The last endpoint's own response, returned if no retry succeeds.
     """
@@ -48,6 +52,7 @@
         'may_have_run',
         'is_caller_gone',
         'message',
+        'origin',
         'request_id',
         'routing',
         'send_count',
@@ -63,12 +68,14 @@
         metadata: RequestMetadata,
         routing: RoutingDecision,
         started_at: float,
+        origin: StreamOrigin | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.request_id = str(next(_request_numbers))
         self.message = message
         self.metadata = metadata
         self.routing = routing
+        self.origin = origin
         self.started_at = started_at
         wait_s = routing.route.timeout_s
         if metadata.wait_s is not None:
@@ -111,6 +118,14 @@
         """Return the time to the deadline in seconds."""
         return self.deadline_at - boot_clock_s()
 
+    def pin_to(self, endpoint: EndpointState) -> StreamOrigin:
+        """Require the service and version of an endpoint from now on."""
+        self.origin = StreamOrigin(
+            service=self.service,
+            software_version=endpoint.instance.software_version,
+        )
+        return self.origin
+
     def requirements(self) -> Requirements:
         """Return what the request requires of an endpoint."""
         metadata = self.metadata
@@ -126,6 +141,9 @@
             parts=metadata.parts,
             is_latency_critical=self.urgency.is_latency_critical,
             level=self.urgency.level,
+            software_version=(
+                self.origin.software_version if self.origin else None
+            ),
         )
 
     def on_caller_gone(self) -> None:
--- a/src/apricotcart/gateway/dispatcher.py
+++ b/src/apricotcart/gateway/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from apricotcart.gateway.endpoint_state import (
@@ -144,10 +144,12 @@
         """Return the age of the other hosts' load in seconds."""
         return boot_clock_s() - self._loads_updated_at
 
-    def has_endpoint(self, service: str) -> bool:
-        """Return whether any endpoint of a service accepts requests."""
+    def serves(
+        self, requirements: Requirements, excluded: Collection[str]
+    ) -> bool:
+        """Return whether an endpoint may ever accept a request."""
         with self._lock:
-            return self._placement.has_endpoint(service)
+            return self._placement.serves(requirements, excluded)
 
     def local_loads(self) -> dict[str, LoadSummary]:
         """Return the load of this host on each endpoint."""
--- a/src/apricotcart/gateway/endpoint_state.py
+++ b/src/apricotcart/gateway/endpoint_state.py
@@ -57,6 +57,8 @@
         the service.
     level : int
         Number of less urgent levels.
+    software_version : str or None
+        The only version that may run it; None for any.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         'parts',
         'prompt_tokens',
         'service',
+        'software_version',
     )
 
     def __init__(
@@ -77,6 +80,7 @@
         parts: Sequence[PromptPart] = (),
         is_latency_critical: bool = False,
         level: int = 0,
+        software_version: str | None = None,
     ) -> None:
         self.service = service
         self.level = min(level, _MAX_LEVEL)
@@ -84,6 +88,7 @@
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.parts = parts
+        self.software_version = software_version
 
     @property
     def tokens(self) -> int:
@@ -117,6 +122,12 @@
         """Ratio of the KV memory that requests of this level may fill."""
         return _KV_FILL_RATIO - (_MAX_LEVEL - self.level) * _KV_RESERVE_RATIO
 
+    def allows(self, instance: Instance) -> bool:
+        """Return whether the service and version of an endpoint fit."""
+        return instance.service == self.service and (
+            self.software_version in {None, instance.software_version}
+        )
+
     def prefill_work(self, uncached_tokens: int) -> int:
         """Return the work of prefilling tokens of this prompt.
 
--- a/src/apricotcart/gateway/placement.py
+++ b/src/apricotcart/gateway/placement.py
@@ -177,7 +177,10 @@
                 or self._has_slot_grant(endpoint, requirements)
             )
         ]
-        if not candidates and requirements.is_latency_critical:
+        # A single endpoint may have the version that a stream requires, and
+        # it may be one that is reserved for other requests.
+        is_bound = requirements.software_version is not None
+        if not candidates and (requirements.is_latency_critical or is_bound):
             candidates = [
                 endpoint
                 for endpoint in self._endpoints.values()
@@ -190,11 +193,23 @@
             key=lambda endpoint: self._cost(now, endpoint, requirements, homes),
         )
 
-    def has_endpoint(self, service: str) -> bool:
-        """Return whether any endpoint of a service accepts requests."""
+    def serves(
+        self, requirements: Requirements, excluded: Collection[str]
+    ) -> bool:
+        """Return whether an endpoint may ever accept a request.
+
+        Parameters
+        ----------
+        requirements : Requirements
+            What the request requires.
+        excluded : collection of str
+            Ids of endpoints that the request must not be sent to again.
+        """
         return any(
-            endpoint.instance.service == service and endpoint.instance.is_ready
-            for endpoint in self._endpoints.values()
+            requirements.allows(endpoint.instance)
+            and endpoint.instance.is_ready
+            and name not in excluded
+            for name, endpoint in self._endpoints.items()
         )
 
     def place(
@@ -295,7 +310,7 @@
         excluded: Collection[str],
     ) -> bool:
         instance = endpoint.instance
-        if instance.service != requirements.service or not instance.is_ready:
+        if not (requirements.allows(instance) and instance.is_ready):
             return False
         if instance.instance_id in excluded:
             return False
--- a/src/apricotcart/gateway/request_queue.py
+++ b/src/apricotcart/gateway/request_queue.py
@@ -149,7 +149,8 @@
         if endpoint is not None:
             self._placement.place(request.request_id, endpoint, requirements)
             return Assigned(request.request_id, endpoint)
-        if not request.excluded:
+        # One that few endpoints may run says nothing about the others.
+        if not request.excluded and requirements.software_version is None:
             blocked.add(group)
         if now >= request.refuse_at:
             return Refused(request.request_id, compute_retry_after_s(len(self)))
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -24,6 +24,7 @@
     SEND_FAILED,
     log_decision,
 )
+from apricotcart.resumption.errors import StreamVersionGoneError
 from apricotcart.timers.clock import boot_clock_s
 
 # Unreachable endpoints that one request tries before it is refused.
@@ -84,8 +85,11 @@
             If no endpoint was assigned.
         QuarantinedPromptError, BrokenEndpointError
             If the prompt is quarantined.
+        StreamVersionGoneError, BrokenEndpointError
+            If no endpoint of the stream's version is left.
         """
         self.quarantine.require_allowed(call)
+        self._require_version(call)
         timeout_s = queue_timeout_s(
             call.route.target_s,
             call.remaining_s(),
@@ -150,6 +154,10 @@
             return False
         return call.remaining_s() > 0
 
+    def record_stream(self, call: Call, endpoint: EndpointState) -> None:
+        """Pin a stream to the version that has begun it."""
+        call.pin_to(endpoint)
+
     def record_run(self, call: Call, began_at: float) -> None:
         """Record that an endpoint may have run the request."""
         if not call.may_have_run:
@@ -189,6 +197,17 @@
             self.record_run(call, exchange.sent_at)
         self.dispatcher.release(call.request_id, exchange.endpoint)
 
+    def _require_version(self, call: Call) -> None:
+        origin = call.origin
+        if origin is None:
+            return
+        if self.dispatcher.serves(call.requirements(), call.excluded_endpoints):
+            return
+        message = f'no endpoint of version {origin.software_version!r} is left'
+        if call.may_have_run:
+            raise BrokenEndpointError(message)
+        raise StreamVersionGoneError(message, software=origin.software_version)
+
     def _recheck_quarantine(self, call: Call, endpoint: EndpointState) -> None:
         # The part may have been quarantined while the request was queued.
         try:
--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/streams.py
@@ -72,6 +72,7 @@
         self._max_event_gap_s: float = 0
         sender.dispatcher.mark_prefilled(call.request_id, exchange.endpoint)
         sender.record_run(call, boot_clock_s())
+        sender.record_stream(call, exchange.endpoint)
         sender.quarantine.on_event(call, exchange)
 
     def __iter__(self) -> Iterator[bytes]:
@@ -155,7 +156,7 @@
         cause = exc
         self._release_exchange(exc)
         while self._may_resume():
-            exchange = self._sender.acquire(self._call)
+            exchange = self._acquire_next()
             self._exchange = exchange
             try:
                 self._resume_at(exchange)
@@ -175,6 +176,13 @@
         self._log_end(cause)
         raise cause
 
+    def _acquire_next(self) -> Exchange:
+        try:
+            return self._sender.acquire(self._call)
+        except ApricotcartError as exc:
+            self._log_end(exc)
+            raise
+
     def _log_end(self, cause: ApricotcartError) -> None:
         request_id = self._call.metadata.attempt_id
         duration_s = boot_clock_s() - self._call.started_at
--- /dev/null
+++ b/src/apricotcart/resumption/__init__.py
@@ -0,0 +1,1 @@
+"""Resumes broken streams at the software version that began them."""
--- /dev/null
+++ b/src/apricotcart/resumption/errors.py
@@ -0,0 +1,11 @@
+"""Errors of streams that cannot be resumed."""
+
+from __future__ import annotations
+
+from apricotcart.errors.tree import NotRunError
+
+
+class StreamVersionGoneError(NotRunError):
+    """No endpoint of the version that began the stream serves any longer."""
+
+    code = 'stream_version_gone'
