Let a caller resume a stream only at the version that began it

Cause: a gateway that gets a request with Last-Event-Id placed it like a new one. No host remembered which version had begun a stream, and all gateways can be lost at once. Change: the package resumption. While one version serves a service, no record is needed: the leader commits the versions that served in the last 60 s to the replicated log and sends them with each sync. Otherwise each gateway stores the origin of its streams on three control hosts, in memory, every 0.1 s, chosen by a hash of the attempt, so that no leader is needed to store or find one. The first event waits for none of it: a stream without a record is refused, not run. One whose version is gone is refused at once. Lines: stream_origin_found, versions_changed, and resumes and software in request_refused. Evidence: test_stream_of_unknown_version_is_refused_without_a_run failed before at the caller's socket.

--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -16,6 +16,11 @@
 VIEW: Final = 'view'
 REPLACE: Final = 'replace'
 FETCH: Final = 'fetch'
+RECORD_ORIGINS: Final = 'record_origins'
+FIND_ORIGIN: Final = 'find_origin'
+
+
+Versions = Mapping[str, Sequence[str]]
 
 
 class SyncRequest(Record):
@@ -110,6 +115,8 @@
         Unix time of the leader in seconds.
     suspects : list
         Prompt parts that may crash endpoints, as known to all gateways.
+    software_versions : dict
+        Versions of endpoints that served recently, by service.
     """
 
     __slots__ = (
@@ -119,6 +126,7 @@
         'list_mark',
         'loads',
         'members',
+        'software_versions',
         'suspects',
         'unix_s',
     )
@@ -134,7 +142,9 @@
         members: Sequence[str],
         unix_s: float,
         suspects: Sequence[Mapping[str, Any]] = (),
+        software_versions: Versions | None = None,
     ) -> None:
+        self.software_versions = software_versions or {}
         self.document = document
         self.list_mark = list_mark
         self.instances = instances
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -37,15 +38,20 @@
     CoordinatorRequests,
     DesiredStateService,
 )
-from apricotcart.coordinator.state import CoordinatorState
+from apricotcart.coordinator.state import SET_VERSIONS, CoordinatorState
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.membership.answers import ServingHost, ServingHostDirectory
 from apricotcart.observability.decisions import (
     MEMBER_REMOVED,
+    VERSIONS_CHANGED,
     log_decision,
 )
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.process.fleet import FleetProcess
+from apricotcart.resumption.serving_versions import (
+    VersionTracker,
+    listed_versions,
+)
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.storage.log_store import DurableLogStore
 from apricotcart.storage.real_disk import RealDisk
@@ -94,6 +100,7 @@
         self._gateways = GatewayTable()
         self._directory = ServingHostDirectory(cfg.bounds.answer_ttl_max_s)
         self._member_policy = MemberPolicy()
+        self._version_tracker = VersionTracker()
         self._build_consensus()
         self._build_services()
 
@@ -247,14 +254,39 @@
             log_decision(MEMBER_REMOVED, member=change.node_id)
 
     def _fetch_endpoints(self) -> None:
-        if self._leads():
-            self._endpoints.fetch()
+        if not self._leads():
+            self._version_tracker.reset()
+            return
+        self._endpoints.fetch()
+        self._commit_versions()
+
+    def _commit_versions(self) -> None:
+        committed = self._state.software_versions
+        versions = self._version_tracker.next_versions(
+            boot_clock_s(),
+            listed_versions(self._endpoints.instances()),
+            committed,
+        )
+        if versions == committed:
+            return
+        texts = {name: sorted(names) for name, names in versions.items()}
+        command = {'kind': SET_VERSIONS, 'versions': texts}
+        self._loop.propose(command, _CHANGE_TIMEOUT_S)
+        log_decision(VERSIONS_CHANGED, software=_describe(texts))
 
     def _on_failed(self) -> None:
         _LOG.error('the replicated log has failed; stopping the process')
         self.fail()
 
 
+def _describe(versions: Mapping[str, Sequence[str]]) -> str:
+    return ' '.join(
+        f'{service}:{version}'
+        for service, texts in versions.items()
+        for version in texts
+    )
+
+
 def _log_expected_errors(task: Any) -> Any:
     """Wrap a task to log errors, which are expected without a leader."""
 
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from apricotcart.control.api import ReplicatedState
@@ -18,6 +19,7 @@
     SyncReply,
     SyncRequest,
 )
+from apricotcart.coordinator.origin_records import OriginRecords
 from apricotcart.coordinator.state import REPLACE as REPLACE_COMMAND
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.desired.api import DocumentFormat
@@ -31,9 +33,14 @@
     STATE_REFUSED,
     log_decision,
 )
+from apricotcart.resumption.serving_versions import (
+    listed_versions,
+    merge_versions,
+)
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
 from apricotcart.transport.api import RequestHandler, WireMessage
 
+Answer = Callable[[WireMessage], WireMessage]
 # Time limit of a commit.
 _COMMIT_TIMEOUT_S: Final = 2.5
 # Time limit for a quorum to confirm that this host leads.
@@ -199,6 +206,13 @@
         self._gateways = gateways
         self._endpoints = endpoints
         self._clock = clock
+        self._answers: Mapping[str, Answer] = {
+            SYNC: self._sync,
+            VIEW: self._view,
+            REPLACE: self._replace,
+            FETCH: self._fetch,
+            **OriginRecords().handlers(),
+        }
 
     def answer(self, message: WireMessage) -> WireMessage:
         """Return the reply to one request.
@@ -211,18 +225,20 @@
             If the kind of the request is unknown.
         """
         kind = message.pop(KIND, '')
-        if kind == SYNC:
-            return self._sync(SyncRequest.from_wire(message))
-        if kind == VIEW:
-            return self._view()
-        if kind == REPLACE:
-            self._service.commit(message['version'], message['document'])
-            return {'ok': True}
-        if kind == FETCH:
-            return {'ok': True, 'document': self._service.read()}
-        raise CodecError(f'unknown request {kind!r}')
-
-    def _sync(self, sync: SyncRequest) -> WireMessage:
+        answer = self._answers.get(kind)
+        if answer is None:
+            raise CodecError(f'unknown request {kind!r}')
+        return answer(message)
+
+    def _replace(self, message: WireMessage) -> WireMessage:
+        self._service.commit(message['version'], message['document'])
+        return {'ok': True}
+
+    def _fetch(self, _: WireMessage) -> WireMessage:
+        return {'ok': True, 'document': self._service.read()}
+
+    def _sync(self, message: WireMessage) -> WireMessage:
+        sync = SyncRequest.from_wire(message)
         # A leader that was replaced without noticing could send old state.
         self._replicated.barrier(_CONFIRM_TIMEOUT_S)
         now = boot_clock_s()
@@ -238,10 +254,11 @@
             members=self._members(),
             unix_s=self._clock.now_s(),
             suspects=self._gateways.prompt_suspects(now),
+            software_versions=self._software_versions(),
         )
         return {'ok': True, 'sync': reply.to_wire()}
 
-    def _view(self) -> WireMessage:
+    def _view(self, _: WireMessage) -> WireMessage:
         self._replicated.barrier(_CONFIRM_TIMEOUT_S)
         hosts = self._gateways.serving(boot_clock_s())
         return {
@@ -251,6 +268,15 @@
             'unix_s': self._clock.now_s(),
         }
 
+    def _software_versions(self) -> dict[str, list[str]]:
+        # A version counts from the moment at which gateways may use it, which
+        # is before it is committed.
+        versions = merge_versions(
+            self._state.software_versions,
+            listed_versions(self._endpoints.instances()),
+        )
+        return {name: sorted(texts) for name, texts in versions.items()}
+
     def _members(self) -> list[str]:
         members: dict[str, Any] = self._replicated.status()['members']
         return [*members['voters'], *members['learners']]
--- a/src/apricotcart/coordinator/state.py
+++ b/src/apricotcart/coordinator/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 from apricotcart.codec.packing import pack, unpack
@@ -14,6 +14,7 @@
 FENCE: Final = 'fence'
 CLOSE_WINDOW: Final = 'close_window'
 WINDOW_SENT: Final = 'window_sent'
+SET_VERSIONS: Final = 'set_versions'
 # Closed windows kept; the oldest ones are removed first.
 _MAX_WINDOWS: Final = 24
 
@@ -49,6 +50,8 @@
         Fencing token of the host that performs the duties.
     windows : dict of int to ClosedWindow
         Closed usage windows by number.
+    software_versions : dict of str to frozenset of str
+        Versions of endpoints that served recently, by service.
     """
 
     def __init__(self) -> None:
@@ -56,6 +59,7 @@
         self.document = b''
         self.fencing = FencingCounter()
         self.windows: dict[int, ClosedWindow] = {}
+        self.software_versions: dict[str, frozenset[str]] = {}
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command and return the packed reply."""
@@ -79,6 +83,10 @@
                     number: [window.counts, window.is_reported]
                     for number, window in self.windows.items()
                 },
+                'software_versions': {
+                    service: sorted(versions)
+                    for service, versions in self.software_versions.items()
+                },
             }
         )
 
@@ -94,6 +102,8 @@
             number: ClosedWindow(counts, is_reported=is_reported)
             for number, (counts, is_reported) in fields['windows'].items()
         }
+        # Snapshots of earlier builds have none.
+        self._set_versions(fields.get('software_versions', {}))
 
     def _dispatch(self, fields: Fields) -> dict[str, Any]:
         kind = fields['kind']
@@ -106,6 +116,8 @@
             return self._close_window(fields)
         if kind == WINDOW_SENT:
             return self._mark_reported(fields)
+        if kind == SET_VERSIONS:
+            return self._set_versions(fields['versions'])
         raise UnknownCommandError(f'unknown command {kind!r}')
 
     def _replace(self, fields: Fields) -> dict[str, Any]:
@@ -116,6 +128,14 @@
             self.document = fields['document']
         return {'ok': True, 'version': self.version}
 
+    def _set_versions(
+        self, versions: Mapping[str, Sequence[str]]
+    ) -> dict[str, Any]:
+        self.software_versions = {
+            service: frozenset(texts) for service, texts in versions.items()
+        }
+        return {'ok': True}
+
     def _close_window(self, fields: Fields) -> dict[str, Any]:
         # Later closes of a window are ignored, so that all reports of the
         # window have the same counts.
--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -53,6 +53,9 @@
     last_event_id : str
         Id of the last stream event that the caller has received; empty if
         absent.
+    resumes : str
+        Id of the attempt that brought the first event of a stream that the
+        caller resumes; empty if absent.
     prompt_tokens, output_tokens : int
         Number of prompt tokens, and maximum number of generated tokens; 0 if
         absent.
@@ -70,6 +73,7 @@
         'output_tokens',
         'parts',
         'prompt_tokens',
+        'resumes',
         'wait_s',
     )
 
@@ -80,6 +84,7 @@
         wait_s: float | None = None,
         key: str = '',
         last_event_id: str = '',
+        resumes: str = '',
         prompt_tokens: int = 0,
         output_tokens: int = 0,
         length_hint: int = 0,
@@ -89,6 +94,7 @@
         self.wait_s = wait_s
         self.key = key
         self.last_event_id = last_event_id
+        self.resumes = resumes
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.length_hint = length_hint
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 from urllib.parse import urlsplit
@@ -24,18 +23,19 @@
     REQUEST_KEY,
     CallerRequest,
 )
+from apricotcart.gateway.refusals import (
+    build_refusal,
+    log_refusal,
+    log_unexpected_error,
+)
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.state import StateCopy
+from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.watcher import CallerWatcher
-from apricotcart.observability.decisions import (
-    REQUEST_REFUSED,
-    log_decision,
-)
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.request import CONNECTION_KEY, Environ, WebRequest
 from apricotcart.web.response import WebResponse
 
-_LOG = logging.getLogger(__name__)
 _HTTP: Final = 'http'
 # Assumed timeout of a caller that does not state one.
 _DEFAULT_WAIT_S: Final = 3.0
@@ -59,6 +59,8 @@
         Detects callers that close their connection.
     active_requests : ActiveRequests
         Counts the requests in progress and holds the shutdown phase.
+    resumption : StreamResumption
+        Finds where a stream began that a caller resumes.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         '_dispatcher',
         '_forwarder',
         '_active_requests',
+        '_resumption',
         '_state',
         '_watcher',
     )
@@ -79,7 +82,9 @@
         forwarder: Forwarder,
         watcher: CallerWatcher,
         active_requests: ActiveRequests,
+        resumption: StreamResumption,
     ) -> None:
+        self._resumption = resumption
         self._state = state
         self._header_codec = header_codec
         self._dispatcher = dispatcher
@@ -121,14 +126,12 @@
             metadata = self._header_codec.parse_request_headers(headers)
             return self._forward(environ, headers, metadata, guard)
         except ApricotcartError as exc:
-            self._log_refusal(metadata, exc, started_at)
-            return self._refusal(metadata, exc)
+            log_refusal(self._state, metadata, exc, started_at)
+            return build_refusal(self._header_codec, metadata, exc)
         except Exception:
-            _LOG.exception(
-                'request %s failed with an unexpected error',
-                metadata.attempt_id,
-            )
-            return self._refusal(metadata, ApricotcartError('internal error'))
+            log_unexpected_error(metadata)
+            failure = ApricotcartError('internal error')
+            return build_refusal(self._header_codec, metadata, failure)
 
     def _forward(
         self,
@@ -158,9 +161,11 @@
         route = state.route(req.header('Host'), path)
         customer = state.customer(route, metadata.key)
         table = state.table()
-        service = state.choose_service(route)
+        origin = self._resumption.origin(route, metadata)
+        service = origin.service if origin else state.choose_service(route)
         return Call(
             dispatcher=self._dispatcher,
+            origin=origin,
             message=ForwardedRequest(
                 method=req.method,
                 target=target,
@@ -179,39 +184,6 @@
             started_at=started_at,
         )
 
-    def _log_refusal(
-        self,
-        metadata: RequestMetadata,
-        exc: ApricotcartError,
-        started_at: float,
-    ) -> None:
-        log_decision(
-            REQUEST_REFUSED,
-            request_id=metadata.attempt_id,
-            status=exc.http_status,
-            reason=exc.code,
-            run_state=exc.run_state,
-            retry_after_s=exc.retry_after_s,
-            duration_s=boot_clock_s() - started_at,
-            version=self._state.version,
-            state_age_s=self._state.age_s(),
-        )
-
-    def _refusal(
-        self, metadata: RequestMetadata, exc: ApricotcartError
-    ) -> WebResponse:
-        response = WebResponse.from_error(exc)
-        if exc.retry_after_s is not None:
-            # Replaces the header in whole seconds: callers accept fractions
-            # and can then retry without waiting longer than necessary.
-            response.headers.pop()
-            retry_after = format(exc.retry_after_s, '.2f')
-            response.headers.append(('Retry-After', retry_after))
-        response.headers.extend(
-            self._header_codec.build_local_headers(metadata.attempt_id)
-        )
-        return response
-
 
 class GuardedResponse:
     """Response chunks; releases the resources of the request at the end."""
--- a/src/apricotcart/gateway/dispatcher.py
+++ b/src/apricotcart/gateway/dispatcher.py
@@ -19,6 +19,10 @@
     QueuedRequest,
     RequestQueue,
 )
+from apricotcart.resumption.serving_versions import (
+    VersionsByService,
+    listed_versions,
+)
 from apricotcart.timers.clock import boot_clock_s
 
 # Interval at which the queue is processed without other events.
@@ -144,6 +148,13 @@
         """Return the age of the other hosts' load in seconds."""
         return boot_clock_s() - self._loads_updated_at
 
+    def listed_versions(self) -> VersionsByService:
+        """Return the software versions of the listed endpoints."""
+        with self._lock:
+            return listed_versions(
+                endpoint.instance for endpoint in self._placement.endpoints()
+            )
+
     def serves(
         self, requirements: Requirements, excluded: Collection[str]
     ) -> bool:
--- a/src/apricotcart/gateway/endpoint_updates.py
+++ b/src/apricotcart/gateway/endpoint_updates.py
@@ -4,8 +4,8 @@
 
 import logging
 import threading
-from collections.abc import Sequence
-from typing import Final
+from collections.abc import Mapping, Sequence
+from typing import Any, Final
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import ApricotcartError
@@ -122,3 +122,12 @@
             ),
         )
         self._pool.close_except({instance.address for instance in instances})
+
+
+def parse_instances(
+    entries: Sequence[Mapping[str, Any]] | None,
+) -> list[Instance] | None:
+    """Return the list of a sync reply; None if it has not changed."""
+    if entries is None:
+        return None
+    return [Instance.from_wire(entry) for entry in entries]
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -4,7 +4,7 @@
 
 import logging
 import uuid
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any, Final
 
 from apricotcart.coordinator.leader_client import (
@@ -18,16 +18,19 @@
     SyncRequest,
 )
 from apricotcart.desired.routing import RoutingTable
-from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.active_requests import ActiveRequests, Phase
 from apricotcart.gateway.dispatcher import Dispatcher
 from apricotcart.gateway.endpoint_state import LoadSummary
-from apricotcart.gateway.endpoint_updates import EndpointUpdater
+from apricotcart.gateway.endpoint_updates import (
+    EndpointUpdater,
+    parse_instances,
+)
 from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.usage import UsageCounter
+from apricotcart.resumption.stream_origins import StreamOrigins
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
 
@@ -69,6 +72,8 @@
         Holds the shutdown phase of this host.
     quarantine : PromptQuarantine
         Shares its evidence with the other hosts.
+    origins : StreamOrigins
+        Learns which software versions serve, and the control hosts.
     """
 
     __slots__ = (
@@ -78,6 +83,7 @@
         '_endpoints',
         '_incarnation',
         '_leader',
+        '_origins',
         '_quarantine',
         '_retry_policy',
         '_active_requests',
@@ -98,6 +104,7 @@
         clock: SteadyUnixClock,
         active_requests: ActiveRequests,
         quarantine: PromptQuarantine,
+        origins: StreamOrigins,
     ) -> None:
         self._cfg = cfg
         self._leader = leader
@@ -107,6 +114,7 @@
         self._retry_policy = retry_policy
         self._usage = usage
         self._quarantine = quarantine
+        self._origins = origins
         self._clock = clock
         self._active_requests = active_requests
         self._incarnation = uuid.uuid4().hex
@@ -161,7 +169,7 @@
             self._configure(self._state.adopt(reply.document, requested_at))
         self._state.confirm(requested_at)
         self._endpoints.apply_reply(
-            _parse_instances(reply), reply.list_mark, requested_at
+            parse_instances(reply.instances), reply.list_mark, requested_at
         )
         loads = {
             name: LoadSummary(*totals) for name, totals in reply.loads.items()
@@ -169,6 +177,9 @@
         self._dispatcher.update_remote_loads(loads, reply.hosts)
         self._retry_policy.set_host_count(reply.hosts)
         self._quarantine.merge(reply.suspects)
+        self._origins.update(
+            reply.software_versions, reply.members, requested_at
+        )
         self._leader.replace_members(reply.members)
         if abs(self._clock.now_s() - reply.unix_s) > _CLOCK_TOLERANCE_S:
             self._clock.synchronize(reply.unix_s)
@@ -186,12 +197,6 @@
         )
 
 
-def _parse_instances(reply: SyncReply) -> Sequence[Instance] | None:
-    if reply.instances is None:
-        return None
-    return [Instance.from_wire(entry) for entry in reply.instances]
-
-
 def _wire_loads(loads: Mapping[str, LoadSummary]) -> dict[str, Any]:
     return {
         name: [load.requests, load.tokens, load.prefill_tokens]
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -25,6 +25,7 @@
     log_decision,
 )
 from apricotcart.resumption.errors import StreamVersionGoneError
+from apricotcart.resumption.stream_origins import StreamOrigins
 from apricotcart.timers.clock import boot_clock_s
 
 # Unreachable endpoints that one request tries before it is refused.
@@ -48,6 +49,8 @@
         Counts the requests that endpoints may have run.
     quarantine : PromptQuarantine
         Holds back prompts that crash endpoints.
+    origins : StreamOrigins
+        Records which version began each stream.
     """
 
     __slots__ = (
@@ -55,6 +58,7 @@
         '_usage',
         'header_codec',
         'dispatcher',
+        'origins',
         'quarantine',
         'retry_policy',
     )
@@ -68,6 +72,7 @@
         retry_policy: RetryPolicy,
         usage: UsageCounter,
         quarantine: PromptQuarantine,
+        origins: StreamOrigins,
     ) -> None:
         self.dispatcher = dispatcher
         self._pool = pool
@@ -75,6 +80,7 @@
         self.retry_policy = retry_policy
         self._usage = usage
         self.quarantine = quarantine
+        self.origins = origins
 
     def acquire(self, call: Call) -> Exchange:
         """Wait for an endpoint and return the exchange with it.
@@ -155,8 +161,11 @@
         return call.remaining_s() > 0
 
     def record_stream(self, call: Call, endpoint: EndpointState) -> None:
-        """Pin a stream to the version that has begun it."""
-        call.pin_to(endpoint)
+        """Pin a stream to the version that has begun it, and record that."""
+        origin = call.pin_to(endpoint)
+        if call.route.resumable:
+            metadata = call.metadata
+            self.origins.record([metadata.resumes, metadata.attempt_id], origin)
 
     def record_run(self, call: Call, began_at: float) -> None:
         """Record that an endpoint may have run the request."""
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -33,11 +33,17 @@
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.stopping import stop_calls
+from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.membership.answers import ANSWER_TTL_S
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.process.fleet import FleetProcess
+from apricotcart.resumption.record_store import ControlHostStore
+from apricotcart.resumption.stream_origins import (
+    STORE_INTERVAL_S,
+    StreamOrigins,
+)
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.timers.clock import SteadyUnixClock
 from apricotcart.timers.repeating import RepeatingTimer
@@ -95,6 +101,8 @@
         )
         self._usage = UsageCounter(self._clock, bounds.usage_window_s)
         self._quarantine = PromptQuarantine()
+        ports = Ports(cfg.links.first_port)
+        self._origins = StreamOrigins(ControlHostStore(ports, self._clients))
         self._sender = Sender(
             dispatcher=self._dispatcher,
             pool=self._pool,
@@ -102,6 +110,7 @@
             retry_policy=self._retry_policy,
             usage=self._usage,
             quarantine=self._quarantine,
+            origins=self._origins,
         )
         self._endpoints = EndpointUpdater(
             self._adapter.platform_client(cfg.platform.address),
@@ -111,7 +120,7 @@
         self._link = ControlLink(
             cfg=cfg,
             leader=LeaderClient(
-                Ports(cfg.links.first_port),
+                ports,
                 self._clients,
                 LeaderSearch(ip_of(seed) for seed in cfg.links.seeds),
             ),
@@ -123,6 +132,7 @@
             clock=self._clock,
             active_requests=self._active_requests,
             quarantine=self._quarantine,
+            origins=self._origins,
         )
 
     def _start(self) -> None:
@@ -133,6 +143,7 @@
             'endpoints', CHECK_INTERVAL_S, self._endpoints.fetch_if_stale
         ).start()
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
+        RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
@@ -143,6 +154,9 @@
         )
         cherrypy.engine.start()
 
+    def _store_origins(self) -> None:
+        self._origins.store_new(self._dispatcher.listed_versions())
+
     def _serve_callers(self) -> None:
         app = GatewayApplication(
             state=self._state,
@@ -151,6 +165,7 @@
             forwarder=Forwarder(self._sender),
             watcher=self._watcher,
             active_requests=self._active_requests,
+            resumption=StreamResumption(self._origins, self._dispatcher),
         )
         server = add_server(
             HttpAddress.from_host_port(self._cfg.listen.callers),
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -18,6 +18,7 @@
 
 _LOG = logging.getLogger('apricotcart.decisions')
 _REASON: Final = 'reason'
+_REQUEST_ID: Final = 'request_id'
 # Limit on the log lines per event and second; further decisions are counted
 # but not logged.
 _MAX_LINES_PER_S: Final = 300
@@ -43,7 +44,7 @@
 
 REQUEST_SENT: Final = Event(
     'request_sent',
-    'request_id',
+    _REQUEST_ID,
     'route',
     'kind',
     'customer',
@@ -65,7 +66,7 @@
 )
 SEND_FAILED: Final = Event(
     'send_failed',
-    'request_id',
+    _REQUEST_ID,
     'endpoint',
     'attempt',
     _REASON,
@@ -75,7 +76,7 @@
 )
 REQUEST_ANSWERED: Final = Event(
     'request_answered',
-    'request_id',
+    _REQUEST_ID,
     'route',
     'kind',
     'endpoint',
@@ -90,9 +91,11 @@
 )
 REQUEST_REFUSED: Final = Event(
     'request_refused',
-    'request_id',
+    _REQUEST_ID,
     'status',
     _REASON,
+    'resumes',
+    'software',
     'run_state',
     'retry_after_s',
     'duration_s',
@@ -101,15 +104,24 @@
 )
 STREAM_RESUMED: Final = Event(
     'stream_resumed',
-    'request_id',
+    _REQUEST_ID,
     'endpoint',
     'software',
     'attempt',
     _REASON,
 )
+STREAM_ORIGIN_FOUND: Final = Event(
+    'stream_origin_found',
+    _REQUEST_ID,
+    'resumes',
+    'software',
+    'source',
+    'duration_s',
+)
+VERSIONS_CHANGED: Final = Event('versions_changed', 'software')
 STREAM_BROKEN: Final = Event(
     'stream_broken',
-    'request_id',
+    _REQUEST_ID,
     'endpoint',
     'attempt',
     _REASON,
@@ -117,13 +129,13 @@
 )
 PROMPT_SUSPECTED: Final = Event(
     'prompt_suspected',
-    'request_id',
+    _REQUEST_ID,
     'endpoint',
     'parts',
 )
 PROMPT_QUARANTINED: Final = Event('prompt_quarantined', 'parts', 'endpoints')
 PROMPT_RELEASED: Final = Event('prompt_released', 'parts')
-CALLER_LEFT: Final = Event('caller_left', 'request_id', 'duration_s')
+CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, 'duration_s')
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
     'version',
@@ -161,6 +173,8 @@
     REQUEST_ANSWERED,
     REQUEST_REFUSED,
     STREAM_RESUMED,
+    STREAM_ORIGIN_FOUND,
+    VERSIONS_CHANGED,
     STREAM_BROKEN,
     PROMPT_SUSPECTED,
     PROMPT_QUARANTINED,
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -58,6 +58,7 @@
         'reason',
         'request_id',
         'requests',
+        'resumes',
         'retry_after_s',
         'revision',
         'role',
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -21,6 +21,8 @@
 _ATTEMPT: Final = 'attempt-id'
 _DEADLINE: Final = 'deadline-ms'
 _LAST_EVENT: Final = 'last-event-id'
+# Attempt that brought the first event of the stream, whatever came between.
+_RESUMES: Final = 'resumes'
 _LENGTH_HINT: Final = 'length-hint'
 # Prompt tokens and maximum output tokens of a request.
 _TOKEN_COUNTS: Final = 'token-usage'
@@ -82,6 +84,7 @@
             wait_s=_parse_seconds(fields.get(_DEADLINE)),
             key=fields.get(_KEY, ''),
             last_event_id=fields.get(_LAST_EVENT, ''),
+            resumes=fields.get(_RESUMES, ''),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             length_hint=_parse_counts(fields.get(_LENGTH_HINT, '0'), 1)[0],
--- a/tests/coordinator/test_state.py
+++ b/tests/coordinator/test_state.py
@@ -103,3 +103,21 @@
     max_examples=60, deadline=None
 )
 TestCoordinatorState = CoordinatorStateMachine.TestCase
+
+
+def test_software_versions_survive_a_snapshot() -> None:
+    state = CoordinatorState()
+    versions = {'lm': ['v1', 'v2']}
+    command = {'kind': 'set_versions', 'versions': versions}
+    assert unpack(state.apply(1, pack(command)))['ok']
+    restored = CoordinatorState()
+    restored.restore(state.snapshot())
+    assert restored.software_versions == {'lm': frozenset(('v1', 'v2'))}
+
+
+def test_snapshot_of_an_earlier_build_is_restored() -> None:
+    fields = unpack(CoordinatorState().snapshot())
+    fields.pop('software_versions')
+    restored = CoordinatorState()
+    restored.restore(pack(fields))
+    assert not restored.software_versions
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
 import pytest
@@ -28,12 +28,35 @@
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.platform.headers import PlatformHeaderCodec
+from apricotcart.resumption.origins import StreamOrigin
+from apricotcart.resumption.record_store import RecordStore
+from apricotcart.resumption.stream_origins import StreamOrigins
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
 from apricotcart.timers.repeating import RepeatingTimer
 
 _ids = itertools.count(1)
 
 
+class MemoryStore(RecordStore):
+    """Keeps the records in memory."""
+
+    def __init__(self) -> None:
+        self.origins: dict[str, StreamOrigin] = {}
+        self.is_available = True
+
+    def replace_members(self, node_ids: Iterable[str]) -> None:
+        """Ignore the members."""
+
+    def store(self, origins: Mapping[str, StreamOrigin]) -> set[str]:
+        if not self.is_available:
+            return set()
+        self.origins.update(origins)
+        return set(origins)
+
+    def find(self, attempt_id: str) -> StreamOrigin | None:
+        return self.origins.get(attempt_id)
+
+
 class Bench:
     """Forwards calls to scripted endpoints."""
 
@@ -43,6 +66,8 @@
         self.software_versions: Sequence[str] = ()
         self.placement = Placement('a')
         self.dispatcher = Dispatcher(self.placement)
+        self.records = MemoryStore()
+        self.origins = StreamOrigins(self.records)
         self.usage = UsageCounter(SteadyUnixClock.from_host(), 5)
         self.sender = Sender(
             dispatcher=self.dispatcher,
@@ -51,6 +76,7 @@
             retry_policy=RetryPolicy(1, 100),
             usage=self.usage,
             quarantine=PromptQuarantine(),
+            origins=self.origins,
         )
         self.forwarder = Forwarder(self.sender)
 
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -28,6 +28,7 @@
     GrowingThreadPool,
 )
 from apricotcart.gateway.state import StateCopy
+from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.platform.headers import PlatformHeaderCodec
 from apricotcart.timers.clock import boot_clock_s
@@ -107,6 +108,7 @@
             forwarder=bench.forwarder,
             watcher=self._watcher,
             active_requests=ActiveRequests(),
+            resumption=StreamResumption(bench.origins, bench.dispatcher),
         )
         self._server = start_listener(app)
 
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from gateway.conftest import MemoryStore
 
 from apricotcart.coordinator.messages import SyncReply
 from apricotcart.endpoints.instances import Instance
@@ -23,6 +24,7 @@
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.provisioning.fleet_api import PlatformUnavailableError
+from apricotcart.resumption.stream_origins import StreamOrigins
 from apricotcart.timers.clock import SteadyUnixClock
 
 
@@ -129,6 +131,7 @@
             clock=true_clock,
             active_requests=ActiveRequests(),
             quarantine=PromptQuarantine(),
+            origins=StreamOrigins(MemoryStore()),
         )
 
 
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -16,6 +17,10 @@
 )
 from gateway.served_gateway import ServedGateway
 
+from apricotcart.gateway.endpoint_state import Requirements
+from apricotcart.gateway.request_queue import QueuedRequest, RequestQueue
+from apricotcart.resumption.origins import StreamOrigin
+
 _EVENTS = [event(number) for number in range(1, 5)]
 _ALL = b''.join(_EVENTS)
 
@@ -82,3 +87,83 @@
     assert received.status == 503
     assert b'"run_state":"not_run"' in received.body
     assert not any(endpoint.received for endpoint in endpoints)
+
+
+def _record(bench: Bench, version: str) -> None:
+    origin = StreamOrigin(service='app', software_version=version)
+    bench.records.store({'begun': origin})
+
+
+_RESUMES = ('Last-Event-Id: 2', 'Resumes: begun')
+
+
+@pytest.mark.parametrize('version', ['v1', 'v1.1'])
+def test_stream_begun_at_another_gateway_goes_on_at_its_version(
+    bench: Bench, gateway: ServedGateway, version: str
+) -> None:
+    bench.software_versions = ['v1', 'v1', 'v1.1']
+    bench.serve(*(_break_new_streams for _ in bench.software_versions))
+    _record(bench, version)
+    for _ in range(4):
+        received = gateway.ask('resumable', *_RESUMES)
+        assert received.is_complete
+        assert received.body == _EVENTS[2] + _EVENTS[3]
+    for endpoint, its_version in zip(
+        bench.endpoints, bench.software_versions, strict=True
+    ):
+        assert its_version == version or not endpoint.received
+
+
+def test_stream_whose_version_is_gone_is_refused_at_once(
+    bench: Bench, gateway: ServedGateway
+) -> None:
+    bench.software_versions = ['v1.1', 'v1.1']
+    endpoints = bench.serve(_break_new_streams, _break_new_streams)
+    _record(bench, 'v1')
+    started_at = time.monotonic()
+    received = gateway.ask('resumable', *_RESUMES)
+    assert received.status == 503
+    assert b'stream_version_gone' in received.body
+    assert time.monotonic() < started_at + 0.5
+    assert not any(endpoint.received for endpoint in endpoints)
+
+
+def test_resumed_stream_is_recorded_under_its_first_attempt(
+    bench: Bench, gateway: ServedGateway
+) -> None:
+    """A caller names the attempt that brought the first event each time."""
+    bench.software_versions = ['v1', 'v1.1']
+    bench.serve(_break_new_streams, _break_new_streams)
+    _record(bench, 'v1.1')
+    assert gateway.ask('resumable', *_RESUMES).is_complete
+    bench.records.origins.clear()
+    assert gateway.ask('resumable', *_RESUMES).is_complete
+
+
+def test_request_for_a_single_version_does_not_block_others(
+    bench: Bench,
+) -> None:
+    """It is not queued before requests that any endpoint may run."""
+    bench.software_versions = ['v1', 'v1.1']
+    bench.serve(_break_new_streams, _break_new_streams)
+    queue = RequestQueue(bench.placement)
+    first = bench.placement.endpoint('i-0')
+    assert first is not None
+    for number in range(40):
+        bench.placement.place(f'x{number}', first, Requirements(service='app'))
+    queue.add(
+        _queued('bound', 0, Requirements(service='app', software_version='v1'))
+    )
+    queue.add(_queued('free', 1, Requirements(service='app')))
+    decided = [decision.request_id for decision in queue.decide(1)]
+    assert decided == ['free']
+
+
+def _queued(name: str, started_at: float, needs: Requirements) -> QueuedRequest:
+    return QueuedRequest(
+        request_id=name,
+        requirements=needs,
+        rank=(0, started_at),
+        refuse_at=100,
+        excluded=set(),
+    )
