Believe a refusal without id only as first response on a connection

Cause: a refusal without attempt id was taken for that of the current request, also on a kept connection, where an endpoint may write an earlier one again. Change: without an id, only the first response on a new connection belongs to the request; another one is a broken response, after which a request that may run only once is not retried. Evidence: test_refusal_without_id_on_a_kept_connection_is_not_believed and test_request_with_a_repeated_refusal_runs_once failed before. A second send of one attempt to one endpoint cannot occur: the endpoint is excluded and the connection closed (test_refused_attempt_is_not_sent_to_its_endpoint_again, which passed before).

--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchange.py
@@ -248,10 +248,12 @@
         response = conn.read_response(
             self._call.remaining_s() + _DEADLINE_GRACE_S
         )
+        is_first = not conn.is_reused
         for _ in range(_MAX_SKIPPED_RESPONSES):
             self._store_head(response)
-            if self._matches_attempt():
+            if self._matches_attempt(is_first=is_first):
                 return
+            is_first = False
             # Skips a late response to an earlier request.
             _drain(response)
             response = conn.read_next_response()
@@ -268,11 +270,13 @@
             self._header_codec.parse_response_headers(self.headers)
         )
 
-    def _matches_attempt(self) -> bool:
+    def _matches_attempt(self, *, is_first: bool) -> bool:
         attempt_id = self.metadata.attempt_id
         if attempt_id:
             return attempt_id == self._call.metadata.attempt_id
-        if self.metadata.is_genuine:
+        # Without an id, only the first response on a connection is known to
+        # belong to this request.
+        if self.metadata.is_genuine or not is_first:
             raise BrokenEndpointError('the response has no attempt id')
         return True
 
