Reject streams with lines that no event has

Another operator's report: callers found the text or head of an error in the middle of their stream. The reported way does not exist here: an error with which the next endpoint answers a resumption is never passed on, on new and on kept connections (10 cases of test_error_of_the_next_endpoint_is_not_part_of_the_stream passed before). Another way did: an error response that an endpoint writes into the end of its own stream, whose head ends with an empty line, was passed on as an event if the stream had no length or a longer one. Change: lines of events are fields with lower-case names, comments or empty; any other line breaks the stream off, and a resumable one is resumed. Evidence: 14 of 24 cases of test_error_written_into_a_broken_stream_is_cut_out failed before; valid events, with other fields and both ends of lines, pass unchanged (5 cases).

--- a/src/apricotcart/gateway/events.py
+++ b/src/apricotcart/gateway/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
 from apricotcart.gateway.errors import BrokenEndpointError
@@ -9,6 +10,12 @@
 # Maximum size of an event, of which an engine writes a few tokens each.
 MAX_EVENT_BYTES: Final = 1_048_576
 _EVENT_DELIMITERS: Final = (b'\n\n', b'\r\n\r\n')
+# Lines of events: fields, comments, or empty. The HTML standard allows any
+# name, but other names are those of a response that a faulty endpoint has
+# written into its stream.
+_EVENT_LINES: Final = re.compile(
+    rb'(?:(?:[a-z0-9_-]*:[^\n]*|(?:data|event|id|retry)?\r?)\n)*'
+)
 _ID_FIELD: Final = b'id:'
 
 
@@ -38,13 +45,15 @@
         Raises
         ------
         BrokenEndpointError
-            If an event exceeds the size limit.
+            If an event exceeds the size limit or has a malformed line.
         """
         buffered = self._partial + chunk
         end = max(
             _end_of(buffered, delimiter) for delimiter in _EVENT_DELIMITERS
         )
         complete = buffered[:end]
+        if _EVENT_LINES.fullmatch(complete) is None:
+            raise BrokenEndpointError('the stream has a malformed line')
         self._partial = buffered[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise BrokenEndpointError(
