Group the gateway's modules and rename what had no telling name

Requests to endpoints and their responses are now in gateway/exchanges/, the assignment of queued requests in gateway/dispatching/, with their tests. The two classes named EventSplitter differ in purpose: the gateway's is EventBuffer, in event_buffer.py. Divider is SlotDivider, in slot_division.py; _is_tight is _has_lowest_pause_target. No behaviour changes.

--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -12,7 +12,6 @@
 from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.node import Node
-from apricotcart.control.division import DIVISION_INTERVAL_S, Divider
 from apricotcart.control.duties import DutyRunner
 from apricotcart.control.duty_plan import DutyPlan
 from apricotcart.control.entry_hosts import EntryHosts
@@ -25,6 +24,7 @@
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.reports import Reports
 from apricotcart.control.rpc import ControlRequests
+from apricotcart.control.slot_division import DIVISION_INTERVAL_S, SlotDivider
 from apricotcart.process.api import ServerProcess
 from apricotcart.settings.control import ControlConfig
 from apricotcart.storage.identity import open_identity
@@ -132,7 +132,7 @@
             _RPC_WORKERS,
             self._tls,
         ).start()
-        divider = Divider(self._loop, state, self._hosts)
+        divider = SlotDivider(self._loop, state, self._hosts)
         self._divider = RepeatingTimer(
             'division',
             DIVISION_INTERVAL_S,
--- a/src/apricotcart/control/division.py
+++ b/src/apricotcart/control/slot_division.py
@@ -16,7 +16,7 @@
 _PAUSE_FACTOR = 9
 
 
-class Divider:
+class SlotDivider:
     """Divides the slots of all endpoints while this host leads.
 
     Parameters
--- a/src/apricotcart/desired/urgency.py
+++ b/src/apricotcart/desired/urgency.py
@@ -73,10 +73,10 @@
         return Urgency(
             levels_above=sum(rank < own for rank in ranks),
             level=sum(rank > own for rank in ranks),
-            is_latency_critical=self._is_tight(route, service),
+            is_latency_critical=self._has_lowest_pause_target(route, service),
         )
 
-    def _is_tight(self, route: Route, service: str) -> bool:
+    def _has_lowest_pause_target(self, route: Route, service: str) -> bool:
         targets = self._latency_targets.get(service, set())
         if route.pause_s is None or len(targets) < 2:
             return False
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -15,7 +15,7 @@
     RequestMetadata,
 )
 from apricotcart.gateway.call import Call
-from apricotcart.gateway.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.errors import LeavingError
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.listener import (
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -8,9 +8,12 @@
 from apricotcart.desired.records import Route, RouteKind
 from apricotcart.desired.urgency import Urgency
 from apricotcart.gateway.api import ForwardedRequest, RequestMetadata
-from apricotcart.gateway.connections import EndpointConnection
-from apricotcart.gateway.dispatcher import Dispatcher
-from apricotcart.gateway.endpoint_state import EndpointState, Requirements
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.endpoint_state import (
+    EndpointState,
+    Requirements,
+)
+from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
--- /dev/null
+++ b/src/apricotcart/gateway/dispatching/__init__.py
@@ -0,0 +1,1 @@
+"""Assigns queued requests to endpoints."""
--- a/src/apricotcart/gateway/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -6,19 +6,19 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
-from apricotcart.gateway.endpoint_state import (
+from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     LoadSummary,
     Requirements,
 )
-from apricotcart.gateway.errors import BusyError, CallerLeftError
-from apricotcart.gateway.placement import Placement
-from apricotcart.gateway.request_queue import (
+from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.dispatching.request_queue import (
     Assigned,
     Decision,
     QueuedRequest,
     RequestQueue,
 )
+from apricotcart.gateway.errors import BusyError, CallerLeftError
 from apricotcart.resumption.serving_versions import (
     VersionsByService,
     listed_versions,
--- a/src/apricotcart/gateway/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -8,7 +8,7 @@
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import PromptPart
-from apricotcart.gateway.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.hashing import hash_to_unit
 
 # Ratio of an engine's KV memory that may be filled. Outputs can become longer
 # than expected, and an engine that runs out of memory preempts requests.
--- a/src/apricotcart/gateway/endpoint_updates.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_updates.py
@@ -9,8 +9,8 @@
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import ApricotcartError
-from apricotcart.gateway.connections import ConnectionPool
-from apricotcart.gateway.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
+from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.provisioning.fleet_api import FleetPlatform
 from apricotcart.timers.clock import boot_clock_s
 
--- a/src/apricotcart/gateway/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -15,14 +15,14 @@
 
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
-from apricotcart.gateway.endpoint_state import (
+from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     LoadSummary,
     PlacedRequest,
     Requirements,
 )
-from apricotcart.gateway.hashing import hash_to_unit
-from apricotcart.gateway.prefix_homes import (
+from apricotcart.gateway.dispatching.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.prefix_homes import (
     estimate_prefill_work,
     find_copy_source,
     find_homes,
--- a/src/apricotcart/gateway/prefix_homes.py
+++ b/src/apricotcart/gateway/dispatching/prefix_homes.py
@@ -11,8 +11,11 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
-from apricotcart.gateway.endpoint_state import EndpointState, Requirements
-from apricotcart.gateway.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.endpoint_state import (
+    EndpointState,
+    Requirements,
+)
+from apricotcart.gateway.dispatching.hashing import hash_to_unit
 
 # Cost of copying a shared prefix relative to prefilling it. It is above 1 since
 # the copy takes memory, and since it is less certain than at the home engine
--- a/src/apricotcart/gateway/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -10,8 +10,11 @@
 from collections.abc import Iterator
 from typing import Final
 
-from apricotcart.gateway.endpoint_state import EndpointState, Requirements
-from apricotcart.gateway.placement import Placement
+from apricotcart.gateway.dispatching.endpoint_state import (
+    EndpointState,
+    Requirements,
+)
+from apricotcart.gateway.dispatching.placement import Placement
 
 # Queue timeout as a ratio of the target time to first byte; a longer wait
 # leaves no time for the prefill.
--- /dev/null
+++ b/src/apricotcart/gateway/exchanges/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to endpoints, and their responses."""
--- a/src/apricotcart/gateway/events.py
+++ b/src/apricotcart/gateway/exchanges/event_buffer.py
@@ -19,7 +19,7 @@
 _ID_FIELD: Final = b'id:'
 
 
-class EventSplitter:
+class EventBuffer:
     """Buffers an incomplete event until the rest of it arrives.
 
     Attributes
--- a/src/apricotcart/gateway/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -12,19 +12,19 @@
     ResponseMetadata,
 )
 from apricotcart.gateway.call import Call
-from apricotcart.gateway.connections import (
-    ConnectionPool,
-    EndpointConnection,
-    read_available,
-)
-from apricotcart.gateway.endpoint_state import EndpointState
+from apricotcart.gateway.dispatching.endpoint_state import EndpointState
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     CallerLeftError,
     NotExecutedError,
     UnreachableEndpointError,
 )
-from apricotcart.gateway.framing import Framing
+from apricotcart.gateway.exchanges.connections import (
+    ConnectionPool,
+    EndpointConnection,
+    read_available,
+)
+from apricotcart.gateway.exchanges.framing import Framing
 from apricotcart.timers.clock import boot_clock_s
 
 # Time after the deadline during which the endpoint's own time-out response may
--- a/src/apricotcart/gateway/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -11,9 +11,9 @@
     BrokenEndpointError,
     SilentEndpointError,
 )
-from apricotcart.gateway.events import EventSplitter
-from apricotcart.gateway.exchange import Exchange
-from apricotcart.gateway.framing import Framing
+from apricotcart.gateway.exchanges.event_buffer import EventBuffer
+from apricotcart.gateway.exchanges.exchange import Exchange
+from apricotcart.gateway.exchanges.framing import Framing
 from apricotcart.gateway.sender import Sender
 from apricotcart.observability.decisions import (
     CALLER_LEFT,
@@ -61,7 +61,7 @@
         self._sender = sender
         self._call = call
         self._exchange: Exchange | None = exchange
-        self._splitter = EventSplitter()
+        self._splitter = EventBuffer()
         self._source = exchange.chunks()
         self.headers = sender.header_codec.build_caller_headers(
             exchange.headers
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -15,9 +15,9 @@
     SilentEndpointError,
     UnreachableEndpointError,
 )
-from apricotcart.gateway.exchange import Exchange
+from apricotcart.gateway.exchanges.exchange import Exchange
+from apricotcart.gateway.exchanges.streams import EventStream
 from apricotcart.gateway.sender import Sender
-from apricotcart.gateway.streams import EventStream
 from apricotcart.observability.decisions import (
     REQUEST_ANSWERED,
     log_decision,
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -20,9 +20,9 @@
 from apricotcart.desired.routing import RoutingTable
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.active_requests import ActiveRequests, Phase
-from apricotcart.gateway.dispatcher import Dispatcher
-from apricotcart.gateway.endpoint_state import LoadSummary
-from apricotcart.gateway.endpoint_updates import (
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.endpoint_state import LoadSummary
+from apricotcart.gateway.dispatching.endpoint_updates import (
     EndpointUpdater,
     parse_instances,
 )
--- a/src/apricotcart/gateway/prompt_quarantine.py
+++ b/src/apricotcart/gateway/prompt_quarantine.py
@@ -15,7 +15,7 @@
     BrokenEndpointError,
     QuarantinedPromptError,
 )
-from apricotcart.gateway.exchange import Exchange
+from apricotcart.gateway.exchanges.exchange import Exchange
 from apricotcart.observability.decisions import (
     PROMPT_QUARANTINED,
     PROMPT_RELEASED,
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -7,16 +7,19 @@
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.api import HeaderCodec
 from apricotcart.gateway.call import Call
-from apricotcart.gateway.connections import ConnectionPool
-from apricotcart.gateway.dispatcher import Dispatcher
-from apricotcart.gateway.endpoint_state import EndpointState
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.endpoint_state import EndpointState
+from apricotcart.gateway.dispatching.request_queue import (
+    QueuedRequest,
+    queue_timeout_s,
+)
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     SilentEndpointError,
 )
-from apricotcart.gateway.exchange import Exchange
+from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.exchange import Exchange
 from apricotcart.gateway.prompt_quarantine import PromptQuarantine
-from apricotcart.gateway.request_queue import QueuedRequest, queue_timeout_s
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.observability.decisions import (
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -14,12 +14,16 @@
 from apricotcart.coordinator.messages import CLUSTER_SECRET
 from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.application import GatewayApplication
-from apricotcart.gateway.connections import ConnectionPool
-from apricotcart.gateway.dispatcher import TICK_INTERVAL_S, Dispatcher
-from apricotcart.gateway.endpoint_updates import (
+from apricotcart.gateway.dispatching.dispatcher import (
+    TICK_INTERVAL_S,
+    Dispatcher,
+)
+from apricotcart.gateway.dispatching.endpoint_updates import (
     CHECK_INTERVAL_S,
     EndpointUpdater,
 )
+from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.listener import (
@@ -27,7 +31,6 @@
     CallerGateway,
     GrowingThreadPool,
 )
-from apricotcart.gateway.placement import Placement
 from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
--- a/src/apricotcart/gateway/stream_resumption.py
+++ b/src/apricotcart/gateway/stream_resumption.py
@@ -4,7 +4,7 @@
 
 from apricotcart.desired.records import Route
 from apricotcart.gateway.api import RequestMetadata
-from apricotcart.gateway.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.resumption.errors import StreamVersionGoneError
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.resumption.stream_origins import StreamOrigins
--- a/src/apricotcart/resumption/record_store.py
+++ b/src/apricotcart/resumption/record_store.py
@@ -13,7 +13,7 @@
 from apricotcart.coordinator.addresses import Ports
 from apricotcart.coordinator.messages import FIND_ORIGIN, KIND, RECORD_ORIGINS
 from apricotcart.errors.tree import ApricotcartError
-from apricotcart.gateway.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.hashing import hash_to_unit
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.transport.redialing import RedialingClients, WireMessage
--- a/tests/control/test_division.py
+++ b/tests/control/test_slot_division.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from apricotcart.control.division import Divider
 from apricotcart.control.entry_hosts import EntryHosts
+from apricotcart.control.slot_division import SlotDivider
 from apricotcart.membership.table import DISCOVERY_S
 from apricotcart.state.machine import ClusterState
 
@@ -25,13 +25,13 @@
         """Declare the endpoints."""
         self.now: float = 0
         patch.setattr(
-            'apricotcart.control.division.boot_clock_s',
+            'apricotcart.control.slot_division.boot_clock_s',
             lambda: self.now,
         )
         self.loop = FakeLoop(ClusterState())
         self.hosts = EntryHosts(0)
         fake: Any = self.loop
-        self.divider = Divider(fake, self.loop.state, self.hosts)
+        self.divider = SlotDivider(fake, self.loop.state, self.hosts)
         changes = [_change('pool', 'p', {'kind': 'engine', 'max_queue': 9})]
         for number in range(2):
             changes.append(
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -18,10 +18,13 @@
     RequestMetadata,
 )
 from apricotcart.gateway.call import Call
-from apricotcart.gateway.connections import ConnectionPool
-from apricotcart.gateway.dispatcher import TICK_INTERVAL_S, Dispatcher
+from apricotcart.gateway.dispatching.dispatcher import (
+    TICK_INTERVAL_S,
+    Dispatcher,
+)
+from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
-from apricotcart.gateway.placement import Placement
 from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.routing_decision import RoutingDecision
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/dispatching/test_placement.py
@@ -10,12 +10,12 @@
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import PromptPart
-from apricotcart.gateway.endpoint_state import (
+from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     LoadSummary,
     Requirements,
 )
-from apricotcart.gateway.placement import Placement
+from apricotcart.gateway.dispatching.placement import Placement
 
 _ENGINE = Engine(slots=8, kv_tokens=100_000)
 _HOSTS = 6
--- a/tests/gateway/test_prefix_homes.py
+++ b/tests/gateway/dispatching/test_prefix_homes.py
@@ -7,8 +7,11 @@
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import PromptPart
-from apricotcart.gateway.endpoint_state import EndpointState, Requirements
-from apricotcart.gateway.prefix_homes import (
+from apricotcart.gateway.dispatching.endpoint_state import (
+    EndpointState,
+    Requirements,
+)
+from apricotcart.gateway.dispatching.prefix_homes import (
     estimate_prefill_work,
     find_copy_source,
     find_homes,
--- a/tests/gateway/test_request_queue.py
+++ b/tests/gateway/dispatching/test_request_queue.py
@@ -4,9 +4,9 @@
 
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
-from apricotcart.gateway.endpoint_state import Requirements
-from apricotcart.gateway.placement import Placement
-from apricotcart.gateway.request_queue import (
+from apricotcart.gateway.dispatching.endpoint_state import Requirements
+from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.dispatching.request_queue import (
     Assigned,
     QueuedRequest,
     Refused,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -20,13 +20,13 @@
 )
 
 from apricotcart.desired.records import RouteKind
-from apricotcart.gateway.connections import ConnectionPool
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     BusyError,
     CallerLeftError,
     SilentEndpointError,
 )
+from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.web.response import WebResponse
 
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -12,14 +12,14 @@
 from apricotcart.coordinator.messages import SyncReply
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import UnavailableError
-from apricotcart.gateway import endpoint_updates as updates_module
+from apricotcart.gateway.dispatching import endpoint_updates as updates_module
 from apricotcart.gateway import link as link_module
 from apricotcart.gateway.active_requests import ActiveRequests
-from apricotcart.gateway.connections import ConnectionPool
-from apricotcart.gateway.dispatcher import Dispatcher
-from apricotcart.gateway.endpoint_updates import EndpointUpdater
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.endpoint_updates import EndpointUpdater
+from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.link import ControlLink
-from apricotcart.gateway.placement import Placement
 from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -17,8 +17,11 @@
 )
 from gateway.served_gateway import ServedGateway
 
-from apricotcart.gateway.endpoint_state import Requirements
-from apricotcart.gateway.request_queue import QueuedRequest, RequestQueue
+from apricotcart.gateway.dispatching.endpoint_state import Requirements
+from apricotcart.gateway.dispatching.request_queue import (
+    QueuedRequest,
+    RequestQueue,
+)
 from apricotcart.resumption.origins import StreamOrigin
 
 _EVENTS = [event(number) for number in range(1, 5)]
