--- a/src/apricotcart/coordinator/duties.py
+++ b/src/apricotcart/coordinator/duties.py
@@ -28,13 +28,14 @@
     USAGE_SENT,
     log_decision,
 )
-from apricotcart.provisioning.autoscaling import Autoscaler, ServiceLoad
+from apricotcart.provisioning.autoscaling import Autoscaler
 from apricotcart.provisioning.fleet_api import (
     EndpointOrder,
     FencedCall,
     FleetPlatform,
     StaleFencingError,
 )
+from apricotcart.provisioning.scaling_inputs import ServiceLoad
 from apricotcart.settings.fleet import FleetBoundSettings
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
 
--- a/src/apricotcart/provisioning/autoscaling.py
+++ b/src/apricotcart/provisioning/autoscaling.py
@@ -9,13 +9,18 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from typing import Final
 
-from apricotcart.codec.record import Record
-from apricotcart.desired.records import Scaling, Service
+from apricotcart.desired.records import Service
 from apricotcart.endpoints.instances import Instance
 from apricotcart.provisioning.fleet_api import EndpointOrder
+from apricotcart.provisioning.scaling_inputs import (
+    LastOrder,
+    ScalingInputs,
+    ServiceLoad,
+    ZoneCounts,
+)
 
 # Requests in progress at one engine up to which its inter-token latency stays
 # low.
@@ -37,144 +42,14 @@
 _SCALE_DOWN_DELAY_S: Final = 10.0
 # Time after which spot endpoints are requested again in a zone that had none.
 _SPOT_RETRY_DELAY_S: Final = 2.5
-# Fraction of the regular endpoints kept until the first request. The operator
-# provides them for the highest load.
-_IDLE_FRACTION: Final = 0.75
 # Time for which the list of an idle service must not change before regular
 # endpoints are released. Endpoints that have just started are listed one by
 # one.
 _LIST_STABLE_S: Final = 2.0
-# The platform lists ordered endpoints up to this long after their boot time.
-_LIST_LAG_S: Final = 2.0
 
 _Counts = dict[str, int]
 
 
-class ServiceLoad(Record):
-    """Load of one service over all hosts.
-
-    Attributes
-    ----------
-    requests : int
-        Requests in progress or queued.
-    unread_tokens : int
-        Prompt tokens that wait for prefill.
-    """
-
-    __slots__ = ('requests', 'unread_tokens')
-
-    def __init__(self, *, requests: int, unread_tokens: int) -> None:
-        self.requests = requests
-        self.unread_tokens = unread_tokens
-
-
-class ZoneCounts:
-    """Number of endpoints of one service by zone.
-
-    Attributes
-    ----------
-    spot, regular : dict of str to int
-        Ready endpoints that are not about to leave, by zone.
-    """
-
-    __slots__ = ('regular', 'spot')
-
-    def __init__(
-        self,
-        zones: Iterable[str],
-        instances: Iterable[Instance],
-    ) -> None:
-        self.spot = dict.fromkeys(zones, 0)
-        self.regular = dict.fromkeys(self.spot, 0)
-        for instance in instances:
-            if not instance.is_ready or instance.leaves_s is not None:
-                continue
-            counts = self.spot if instance.is_spot else self.regular
-            counts[instance.zone] = counts.get(instance.zone, 0) + 1
-
-    @property
-    def total(self) -> int:
-        """Number of all endpoints."""
-        return sum(self.spot.values()) + sum(self.regular.values())
-
-    @property
-    def idle_count(self) -> int:
-        """Number of endpoints that an idle service keeps."""
-        regular = sum(self.regular.values())
-        return max(
-            sum(self.spot.values()),
-            math.ceil(regular * _IDLE_FRACTION),
-        )
-
-
-class ScalingInputs:
-    """Inputs of one scaling decision.
-
-    Attributes
-    ----------
-    now : float
-        Time in seconds.
-    scaling : Scaling
-        Bounds and prices.
-    counts : ZoneCounts
-        Endpoints present; the zones are ordered by price.
-    target : int
-        Endpoints that all zones together are to have.
-    """
-
-    __slots__ = ('counts', 'now', 'scaling', 'target')
-
-    def __init__(
-        self,
-        *,
-        now: float,
-        scaling: Scaling,
-        counts: ZoneCounts,
-        target: int,
-    ) -> None:
-        self.now = now
-        self.scaling = scaling
-        self.counts = counts
-        self.target = target
-
-    @property
-    def zones(self) -> Sequence[str]:
-        """Zones in order of price, the cheapest first."""
-        return tuple(self.counts.spot)
-
-    @property
-    def has_no_spare_spot(self) -> bool:
-        """Whether there are no more spot endpoints than the target."""
-        return sum(self.counts.spot.values()) <= self.target
-
-    def present_count(self, zone: str, *, is_spot: bool) -> int:
-        """Return the number of endpoints of a kind in a zone."""
-        counts = self.counts.spot if is_spot else self.counts.regular
-        return counts[zone]
-
-    def is_booting(self, last_order: LastOrder) -> bool:
-        """Return whether ordered endpoints may not be listed yet."""
-        return self.now < last_order.at + self.scaling.boot_s + _LIST_LAG_S
-
-
-class LastOrder:
-    """The last accepted order for one zone and kind.
-
-    Attributes
-    ----------
-    count : int
-        Endpoints that the zone was ordered to have.
-    at : float
-        Time of the order in seconds.
-    """
-
-    __slots__ = ('at', 'count')
-
-    def __init__(self, count: int, at: float) -> None:
-        self.count = count
-        self.at = at
-
-
 class Autoscaler:
     """Decides on orders for the endpoints of one service."""
 
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -12,9 +12,9 @@
 from apricotcart.coordinator.messages import SyncReply
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import UnavailableError
-from apricotcart.gateway.dispatching import endpoint_updates as updates_module
 from apricotcart.gateway import link as link_module
 from apricotcart.gateway.active_requests import ActiveRequests
+from apricotcart.gateway.dispatching import endpoint_updates as updates_module
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_updates import EndpointUpdater
 from apricotcart.gateway.dispatching.placement import Placement
--- a/tests/provisioning/test_autoscaling.py
+++ b/tests/provisioning/test_autoscaling.py
@@ -4,8 +4,9 @@
 
 from apricotcart.desired.records import Engine, Scaling, Service
 from apricotcart.endpoints.instances import Instance
-from apricotcart.provisioning.autoscaling import Autoscaler, ServiceLoad
+from apricotcart.provisioning.autoscaling import Autoscaler
 from apricotcart.provisioning.fleet_api import EndpointOrder
+from apricotcart.provisioning.scaling_inputs import ServiceLoad
 
 _ZONES = ('a', 'b', 'c', 'd')
 _BOOT_S = 4.0
