Add a failing test for a part that ends five engines within a second

Crashes closer than 0.5 s count as one, so that five engines that one part ends within 0.9 s count as two and the part is not quarantined.

--- a/tests/endpoints/test_prompt_suspects.py
+++ b/tests/endpoints/test_prompt_suspects.py
@@ -156,3 +156,12 @@
     for number in range(2 * MAX_SUSPECTS):
         host.on_crash(now, 'i-x', [f'p{number}'])
     assert host.quarantined == {_BAD}
+
+
+def test_five_crashes_within_a_second_are_enough() -> None:
+    """Times of csft-sealdesk, unframed-crashes of f1a71e0, seed 3."""
+    host = PromptSuspects()
+    for number, at in enumerate((5.296, 5.529, 5.556, 6.085, 6.159)):
+        host.on_crash(at, f'i-{number}', [_SYSTEM, _BAD])
+        host.on_success(at + 0.01, [_SYSTEM])
+    assert host.quarantined == {_BAD}
