Log the fingerprint of requests

request_sent now has the fingerprint: a digest of customer, host name, method, path with query, and body, the same on all hosts. Attempt id, deadline and trace are left out. The hash is cryptographic and includes the customer, so that no customer can make a request that is taken for another one's.

--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -14,6 +14,7 @@
     Requirements,
 )
 from apricotcart.gateway.exchanges.connections import EndpointConnection
+from apricotcart.gateway.fingerprint import fingerprint_of
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
@@ -31,6 +32,8 @@
     ----------
     request_id : str
         Id that is unique within this process; ids of callers may repeat.
+    fingerprint : str
+        Digest that the request has in every attempt of its caller.
     deadline_at : float
         When the timeout of the caller or of the route expires, in seconds.
     send_count : int
@@ -52,6 +55,7 @@
         'dispatcher',
         'excluded_endpoints',
         'failure_response',
+        'fingerprint',
         'may_have_run',
         'is_caller_gone',
         'message',
@@ -84,6 +88,7 @@
         if metadata.wait_s is not None:
             wait_s = min(wait_s, metadata.wait_s)
         self.deadline_at = started_at + wait_s
+        self.fingerprint = fingerprint_of(self.customer_name, message)
         self.conn: EndpointConnection | None = None
         self.excluded_endpoints: set[str] = set()
         self.send_count = 0
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -117,6 +117,7 @@
         log_decision(
             REQUEST_SENT,
             request_id=call.metadata.attempt_id,
+            fingerprint=call.fingerprint,
             route=call.route.name,
             kind=str(call.route.kind),
             customer=call.customer_name,
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -45,6 +45,7 @@
 REQUEST_SENT: Final = Event(
     'request_sent',
     _REQUEST_ID,
+    'fingerprint',
     'route',
     'kind',
     'customer',
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -34,6 +34,7 @@
         'endpoints',
         'event',
         'fencing',
+        'fingerprint',
         'first_s',
         'framing',
         'host',
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import threading
 import time
@@ -419,3 +420,21 @@
     )
     assert not first_endpoint.received
     assert len(addresses) == 2
+
+
+def test_log_line_of_sending_has_the_fingerprint(
+    bench: Bench, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Without it, the tries of one request cannot be found together."""
+    bench.serve(respond_with())
+    calls = [bench.call(), bench.call()]
+    with caplog.at_level(logging.INFO):
+        for call in calls:
+            _body(bench.forwarder.forward(call))
+    lines: list[Any] = [
+        record
+        for record in caplog.records
+        if record.getMessage() == 'request_sent'
+    ]
+    assert len({line.request_id for line in lines}) == 2
+    assert {line.fingerprint for line in lines} == {calls[0].fingerprint}
