Tell crashes with a common cause by their moments, not by their spacing

Cause: crashes less than 0.5 s apart counted as one, since a fault of the machines ends several endpoints at a time. Requests that end endpoints do so within 0.1 s of being sent, one endpoint after the other.

A crash now bears the time at which its request was sent. It is independent of the one before if it was sent after that, or if it ended more than 0.1 s later, which is more than one fault is seen to take, delays between hosts included. The reports of the hosts have the time from sending to the end (runs_s).

It and the other tests now say when the requests were sent, 0.3 s before the crash; in test_endpoints_that_end_together_count_once that is before the fault, as a fault of machines requires. Two new tests fail before too.

--- a/src/apricotcart/endpoints/prompt_suspects.py
+++ b/src/apricotcart/endpoints/prompt_suspects.py
@@ -8,17 +8,18 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Final, Self
 
 from apricotcart.codec.record import Record
 
 # Endpoints that must have crashed before a part is quarantined.
 CRASHES_TO_QUARANTINE: Final = 3
-# Crashes closer together than this count as one, since a fault of the machines
-# ends several endpoints at a time.
-MIN_CRASH_SPACING_S: Final = 0.5
+# Time within which hosts see the ends of endpoints that one fault of the
+# machines ends. It includes the delays of messages between hosts.
+FAULT_SPREAD_S: Final = 0.1
 # Time for which a crash counts against a part that is not quarantined.
 SUSPICION_TTL_S: Final = 60.0
 # Time for which it counts against one that is; the quarantine ends with it.
@@ -29,8 +30,32 @@
 # Endpoints that are kept for each part.
 _MAX_ENDPOINTS: Final = 8
 
-# Times of crashes in seconds, by endpoint.
-Crashes = dict[str, float]
+
+class Crash:
+    """A request that an endpoint was running when it crashed.
+
+    Attributes
+    ----------
+    sent_at : float
+        When the request was sent, in seconds.
+    at : float
+        When the endpoint crashed, in seconds.
+    """
+
+    __slots__ = ('at', 'sent_at')
+
+    def __init__(self, *, sent_at: float, at: float) -> None:
+        self.sent_at = sent_at
+        self.at = at
+
+    @property
+    def run_s(self) -> float:
+        """Time from the sending to the crash in seconds."""
+        return self.at - self.sent_at
+
+
+# Crashes by endpoint.
+Crashes = dict[str, Crash]
 
 
 class PromptSuspectReport(Record):
@@ -44,11 +69,14 @@
         Number of parts before it in the prompt.
     crashes : dict of str to float
         Age of each crash in seconds, by endpoint.
+    runs_s : dict of str to float
+        Time from the sending of the request to the crash in seconds, by
+        endpoint.
     success_age_s : float or None
         Age of the last success with the part in seconds; None without one.
     """
 
-    __slots__ = ('crashes', 'depth', 'part_id', 'success_age_s')
+    __slots__ = ('crashes', 'depth', 'part_id', 'runs_s', 'success_age_s')
 
     def __init__(
         self,
@@ -56,13 +84,43 @@
         part_id: str,
         depth: int,
         crashes: Mapping[str, float],
+        runs_s: Mapping[str, float],
         success_age_s: float | None,
     ) -> None:
         self.part_id = part_id
         self.depth = depth
         self.crashes = dict(crashes)
+        self.runs_s = dict(runs_s)
         self.success_age_s = success_age_s
 
+    @classmethod
+    def from_crashes(
+        cls,
+        *,
+        part_id: str,
+        depth: int,
+        crashes: Mapping[str, Crash],
+        success_age_s: float | None,
+        now: float,
+    ) -> Self:
+        """Build the report of crashes, with ages as of ``now``."""
+        return cls(
+            part_id=part_id,
+            depth=depth,
+            crashes={name: now - crash.at for name, crash in crashes.items()},
+            runs_s={name: crash.run_s for name, crash in crashes.items()},
+            success_age_s=success_age_s,
+        )
+
+    def crashes_at(self, now: float) -> Crashes:
+        """Return the crashes, with the ages as of ``now``."""
+        crashes: Crashes = {}
+        for endpoint, age_s in self.crashes.items():
+            at = now - age_s
+            sent_at = at - self.runs_s.get(endpoint, 0)
+            crashes[endpoint] = Crash(sent_at=sent_at, at=at)
+        return crashes
+
 
 class PromptSuspects:
     """Crashes and successes by prompt part, of this host and of others."""
@@ -95,14 +153,14 @@
         return sorted(self._evidence().get(part_id, ()))
 
     def on_crash(
-        self, now: float, endpoint: str, part_ids: Iterable[str]
+        self, crash: Crash, endpoint: str, part_ids: Iterable[str]
     ) -> None:
         """Record that an endpoint crashed as a request began to run there.
 
         Parameters
         ----------
-        now : float
-            Time in seconds.
+        crash : Crash
+            When the request was sent, and when the endpoint crashed.
         endpoint : str
             Id of the endpoint.
         part_ids : iterable of str
@@ -110,8 +168,8 @@
         """
         for depth, part_id in enumerate(part_ids):
             self._depths[part_id] = depth
-            _add_crash(self._crashes, part_id, endpoint, now)
-        self._update(now)
+            _add_crash(self._crashes, part_id, endpoint, crash)
+        self._update(crash.at)
 
     def on_success(self, now: float, part_ids: Iterable[str]) -> None:
         """Record that an endpoint survived a request with these parts."""
@@ -139,25 +197,18 @@
             if report.success_age_s is not None:
                 self._record_success(report.part_id, now - report.success_age_s)
             self._depths[report.part_id] = report.depth
-            self._remote[report.part_id] = {
-                endpoint: now - age_s
-                for endpoint, age_s in report.crashes.items()
-            }
+            self._remote[report.part_id] = report.crashes_at(now)
         self._reported = tuple(self._remote)
         self._update(now)
 
     def _report(self, now: float, part_id: str) -> PromptSuspectReport:
         succeeded_at = self._succeeded_at.get(part_id)
-        return PromptSuspectReport(
+        return PromptSuspectReport.from_crashes(
             part_id=part_id,
             depth=self._depths.get(part_id, 0),
-            crashes={
-                endpoint: now - crashed_at
-                for endpoint, crashed_at in self._crashes.get(
-                    part_id, {}
-                ).items()
-            },
+            crashes=self._crashes.get(part_id, {}),
             success_age_s=None if succeeded_at is None else now - succeeded_at,
+            now=now,
         )
 
     def _record_success(self, part_id: str, at: float) -> None:
@@ -195,9 +246,9 @@
         ttl_s = QUARANTINE_TTL_S if is_quarantined else SUSPICION_TTL_S
         refuted_until = max(self._succeeded_at.get(part_id, 0), now - ttl_s)
         crashes = {
-            endpoint: crashed_at
-            for endpoint, crashed_at in table[part_id].items()
-            if crashed_at > refuted_until
+            endpoint: crash
+            for endpoint, crash in table[part_id].items()
+            if crash.at > refuted_until
         }
         if crashes:
             table[part_id] = crashes
@@ -209,8 +260,8 @@
             part_id: dict(crashes) for part_id, crashes in self._remote.items()
         }
         for part_id, crashes in self._crashes.items():
-            for endpoint, crashed_at in crashes.items():
-                _add_crash(evidence, part_id, endpoint, crashed_at)
+            for endpoint, crash in crashes.items():
+                _add_crash(evidence, part_id, endpoint, crash)
         return evidence
 
     def _adopt(self, now: float) -> None:
@@ -220,9 +271,9 @@
         other's evidence for ever if they adopted it up to its end.
         """
         for part_id in self._quarantined:
-            for endpoint, crashed_at in self._remote.get(part_id, {}).items():
-                if crashed_at > now - QUARANTINE_TTL_S / 2:
-                    _add_crash(self._crashes, part_id, endpoint, crashed_at)
+            for endpoint, crash in self._remote.get(part_id, {}).items():
+                if crash.at > now - QUARANTINE_TTL_S / 2:
+                    _add_crash(self._crashes, part_id, endpoint, crash)
 
 
 def find_culprits(
@@ -246,8 +297,8 @@
     for part_id in _deepest_first(evidence, depths):
         crashes = evidence[part_id]
         unexplained = set(crashes) - explained
-        times = [crashes[endpoint] for endpoint in unexplained]
-        if _count_spaced(times) >= CRASHES_TO_QUARANTINE:
+        counted = [crashes[endpoint] for endpoint in unexplained]
+        if count_independent(counted) >= CRASHES_TO_QUARANTINE:
             culprits.add(part_id)
             explained.update(crashes)
     return frozenset(culprits)
@@ -268,8 +319,8 @@
         part_id = report.part_id
         known_depth = self._depths.get(part_id, 0)
         self._depths[part_id] = max(report.depth, known_depth)
-        for endpoint, age_s in report.crashes.items():
-            _add_crash(self._crashes, part_id, endpoint, -age_s - delay_s)
+        for endpoint, crash in report.crashes_at(-delay_s).items():
+            _add_crash(self._crashes, part_id, endpoint, crash)
         if report.success_age_s is not None:
             _keep_min(
                 self._success_ages_s, part_id, report.success_age_s + delay_s
@@ -285,12 +336,12 @@
         return [self._report(part_id) for part_id in part_ids[:MAX_SUSPECTS]]
 
     def _report(self, part_id: str) -> PromptSuspectReport:
-        crashes = self._crashes[part_id]
-        return PromptSuspectReport(
+        return PromptSuspectReport.from_crashes(
             part_id=part_id,
             depth=self._depths[part_id],
-            crashes={name: -at for name, at in crashes.items()},
+            crashes=self._crashes[part_id],
             success_age_s=self._success_ages_s.get(part_id),
+            now=0,
         )
 
 
@@ -309,19 +360,29 @@
 
 
 def _add_crash(
-    table: dict[str, Crashes], part_id: str, endpoint: str, at: float
+    table: dict[str, Crashes], part_id: str, endpoint: str, crash: Crash
 ) -> None:
     """Add a crash; several hosts may report the same one."""
     crashes = table.setdefault(part_id, {})
-    if endpoint in crashes or len(crashes) < _MAX_ENDPOINTS:
-        _keep_min(crashes, endpoint, at)
+    known = crashes.get(endpoint)
+    if known is None:
+        if len(crashes) < _MAX_ENDPOINTS:
+            crashes[endpoint] = crash
+    elif crash.at < known.at:
+        crashes[endpoint] = crash
 
 
-def _count_spaced(times: Iterable[float]) -> int:
+def count_independent(crashes: Iterable[Crash]) -> int:
+    """Return the number of crashes that have no common cause but the request.
+
+    A fault of the machines ends several endpoints at a time. A crash does not
+    belong to the same fault as the one before if it is later than that, or if
+    its request was only sent afterwards.
+    """
     count = 0
-    counted_at: float | None = None
-    for at in sorted(times):
-        if counted_at is None or at >= counted_at + MIN_CRASH_SPACING_S:
-            counted_at = at
+    counted_at = -math.inf
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        if max(crash.sent_at, crash.at - FAULT_SPREAD_S) >= counted_at:
+            counted_at = crash.at
             count += 1
     return count
--- a/src/apricotcart/gateway/prompt_quarantine.py
+++ b/src/apricotcart/gateway/prompt_quarantine.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from apricotcart.endpoints.prompt_suspects import (
+    Crash,
     PromptSuspectReport,
     PromptSuspects,
 )
@@ -86,7 +87,9 @@
         )
         with self._lock:
             before = self._suspects.quarantined
-            self._suspects.on_crash(now, endpoint_id, parts)
+            self._suspects.on_crash(
+                Crash(sent_at=exchange.sent_at, at=now), endpoint_id, parts
+            )
             self._log_changes(before)
 
     def on_event(self, call: Call, exchange: Exchange) -> None:
--- a/tests/endpoints/test_prompt_suspects.py
+++ b/tests/endpoints/test_prompt_suspects.py
@@ -6,15 +6,23 @@
 
 from apricotcart.endpoints.prompt_suspects import (
     CRASHES_TO_QUARANTINE,
+    FAULT_SPREAD_S,
     MAX_SUSPECTS,
     QUARANTINE_TTL_S,
     SUSPICION_TTL_S,
+    Crash,
     MergedReports,
     PromptSuspects,
 )
 
 _BAD: Final = 'bad'
 _SYSTEM: Final = 'system'
+# Time from the sending of a request to the crash.
+_RUN_S: Final = 0.3
+
+
+def _after(run_s: float, at: float) -> Crash:
+    return Crash(sent_at=at - run_s, at=at)
 
 
 def _crash(
@@ -23,7 +31,8 @@
     """Crash one endpoint a second, seen by one host after the other."""
     for number in range(count):
         host = hosts[number % len(hosts)]
-        host.on_crash(start + number, f'i-{start}-{number}', part_ids)
+        crash = _after(_RUN_S, start + number)
+        host.on_crash(crash, f'i-{start}-{number}', part_ids)
     return start + count
 
 
@@ -51,7 +60,7 @@
     host = PromptSuspects()
     now: float = 100
     for number in range(10):
-        host.on_crash(now, f'i-{number}', [_SYSTEM, _BAD])
+        host.on_crash(_after(_RUN_S, now), f'i-{number}', [_SYSTEM, _BAD])
         host.on_success(now + 0.1, [_SYSTEM, f'p{number}'])
         now += 1
     assert host.quarantined == {_BAD}
@@ -62,7 +71,8 @@
     host = PromptSuspects()
     _crash([host], CRASHES_TO_QUARANTINE + 1, _BAD)
     for number in range(CRASHES_TO_QUARANTINE):
-        host.on_crash(100.1 + number, f'i-100-{number}', ['rare'])
+        crash = _after(_RUN_S, 100.1 + number)
+        host.on_crash(crash, f'i-100-{number}', ['rare'])
     assert host.quarantined == {_BAD}
 
 
@@ -70,7 +80,8 @@
     """A zone that loses power ends many endpoints at a time."""
     host = PromptSuspects()
     for number in range(10):
-        host.on_crash(100 + number / 100, f'i-{number}', ['rare'])
+        crash = Crash(sent_at=99.9, at=100 + number / 100)
+        host.on_crash(crash, f'i-{number}', ['rare'])
     assert not host.quarantined
 
 
@@ -99,7 +110,7 @@
     """Hosts must not renew each other's evidence."""
     hosts = [PromptSuspects() for _ in range(2)]
     now = _crash(hosts, CRASHES_TO_QUARANTINE, _BAD)
-    hosts[0].on_crash(now, 'i-x', ['rare'])
+    hosts[0].on_crash(_after(_RUN_S, now), 'i-x', ['rare'])
     _sync(now, hosts)
     later = now
     while later < now + SUSPICION_TTL_S + 5:
@@ -117,7 +128,7 @@
     """Many crashes must not make syncs large."""
     host = PromptSuspects()
     for number in range(10 * MAX_SUSPECTS):
-        host.on_crash(100 + number / 1000, 'i', [f'p{number}'])
+        host.on_crash(_after(_RUN_S, 100 + number / 1000), 'i', [f'p{number}'])
     assert len(host.reports(102)) <= MAX_SUSPECTS
 
 
@@ -125,7 +136,7 @@
     """Seen on csft-sealdesk: the part before the culprit was held for 29 s."""
     host = PromptSuspects()
     now = _crash([host], CRASHES_TO_QUARANTINE, _SYSTEM, 'shared', _BAD)
-    host.on_crash(now, 'i-x', [_SYSTEM, 'shared', 'rare'])
+    host.on_crash(_after(_RUN_S, now), 'i-x', [_SYSTEM, 'shared', 'rare'])
     host.on_success(now, [_SYSTEM])
     assert host.quarantined == {_BAD}
 
@@ -134,7 +145,8 @@
     """None of the parts after it has enough crashes of its own."""
     host = PromptSuspects()
     for number in range(CRASHES_TO_QUARANTINE):
-        host.on_crash(100 + number, f'i-{number}', [_BAD, f'p{number}'])
+        crash = _after(_RUN_S, 100 + number)
+        host.on_crash(crash, f'i-{number}', [_BAD, f'p{number}'])
     assert host.quarantined == {_BAD}
 
 
@@ -143,7 +155,7 @@
     first, second = PromptSuspects(), PromptSuspects()
     now = _crash([first], CRASHES_TO_QUARANTINE - 1, _BAD)
     _sync(now, [first, second])
-    second.on_crash(now, 'i-x', [_BAD])
+    second.on_crash(_after(_RUN_S, now), 'i-x', [_BAD])
     assert second.quarantined == {_BAD}
     second.merge(now + 1, [])
     assert second.quarantined == {_BAD}
@@ -154,7 +166,7 @@
     host = PromptSuspects()
     now = _crash([host], CRASHES_TO_QUARANTINE, _BAD)
     for number in range(2 * MAX_SUSPECTS):
-        host.on_crash(now, 'i-x', [f'p{number}'])
+        host.on_crash(_after(_RUN_S, now), 'i-x', [f'p{number}'])
     assert host.quarantined == {_BAD}
 
 
@@ -162,6 +174,27 @@
     """Times of csft-sealdesk, unframed-crashes of f1a71e0, seed 3."""
     host = PromptSuspects()
     for number, at in enumerate((5.296, 5.529, 5.556, 6.085, 6.159)):
-        host.on_crash(at, f'i-{number}', [_SYSTEM, _BAD])
+        host.on_crash(_after(_RUN_S, at), f'i-{number}', [_SYSTEM, _BAD])
         host.on_success(at + 0.01, [_SYSTEM])
     assert host.quarantined == {_BAD}
+
+
+def test_tries_one_after_the_other_count_each() -> None:
+    """Seen on csft-sealdesk: four endpoints ended within 0.4 s."""
+    host = PromptSuspects()
+    at: float = 100
+    for number in range(CRASHES_TO_QUARANTINE):
+        host.on_crash(_after(FAULT_SPREAD_S / 2, at), f'i-{number}', [_BAD])
+        at += FAULT_SPREAD_S * 3 / 5
+    assert host.quarantined == {_BAD}
+
+
+def test_runs_survive_the_exchange_of_reports() -> None:
+    """Guards against ends that look like one fault on the other hosts."""
+    hosts = [PromptSuspects() for _ in range(3)]
+    for number, host in enumerate(hosts):
+        crash = _after(FAULT_SPREAD_S / 2, 100 + number * FAULT_SPREAD_S * 0.6)
+        host.on_crash(crash, f'i-{number}', [_BAD])
+    _sync(101, hosts)
+    _sync(102, hosts)
+    assert all(host.quarantined == {_BAD} for host in hosts)
