Quarantine whole requests that crash endpoints, on all gateways

Cause: the gateway's quarantine knew parts of prompts only. A request of a plain service has none, and each request was judged alone.

Suspects now have a kind: part or request, with the fingerprint as the name of a request. One table and one rule of evidence serve both. The most specific suspect is blamed first, so that the parts of one guilty request are not; a part is blamed beside a request for crashes that this does not explain, so that a caller that tries again does not hide a part that others send too. Among requests with the same crashes, the one with the shorter runs is blamed. A crash counts by the run of an endpoint, not by its id, under which it may start again.

Why it works: the three crashes are those of the first two tries; the quarantine is known to the host at once, and to the others after one or two syncs (0.3 s).

The log events prompt_suspected, prompt_quarantined and prompt_released become crash_suspected, suspect_quarantined and suspect_released.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -8,10 +8,7 @@
 from typing import Any, Final
 
 from apricotcart.coordinator.messages import SyncRequest
-from apricotcart.endpoints.prompt_suspects import (
-    MergedReports,
-    PromptSuspectReport,
-)
+from apricotcart.endpoints.crash_reports import CrashReport, MergedReports
 from apricotcart.membership.answers import ServingHost
 
 # A gateway without a sync for this long is no longer listed for callers. With a
@@ -21,7 +18,7 @@
 _LOAD_TTL_S: Final = 3.0
 # Time between two checks for such gateways.
 _EXPIRY_INTERVAL_S: Final = 0.2
-# Interval at which the evidence about prompts is merged; all syncs in between
+# Interval at which the evidence about crashes is merged; all syncs in between
 # get the same result.
 _MERGE_INTERVAL_S: Final = 0.1
 # Records are kept longer than the load, for the usage that they contain.
@@ -124,8 +121,8 @@
                 totals[customer] += count
         return dict(totals)
 
-    def prompt_suspects(self, now: float) -> list[dict[str, Any]]:
-        """Return what all gateways know about prompt parts, in wire form.
+    def crash_suspects(self, now: float) -> list[dict[str, Any]]:
+        """Return what all gateways know about crashes, in wire form.
 
         The reports of gateways that have stopped count too.
         """
@@ -141,7 +138,7 @@
         for record in records:
             delay_s = now - record.received_at
             for report in record.last_sync.suspects:
-                merged.add(PromptSuspectReport.from_wire(report), delay_s)
+                merged.add(CrashReport.from_wire(report), delay_s)
         return [suspect.to_wire() for suspect in merged.strongest()]
 
     def _add_load(self, record: GatewayRecord) -> None:
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -49,7 +49,7 @@
     usage : dict
         Number of requests started, by window and customer.
     suspects : list
-        Prompt parts that may crash endpoints, as known to the gateway.
+        What may crash endpoints, as known to the gateway.
     """
 
     __slots__ = (
@@ -114,7 +114,7 @@
     unix_s : float
         Unix time of the leader in seconds.
     suspects : list
-        Prompt parts that may crash endpoints, as known to all gateways.
+        What may crash endpoints, as known to all gateways.
     software_versions : dict
         Versions of endpoints that served recently, by service.
     """
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -253,7 +253,7 @@
             hosts=len(self._gateways.serving(now)),
             members=self._members(),
             unix_s=self._clock.now_s(),
-            suspects=self._gateways.prompt_suspects(now),
+            suspects=self._gateways.crash_suspects(now),
             software_versions=self._software_versions(),
         )
         return {'ok': True, 'sync': reply.to_wire()}
--- a/src/apricotcart/endpoints/instances.py
+++ b/src/apricotcart/endpoints/instances.py
@@ -69,6 +69,11 @@
         self.leaves_s = leaves_s
         self.software_version = software_version
 
+    @property
+    def run_id(self) -> str:
+        """Id of one run: an endpoint may start again under its id."""
+        return f'{self.instance_id}/{self.born_ms}'
+
     @property
     def key(self) -> tuple[str, int, str]:
         """Id, start time and version, which identify one run of it."""
--- a/src/apricotcart/gateway/prompt_quarantine.py
+++ b/src/apricotcart/gateway/crash_quarantine.py
@@ -1,4 +1,4 @@
-"""Holds back requests whose prompt has a part that crashes endpoints."""
+"""Holds back requests that crash endpoints, or parts of whose prompt do."""
 
 from __future__ import annotations
 
@@ -6,21 +6,20 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
-from apricotcart.endpoints.prompt_suspects import (
-    Crash,
-    PromptSuspectReport,
-    PromptSuspects,
-)
+from apricotcart.endpoints.crash_reports import CrashReport
+from apricotcart.endpoints.crash_suspects import CrashSuspects
+from apricotcart.endpoints.crashes import Crash, Suspect, SuspectKind
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     QuarantinedPromptError,
+    QuarantinedRequestError,
 )
 from apricotcart.gateway.exchanges.exchange import Exchange
 from apricotcart.observability.decisions import (
-    PROMPT_QUARANTINED,
-    PROMPT_RELEASED,
-    PROMPT_SUSPECTED,
+    CRASH_SUSPECTED,
+    SUSPECT_QUARANTINED,
+    SUSPECT_RELEASED,
     log_decision,
 )
 from apricotcart.timers.clock import boot_clock_s
@@ -31,35 +30,46 @@
 _RETRY_AFTER_S: Final = 5.0
 
 
-class PromptQuarantine:
+class CrashQuarantine:
     """Crashes and successes of this host, shared with the others by syncs."""
 
     __slots__ = ('_lock', '_suspects')
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._suspects = PromptSuspects()
+        self._suspects = CrashSuspects()
 
     def holds(self, call: Call) -> bool:
-        """Return whether a part of the request's prompt is quarantined."""
-        return not self._suspects.quarantined.isdisjoint(_shared_parts(call))
+        """Return whether the request or a part of it is quarantined."""
+        return self._culprit(call) is not None
 
     def require_allowed(self, call: Call) -> None:
         """Raise if the request must not be sent.
 
         Raises
         ------
-        QuarantinedPromptError
-            If a part is quarantined and the request has not run.
+        QuarantinedPromptError, QuarantinedRequestError
+            If it is quarantined and has not run.
         BrokenEndpointError
-            If a part is quarantined and the request may have run.
+            If it is quarantined and may have run.
         """
-        if not self.holds(call):
+        culprit = self._culprit(call)
+        if culprit is None:
             return
-        message = 'a part of the prompt has crashed several endpoints'
+        is_part = culprit.kind is SuspectKind.PART
+        message = (
+            'a part of the prompt has crashed several endpoints'
+            if is_part
+            else 'the request has crashed several endpoints'
+        )
         if call.may_have_run:
             raise BrokenEndpointError(message)
-        raise QuarantinedPromptError(message, retry_after_s=_RETRY_AFTER_S)
+        refusal = QuarantinedPromptError if is_part else QuarantinedRequestError
+        raise refusal(
+            message,
+            retry_after_s=_RETRY_AFTER_S,
+            fingerprint=call.fingerprint,
+        )
 
     def on_failure(
         self, call: Call, exchange: Exchange, exc: BaseException
@@ -67,7 +77,7 @@
         """Record a crash if the request may have caused it.
 
         Endpoints that drain end on purpose, and a caller that leaves or a
-        response that was long under way says nothing about the prompt.
+        response that was long under way says nothing about the request.
         """
         if not isinstance(exc, BrokenEndpointError) or call.is_caller_gone:
             return
@@ -75,21 +85,21 @@
         has_survived = exchange.began_at and now > exchange.began_at + _BEGIN_S
         if has_survived or not exchange.sent_at:
             return
-        parts = _shared_parts(call)
-        if not parts or not exchange.endpoint.accepts_requests:
+        if not exchange.endpoint.accepts_requests:
             return
-        endpoint_id = exchange.endpoint.instance.instance_id
+        instance = exchange.endpoint.instance
+        crash = Crash(sent_at=exchange.sent_at, at=now)
         log_decision(
-            PROMPT_SUSPECTED,
+            CRASH_SUSPECTED,
             request_id=call.metadata.attempt_id,
-            endpoint=endpoint_id,
-            parts=','.join(parts),
+            fingerprint=call.fingerprint,
+            endpoint=instance.instance_id,
+            parts=','.join(_shared_parts(call)),
+            duration_s=crash.run_s,
         )
         with self._lock:
             before = self._suspects.quarantined
-            self._suspects.on_crash(
-                Crash(sent_at=exchange.sent_at, at=now), endpoint_id, parts
-            )
+            self._suspects.on_crash(crash, instance.run_id, _suspects_of(call))
             self._log_changes(before)
 
     def on_event(self, call: Call, exchange: Exchange) -> None:
@@ -102,13 +112,12 @@
 
     def on_success(self, call: Call, exchange: Exchange) -> None:
         """Record that an endpoint has survived the request."""
-        parts = _shared_parts(call)
-        if exchange.is_proven or not parts:
+        if exchange.is_proven:
             return
         exchange.is_proven = True
         with self._lock:
             before = self._suspects.quarantined
-            self._suspects.on_success(boot_clock_s(), parts)
+            self._suspects.on_success(boot_clock_s(), _suspects_of(call))
             self._log_changes(before)
 
     def reports(self) -> list[dict[str, Any]]:
@@ -119,22 +128,41 @@
 
     def merge(self, reports: Iterable[Mapping[str, Any]]) -> None:
         """Apply what all hosts know, in wire form."""
-        parsed = [PromptSuspectReport.from_wire(report) for report in reports]
+        parsed = [CrashReport.from_wire(report) for report in reports]
         with self._lock:
             before = self._suspects.quarantined
             self._suspects.merge(boot_clock_s(), parsed)
             self._log_changes(before)
 
-    def _log_changes(self, before: frozenset[str]) -> None:
+    def _culprit(self, call: Call) -> Suspect | None:
+        quarantined = self._suspects.quarantined
+        if not quarantined:
+            return None
+        for suspect in _suspects_of(call):
+            if suspect in quarantined:
+                return suspect
+        return None
+
+    def _log_changes(self, before: frozenset[Suspect]) -> None:
         after = self._suspects.quarantined
-        for part_id in after - before:
+        for suspect in after - before:
             log_decision(
-                PROMPT_QUARANTINED,
-                parts=part_id,
-                endpoints=','.join(self._suspects.endpoints_of(part_id)),
+                SUSPECT_QUARANTINED,
+                kind=str(suspect.kind),
+                name=suspect.name,
+                endpoints=','.join(self._suspects.endpoints_of(suspect)),
             )
-        for part_id in before - after:
-            log_decision(PROMPT_RELEASED, parts=part_id)
+        for suspect in before - after:
+            log_decision(
+                SUSPECT_RELEASED, kind=str(suspect.kind), name=suspect.name
+            )
+
+
+def _suspects_of(call: Call) -> list[Suspect]:
+    parts = [
+        Suspect(SuspectKind.PART, part_id) for part_id in _shared_parts(call)
+    ]
+    return [*parts, Suspect(SuspectKind.REQUEST, call.fingerprint)]
 
 
 def _shared_parts(call: Call) -> list[str]:
--- a/src/apricotcart/gateway/errors.py
+++ b/src/apricotcart/gateway/errors.py
@@ -24,6 +24,12 @@
     code = 'prompt_quarantined'
 
 
+class QuarantinedRequestError(NotRunError):
+    """The request has crashed several endpoints."""
+
+    code = 'request_quarantined'
+
+
 class LeavingError(NotRunError):
     """This host is shutting down."""
 
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -20,13 +20,13 @@
 from apricotcart.desired.routing import RoutingTable
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.active_requests import ActiveRequests, Phase
+from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import LoadSummary
 from apricotcart.gateway.dispatching.endpoint_updates import (
     EndpointUpdater,
     parse_instances,
 )
-from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.usage import UsageCounter
@@ -70,7 +70,7 @@
         Clock that is set to the leader's time.
     active_requests : ActiveRequests
         Holds the shutdown phase of this host.
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Shares its evidence with the other hosts.
     origins : StreamOrigins
         Learns which software versions serve, and the control hosts.
@@ -103,7 +103,7 @@
         usage: UsageCounter,
         clock: SteadyUnixClock,
         active_requests: ActiveRequests,
-        quarantine: PromptQuarantine,
+        quarantine: CrashQuarantine,
         origins: StreamOrigins,
     ) -> None:
         self._cfg = cfg
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -7,6 +7,7 @@
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.api import HeaderCodec
 from apricotcart.gateway.call import Call
+from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import EndpointState
 from apricotcart.gateway.dispatching.request_queue import (
@@ -19,7 +20,6 @@
 )
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.exchanges.exchange import Exchange
-from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.observability.decisions import (
@@ -50,8 +50,8 @@
         Decides about retries.
     usage : UsageCounter
         Counts the requests that endpoints may have run.
-    quarantine : PromptQuarantine
-        Holds back prompts that crash endpoints.
+    quarantine : CrashQuarantine
+        Holds back requests that crash endpoints.
     origins : StreamOrigins
         Records which version began each stream.
     """
@@ -74,7 +74,7 @@
         header_codec: HeaderCodec,
         retry_policy: RetryPolicy,
         usage: UsageCounter,
-        quarantine: PromptQuarantine,
+        quarantine: CrashQuarantine,
         origins: StreamOrigins,
     ) -> None:
         self.dispatcher = dispatcher
@@ -92,8 +92,8 @@
         ------
         BusyError, CallerLeftError
             If no endpoint was assigned.
-        QuarantinedPromptError, BrokenEndpointError
-            If the prompt is quarantined.
+        QuarantinedPromptError, QuarantinedRequestError, BrokenEndpointError
+            If the request or a part of its prompt is quarantined.
         StreamVersionGoneError, BrokenEndpointError
             If no endpoint of the stream's version is left.
         """
@@ -222,7 +222,7 @@
         raise StreamVersionGoneError(message, software=origin.software_version)
 
     def _recheck_quarantine(self, call: Call, endpoint: EndpointState) -> None:
-        # The part may have been quarantined while the request was queued.
+        # It may have been quarantined while the request was queued.
         try:
             self.quarantine.require_allowed(call)
         except ApricotcartError:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -14,6 +14,7 @@
 from apricotcart.coordinator.messages import CLUSTER_SECRET
 from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.application import GatewayApplication
+from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import (
     TICK_INTERVAL_S,
     Dispatcher,
@@ -31,7 +32,6 @@
     CallerGateway,
     GrowingThreadPool,
 )
-from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -103,7 +103,7 @@
             bounds.budget_ratio, bounds.budget_extra
         )
         self._usage = UsageCounter(self._clock, bounds.usage_window_s)
-        self._quarantine = PromptQuarantine()
+        self._quarantine = CrashQuarantine()
         ports = Ports(cfg.links.first_port)
         self._origins = StreamOrigins(ControlHostStore(ports, self._clients))
         self._sender = Sender(
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -19,6 +19,8 @@
 _LOG = logging.getLogger('apricotcart.decisions')
 _REASON: Final = 'reason'
 _REQUEST_ID: Final = 'request_id'
+_FINGERPRINT: Final = 'fingerprint'
+_DURATION: Final = 'duration_s'
 # Limit on the log lines per event and second; further decisions are counted
 # but not logged.
 _MAX_LINES_PER_S: Final = 300
@@ -45,7 +47,7 @@
 REQUEST_SENT: Final = Event(
     'request_sent',
     _REQUEST_ID,
-    'fingerprint',
+    _FINGERPRINT,
     'route',
     'kind',
     'customer',
@@ -73,7 +75,7 @@
     _REASON,
     'detail',
     'framing',
-    'duration_s',
+    _DURATION,
 )
 REQUEST_ANSWERED: Final = Event(
     'request_answered',
@@ -87,7 +89,7 @@
     'framing',
     'first_s',
     'pause_s',
-    'duration_s',
+    _DURATION,
     'bytes_out',
 )
 REQUEST_REFUSED: Final = Event(
@@ -95,11 +97,12 @@
     _REQUEST_ID,
     'status',
     _REASON,
+    _FINGERPRINT,
     'resumes',
     'software',
     'run_state',
     'retry_after_s',
-    'duration_s',
+    _DURATION,
     'version',
     'state_age_s',
 )
@@ -117,7 +120,7 @@
     'resumes',
     'software',
     'source',
-    'duration_s',
+    _DURATION,
 )
 VERSIONS_CHANGED: Final = Event('versions_changed', 'software')
 STREAM_BROKEN: Final = Event(
@@ -126,17 +129,21 @@
     'endpoint',
     'attempt',
     _REASON,
-    'duration_s',
+    _DURATION,
 )
-PROMPT_SUSPECTED: Final = Event(
-    'prompt_suspected',
+CRASH_SUSPECTED: Final = Event(
+    'crash_suspected',
     _REQUEST_ID,
+    _FINGERPRINT,
     'endpoint',
     'parts',
+    _DURATION,
 )
-PROMPT_QUARANTINED: Final = Event('prompt_quarantined', 'parts', 'endpoints')
-PROMPT_RELEASED: Final = Event('prompt_released', 'parts')
-CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, 'duration_s')
+SUSPECT_QUARANTINED: Final = Event(
+    'suspect_quarantined', 'kind', 'name', 'endpoints'
+)
+SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'name')
+CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
     'version',
@@ -152,7 +159,7 @@
     'asked',
     _REASON,
     'detail',
-    'duration_s',
+    _DURATION,
 )
 LEADER_LOST: Final = Event('leader_lost', 'leader', _REASON)
 DUTIES_TAKEN: Final = Event('duties_taken', 'fencing', 'term')
@@ -177,9 +184,9 @@
     STREAM_ORIGIN_FOUND,
     VERSIONS_CHANGED,
     STREAM_BROKEN,
-    PROMPT_SUSPECTED,
-    PROMPT_QUARANTINED,
-    PROMPT_RELEASED,
+    CRASH_SUSPECTED,
+    SUSPECT_QUARANTINED,
+    SUSPECT_RELEASED,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
@@ -194,7 +201,7 @@
     MEMBER_REMOVED,
 )
 # Fields that are durations in seconds, which a histogram records too.
-_DURATION_FIELDS: Final = ('queue_wait_s', 'first_s', 'pause_s', 'duration_s')
+_DURATION_FIELDS: Final = ('queue_wait_s', 'first_s', 'pause_s', _DURATION)
 # Decimal places of floating-point fields, which keeps the lines short.
 _DECIMAL_PLACES: Final = 4
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -18,6 +18,7 @@
     RequestMetadata,
 )
 from apricotcart.gateway.call import Call
+from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import (
     TICK_INTERVAL_S,
     Dispatcher,
@@ -25,7 +26,6 @@
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
-from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.sender import Sender
@@ -78,7 +78,7 @@
             header_codec=PlatformHeaderCodec(),
             retry_policy=RetryPolicy(1, 100),
             usage=self.usage,
-            quarantine=PromptQuarantine(),
+            quarantine=CrashQuarantine(),
             origins=self.origins,
         )
         self.forwarder = Forwarder(self.sender)
--- a/tests/gateway/endpoints.py
+++ b/tests/gateway/endpoints.py
@@ -49,6 +49,11 @@
         self.address = f'127.0.0.1:{port}'
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def refuse(self) -> None:
+        """Refuse connections; the port stays taken."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -14,13 +14,13 @@
 from apricotcart.errors.tree import UnavailableError
 from apricotcart.gateway import link as link_module
 from apricotcart.gateway.active_requests import ActiveRequests
+from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching import endpoint_updates as updates_module
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_updates import EndpointUpdater
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.link import ControlLink
-from apricotcart.gateway.prompt_quarantine import PromptQuarantine
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.provisioning.fleet_api import PlatformUnavailableError
@@ -130,7 +130,7 @@
             usage=UsageCounter(true_clock, 5),
             clock=true_clock,
             active_requests=ActiveRequests(),
-            quarantine=PromptQuarantine(),
+            quarantine=CrashQuarantine(),
             origins=StreamOrigins(MemoryStore()),
         )
 
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -21,7 +21,7 @@
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.api import PromptPart
 from apricotcart.gateway.call import Call
-from apricotcart.gateway.prompt_quarantine import PromptQuarantine
+from apricotcart.gateway.crash_quarantine import CrashQuarantine
 
 _ENDPOINTS: Final = 10
 _REQUESTS: Final = 14
@@ -75,12 +75,15 @@
     )
 
 
-class NoQuarantine(PromptQuarantine):
+class NoQuarantine(CrashQuarantine):
     """Holds no request back."""
 
     def holds(self, call: Call) -> bool:
         return False
 
+    def require_allowed(self, call: Call) -> None:
+        """Allow every request."""
+
 
 def test_part_that_crashes_endpoints_is_held_back(bench: Bench) -> None:
     """Seen on csft-sealdesk: 23 engines ended on one part of prompts."""
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/test_request_quarantine.py
@@ -23,14 +23,14 @@
 _ENDS_MAX: Final = 3
 _LATER_ARRIVALS_MAX: Final = 3
 _TRIES: Final = 14
-_ENDPOINTS: Final = 6
+_ENDPOINTS: Final = 30
 _GUILTY: Final = '/a/guilty'
 _CRASH_S: Final = 0.05
 _INTERVAL_S: Final = 0.1
 
 
 class Fleet:
-    """Endpoints that end, with all their connections, on one request."""
+    """Endpoints that end for good on one request, with all connections."""
 
     def __init__(self, bench: Bench) -> None:
         self._lock = threading.Lock()
@@ -56,6 +56,7 @@
         return script
 
     def _end(self, number: int) -> None:
+        self.endpoints[number].refuse()
         with self._lock:
             conns = self._conns.pop(number, set())
         for conn in conns:
@@ -81,7 +82,7 @@
     for number, bench in enumerate(benches):
         table.on_sync(_report(number, bench), boot_clock_s())
     for bench in benches:
-        bench.sender.quarantine.merge(table.prompt_suspects(boot_clock_s()))
+        bench.sender.quarantine.merge(table.crash_suspects(boot_clock_s()))
 
 
 def _report(number: int, bench: Bench) -> SyncRequest:
