Count only connections that end as crashes of endpoints

Cause: every BrokenEndpointError counted as evidence. An endpoint that has sent something else, or the headers of a whole response, has survived the request.

Connections that end or are reset before the response is complete now raise ConnectionEndedError, and only these count; for responses that aren't streams only before the headers. Headers beyond the maximum size raise FramingError instead of ConnectionResetError, which they never were.

--- a/src/apricotcart/gateway/crash_quarantine.py
+++ b/src/apricotcart/gateway/crash_quarantine.py
@@ -12,6 +12,7 @@
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
+    ConnectionEndedError,
     QuarantinedPromptError,
     QuarantinedRequestError,
 )
@@ -76,14 +77,14 @@
     ) -> None:
         """Record a crash if the request may have caused it.
 
-        Endpoints that drain end on purpose, and a caller that leaves or a
-        response that was long under way says nothing about the request.
+        Endpoints that drain end on purpose, and a caller that leaves, a
+        response that is invalid or one that was long under way says nothing
+        about the request.
         """
-        if not isinstance(exc, BrokenEndpointError) or call.is_caller_gone:
+        if not isinstance(exc, ConnectionEndedError) or call.is_caller_gone:
             return
         now = boot_clock_s()
-        has_survived = exchange.began_at and now > exchange.began_at + _BEGIN_S
-        if has_survived or not exchange.sent_at:
+        if _has_survived(exchange, now) or not exchange.sent_at:
             return
         if not exchange.endpoint.accepts_requests:
             return
@@ -158,6 +159,13 @@
             )
 
 
+def _has_survived(exchange: Exchange, now: float) -> bool:
+    """Return whether the endpoint crashed too late for the request."""
+    if exchange.is_stream:
+        return 0 < exchange.began_at < now - _BEGIN_S
+    return exchange.has_response
+
+
 def _suspects_of(call: Call) -> list[Suspect]:
     parts = [
         Suspect(SuspectKind.PART, part_id) for part_id in _shared_parts(call)
--- a/src/apricotcart/gateway/errors.py
+++ b/src/apricotcart/gateway/errors.py
@@ -48,6 +48,10 @@
     code = 'endpoint_broken'
 
 
+class ConnectionEndedError(BrokenEndpointError):
+    """The endpoint's connection ended before its response was complete."""
+
+
 class SilentEndpointError(MayHaveRunError):
     """The endpoint did not respond before the deadline."""
 
--- a/src/apricotcart/gateway/exchanges/connections.py
+++ b/src/apricotcart/gateway/exchanges/connections.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPConnection as PlainConnection
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any, Final
 
 from urllib3.connection import HTTPConnection
@@ -19,6 +19,7 @@
 from apricotcart.gateway.api import ForwardedRequest, Headers
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
+    ConnectionEndedError,
     SilentEndpointError,
     UnreachableEndpointError,
 )
@@ -105,6 +106,10 @@
         self.sock.settimeout(timeout_s)
         try:
             self._write(message, headers)
+        except ConnectionError as exc:
+            raise ConnectionEndedError(
+                f'the request could not be written: {exc}'
+            ) from exc
         except (HTTPError, OSError, HTTPException) as exc:
             raise BrokenEndpointError(
                 f'the request could not be written: {exc}'
@@ -176,7 +181,9 @@
             response = self._skip_interim(read_head())
         except TimeoutError as exc:
             raise SilentEndpointError('no response before the timeout') from exc
-        except (OSError, HTTPException) as exc:
+        except ConnectionError as exc:
+            raise ConnectionEndedError(f'no valid response: {exc!r}') from exc
+        except (OSError, ValueError, HTTPException) as exc:
             raise BrokenEndpointError(f'no valid response: {exc!r}') from exc
         self._response_reader.end_head(is_chunked=response.chunked)
         return response
@@ -295,8 +302,10 @@
     ------
     SilentEndpointError
         If no data arrives before the timeout.
-    BrokenEndpointError
+    ConnectionEndedError
         If the body is truncated.
+    BrokenEndpointError
+        If its framing is invalid.
     """
     try:
         return response.read1(_READ_BYTES)
@@ -304,6 +313,10 @@
         raise SilentEndpointError(
             'no more data of the response before the timeout'
         ) from exc
+    except (ConnectionError, IncompleteRead) as exc:
+        raise ConnectionEndedError(
+            f'the response body could not be read: {exc!r}'
+        ) from exc
     except (OSError, ValueError, HTTPException) as exc:
         raise BrokenEndpointError(
             f'the response body could not be read: {exc!r}'
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -16,6 +16,7 @@
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     CallerLeftError,
+    ConnectionEndedError,
     NotExecutedError,
     UnreachableEndpointError,
 )
@@ -54,6 +55,8 @@
         When the first event of the response arrived, in seconds; 0 before.
     is_proven : bool
         Whether the endpoint has survived the request.
+    has_response : bool
+        Whether the headers of the response have been read.
     framing : Framing or None
         What says where the body ends; None before the headers.
     """
@@ -66,6 +69,7 @@
         '_response',
         'began_at',
         'framing',
+        'has_response',
         'headers',
         'is_proven',
         'endpoint',
@@ -89,6 +93,7 @@
         self.sent_at: float = 0
         self.began_at: float = 0
         self.is_proven = False
+        self.has_response = False
         self.status = 0
         self.framing: Framing | None = None
         self.headers: list[tuple[str, str]] = []
@@ -138,6 +143,7 @@
             raise UnreachableEndpointError('the endpoint is draining')
         self._write(conn, last_event_id)
         self._read_head(conn)
+        self.has_response = True
         self._check_response()
 
     def chunks(self) -> Iterator[bytes]:
@@ -164,7 +170,7 @@
         # The library counts down the length.
         missing = self._response.length
         if missing:
-            raise BrokenEndpointError(
+            raise ConnectionEndedError(
                 f'response body truncated: {missing} bytes after {size} missing'
             )
 
--- a/src/apricotcart/gateway/exchanges/response_reader.py
+++ b/src/apricotcart/gateway/exchanges/response_reader.py
@@ -13,7 +13,7 @@
 
 
 class FramingError(ValueError):
-    """The bytes are not a valid chunked body."""
+    """The bytes are not a valid response."""
 
 
 class ResponseReader:
@@ -102,7 +102,7 @@
         # of interim responses.
         self._head_bytes += size
         if self._head_bytes > _MAX_HEAD_BYTES:
-            raise ConnectionResetError(
+            raise FramingError(
                 f'the headers of the response exceed {_MAX_HEAD_BYTES} bytes'
             )
 
--- a/src/apricotcart/gateway/exchanges/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -9,6 +9,7 @@
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
+    ConnectionEndedError,
     SilentEndpointError,
 )
 from apricotcart.gateway.exchanges.event_buffer import EventBuffer
@@ -115,7 +116,7 @@
             events = self._splitter.feed(chunk)
             if events:
                 return events
-        raise BrokenEndpointError('the stream ended without an event')
+        raise self._ended_early('the stream ended without an event')
 
     def _complete_events(self) -> Iterator[bytes]:
         for chunk in self._source:
@@ -133,13 +134,20 @@
     def _require_end(self) -> None:
         """Raise if the end of the response is not the end of the stream."""
         if self._splitter.has_partial:
-            raise BrokenEndpointError('the stream ended within an event')
+            raise self._ended_early('the stream ended within an event')
         exchange = self._exchange
         if exchange is None or exchange.framing is not Framing.CLOSE:
             return
         if not exchange.began_at:
             raise BrokenEndpointError('the resumed stream has no event')
 
+    def _ended_early(self, message: str) -> BrokenEndpointError:
+        """Return the error of a body that ended before its stream did."""
+        exchange = self._exchange
+        if exchange is not None and exchange.framing is Framing.CLOSE:
+            return ConnectionEndedError(message)
+        return BrokenEndpointError(message)
+
     def _record_event(self) -> None:
         if self._exchange is not None:
             self._sender.quarantine.on_event(self._call, self._exchange)
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/test_request_quarantine.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Iterable
+from itertools import repeat
 from typing import Any, Final
 
 import pytest
@@ -163,3 +164,30 @@
         time.sleep(_INTERVAL_S)
     beside.join()
     assert set(statuses) == {200}
+
+
+def _send_garbage(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(b'no response\r\n\r\n')
+    return False
+
+
+def _send_unstamped(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(b'HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n')
+    return True
+
+
+def _truncate(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(response_bytes(request, b'half', length='400'))
+    return False
+
+
+@pytest.mark.parametrize('spoil', [_send_garbage, _send_unstamped, _truncate])
+def test_spoiled_responses_are_no_crashes(bench: Bench, spoil: Any) -> None:
+    """Guards against a quarantine of what endpoints survive."""
+    endpoints = bench.serve(*repeat(spoil, 4))
+    statuses = []
+    for _ in range(_TRIES):
+        statuses.append(_ask(bench, RouteKind.ONCE, '/a/sound'))
+        time.sleep(_INTERVAL_S)
+    assert sum(len(endpoint.received) for endpoint in endpoints) == _TRIES
+    assert set(statuses) == {502}
