Count an ended connection as a crash only if the endpoint has ended

What callers could see: a request whose connections were reset at three endpoints that went on running was quarantined as if it had crashed them. Seen in a test only.

Cause: the end of a connection was taken for the end of its endpoint.

Answers to other requests were tried as evidence first: they refute nothing here, since an endpoint that has just failed is chosen last for 2 s.

--- a/src/apricotcart/gateway/crash_quarantine.py
+++ b/src/apricotcart/gateway/crash_quarantine.py
@@ -16,6 +16,7 @@
     QuarantinedPromptError,
     QuarantinedRequestError,
 )
+from apricotcart.gateway.exchanges.end_check import EndCheck
 from apricotcart.gateway.exchanges.exchange import Exchange
 from apricotcart.observability.decisions import (
     CRASH_SUSPECTED,
@@ -34,10 +35,11 @@
 class CrashQuarantine:
     """Crashes and successes of this host, shared with the others by syncs."""
 
-    __slots__ = ('_lock', '_suspects')
+    __slots__ = ('_end_check', '_lock', '_suspects')
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        self._end_check = EndCheck()
         self._suspects = CrashSuspects()
 
     def holds(self, call: Call) -> bool:
@@ -79,7 +81,8 @@
 
         Endpoints that drain end on purpose, and a caller that leaves, a
         response that is invalid or one that was long under way says nothing
-        about the request.
+        about the request. Neither does a connection that ends while its
+        endpoint still runs.
         """
         if not isinstance(exc, ConnectionEndedError) or call.is_caller_gone:
             return
@@ -89,6 +92,8 @@
         if not exchange.endpoint.accepts_requests:
             return
         instance = exchange.endpoint.instance
+        if not self._end_check.has_ended(instance):
+            return
         crash = Crash(sent_at=exchange.sent_at, at=now)
         log_decision(
             CRASH_SUSPECTED,
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/test_request_quarantine.py
@@ -191,3 +191,16 @@
         time.sleep(_INTERVAL_S)
     assert sum(len(endpoint.received) for endpoint in endpoints) == _TRIES
     assert set(statuses) == {502}
+
+
+def _reset(conn: socket.socket, request: ReceivedRequest) -> bool:
+    return False
+
+
+def test_endpoints_that_still_run_have_not_crashed(bench: Bench) -> None:
+    """Guards against blame for connections that are reset."""
+    endpoints = bench.serve(*repeat(_reset, 4))
+    for _ in range(_TRIES):
+        _ask(bench, RouteKind.ONCE, '/a/unlucky')
+        time.sleep(_INTERVAL_S)
+    assert sum(len(endpoint.received) for endpoint in endpoints) == _TRIES
