Log the limits that endpoints name

The adapter reads Server-Limit into a typed EndpointNotice; each EndpointState keeps the last word with the time of the request that it answered, so that a response that was overtaken changes nothing, and it ends with the run of the endpoint. endpoint_notice is logged when the word changes. Values that are no non-negative finite decimal number neither set nor end a limit; of several the lowest counts. Answers with 421 are from another endpoint and say nothing. Callers no longer get the header. Placement doesn't read the limit yet.

--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -168,6 +168,30 @@
         self.slots = slots
 
 
+class EndpointNotice(Record):
+    """What an endpoint says about itself with a response.
+
+    Attributes
+    ----------
+    limit_per_s : float or None
+        Requests a second that it takes from all hosts together; None if it
+        names no limit.
+    is_limit_unreadable : bool
+        Whether it names a limit that is not a number of requests.
+    """
+
+    __slots__ = ('is_limit_unreadable', 'limit_per_s')
+
+    def __init__(
+        self,
+        *,
+        limit_per_s: float | None = None,
+        is_limit_unreadable: bool = False,
+    ) -> None:
+        self.limit_per_s = limit_per_s
+        self.is_limit_unreadable = is_limit_unreadable
+
+
 class ResponseMetadata(Record):
     """Metadata from the headers of an endpoint's response.
 
@@ -187,6 +211,8 @@
     keeps_s : float or None
         Keep-alive time of the idle connection in seconds; 0 if the endpoint
         closes it, None if it is not stated.
+    notice : EndpointNotice
+        What the endpoint says about itself.
     """
 
     __slots__ = (
@@ -196,6 +222,7 @@
         'is_not_run',
         'keeps_s',
         'load',
+        'notice',
     )
 
     def __init__(
@@ -207,7 +234,9 @@
         is_encoded: bool,
         load: EndpointLoad | None,
         keeps_s: float | None,
+        notice: EndpointNotice,
     ) -> None:
+        self.notice = notice
         self.attempt_id = attempt_id
         self.is_not_run = is_not_run
         self.is_genuine = is_genuine
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
+from apricotcart.gateway.api import EndpointNotice
 from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     LoadSummary,
@@ -19,6 +20,10 @@
     RequestQueue,
 )
 from apricotcart.gateway.errors import BusyError, CallerLeftError
+from apricotcart.observability.decisions import (
+    ENDPOINT_NOTICE,
+    log_decision,
+)
 from apricotcart.resumption.serving_versions import (
     VersionsByService,
     listed_versions,
@@ -113,15 +118,29 @@
             endpoint.local_requests.pop(request_id, None)
             self._decide()
 
-    def record_failure(self, endpoint: EndpointState) -> None:
-        """Record a failure of an endpoint."""
+    def record_outcome(
+        self, endpoint: EndpointState, *, is_success: bool
+    ) -> None:
+        """Record a success or a failure of an endpoint."""
         with self._lock:
-            endpoint.on_failure(boot_clock_s())
+            if is_success:
+                endpoint.on_success()
+            else:
+                endpoint.on_failure(boot_clock_s())
 
-    def record_success(self, endpoint: EndpointState) -> None:
-        """Record a success of an endpoint."""
+    def record_notice(
+        self, endpoint: EndpointState, notice: EndpointNotice, sent_at: float
+    ) -> None:
+        """Apply what an endpoint says about itself with a response."""
         with self._lock:
-            endpoint.on_success()
+            has_changed = endpoint.notices.apply(notice, sent_at)
+        if has_changed:
+            log_decision(
+                ENDPOINT_NOTICE,
+                endpoint=endpoint.instance.instance_id,
+                limit_per_s=notice.limit_per_s,
+                duration_s=boot_clock_s() - sent_at,
+            )
 
     def tick(self) -> None:
         """Process the queue, which enforces the queue timeouts."""
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -8,6 +8,7 @@
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.api import PromptPart
+from apricotcart.gateway.dispatching.endpoint_notices import EndpointNotices
 from apricotcart.gateway.dispatching.hashing import hash_to_unit
 
 # Ratio of an engine's KV memory that may be filled. Outputs can become longer
@@ -221,6 +222,7 @@
         'instance',
         'is_listed',
         'listed_at',
+        'notices',
         'hash_order',
         'remote_load',
         'cached_parts',
@@ -242,6 +244,7 @@
         # Sort key that gives all hosts the same order of endpoints.
         self.hash_order = hash_to_unit(instance.instance_id)
         self.instance = instance
+        self.notices = EndpointNotices()
         self.local_requests: dict[str, PlacedRequest] = {}
         self.remote_load = LoadSummary()
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from http import HTTPStatus
 from http.client import HTTPResponse
 from typing import Final
 
@@ -113,6 +114,11 @@
         is_framed = self.framing is not Framing.CLOSE
         return self._call.is_stream and not (content_type and is_framed)
 
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether another endpoint has answered at the address."""
+        return self.status == HTTPStatus.MISDIRECTED_REQUEST
+
     def age_s(self) -> float | None:
         """Return the time since the request was written, None if it was not."""
         return boot_clock_s() - self.sent_at if self.sent_at else None
--- a/src/apricotcart/gateway/exchanges/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -215,7 +215,7 @@
         return self._sender.may_retry(self._call)
 
     def _resume_at(self, exchange: Exchange) -> None:
-        exchange.send(self._splitter.last_id)
+        self._sender.send(exchange, self._splitter.last_id)
         if not exchange.is_stream or exchange.status != HTTPStatus.OK:
             raise BrokenEndpointError(
                 f'stream not resumed: status {exchange.status}'
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -82,7 +82,7 @@
                 return response
 
     def _attempt(self, call: Call, exchange: Exchange) -> WebResponse | None:
-        exchange.send('')
+        self._sender.send(exchange)
         if exchange.is_stream and exchange.status == HTTPStatus.OK:
             stream = EventStream(self._sender, call, exchange)
             return WebResponse(exchange.status, stream.headers, stream)
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -139,6 +139,21 @@
         )
         return Exchange(call, endpoint, self._pool, self.header_codec)
 
+    def send(self, exchange: Exchange, last_event_id: str = '') -> None:
+        """Send a request and apply what the endpoint says about itself.
+
+        Raises
+        ------
+        ApricotcartError
+            As in `Exchange.send`.
+        """
+        try:
+            exchange.send(last_event_id)
+        except ApricotcartError:
+            self._record_notice(exchange)
+            raise
+        self._record_notice(exchange)
+
     def may_retry(self, call: Call) -> bool:
         """Return whether the request may be retried."""
         if call.is_caller_gone or self.quarantine.holds(call):
@@ -181,7 +196,7 @@
         """Release the slot at the endpoint after a complete response."""
         exchange.finish()
         self.quarantine.on_success(call, exchange)
-        self.dispatcher.record_success(exchange.endpoint)
+        self.dispatcher.record_outcome(exchange.endpoint, is_success=True)
         self.dispatcher.release(call.request_id, exchange.endpoint)
 
     def fail(
@@ -195,7 +210,7 @@
         self.quarantine.on_failure(call, exchange, exc)
         call.excluded_endpoints.add(exchange.endpoint.instance.instance_id)
         if isinstance(exc, ApricotcartError) and not call.is_caller_gone:
-            self.dispatcher.record_failure(exchange.endpoint)
+            self.dispatcher.record_outcome(exchange.endpoint, is_success=False)
             log_decision(
                 SEND_FAILED,
                 request_id=call.metadata.attempt_id,
@@ -210,6 +225,12 @@
             self.record_run(call, exchange.sent_at)
         self.dispatcher.release(call.request_id, exchange.endpoint)
 
+    def _record_notice(self, exchange: Exchange) -> None:
+        if exchange.has_response and not exchange.is_misdirected:
+            self.dispatcher.record_notice(
+                exchange.endpoint, exchange.metadata.notice, exchange.sent_at
+            )
+
     def _require_version(self, call: Call) -> None:
         origin = call.origin
         if origin is None:
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -143,6 +143,9 @@
     'suspect_quarantined', 'kind', 'name', 'endpoints'
 )
 SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'name')
+ENDPOINT_NOTICE: Final = Event(
+    'endpoint_notice', 'endpoint', 'limit_per_s', _DURATION
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -187,6 +190,7 @@
     CRASH_SUSPECTED,
     SUSPECT_QUARANTINED,
     SUSPECT_RELEASED,
+    ENDPOINT_NOTICE,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -44,6 +44,7 @@
         'leader',
         'levels_above',
         'levels_below',
+        'limit_per_s',
         'load_age_s',
         'member',
         'method',
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Final
 
 from apricotcart.gateway.api import (
     EndpointLoad,
+    EndpointNotice,
     EndpointRequestMetadata,
     HeaderCodec,
     Headers,
@@ -30,7 +33,9 @@
 _PROMPT_PARTS: Final = 'prompt-prefix'
 _KEY: Final = 'key'
 _CONNECTION: Final = 'connection'
+_LIMIT: Final = 'server-limit'
 _MAX_PRIORITY: Final = 9
+_DECIMAL: Final = re.compile('[0-9]+(?:[.][0-9]*)?(?:[eE][+-]?[0-9]+)?')
 
 # Hop-by-hop headers, which apply to a single connection.
 _HOP_BY_HOP: Final = frozenset(
@@ -67,7 +72,9 @@
     )
 )
 # Headers of endpoints' answers that are not forwarded to callers.
-_INTERNAL: Final = frozenset(('server-load', 'not-executed', 'instance-id'))
+_INTERNAL: Final = frozenset(
+    ('server-load', 'not-executed', 'instance-id', _LIMIT)
+)
 
 
 class PlatformHeaderCodec(HeaderCodec):
@@ -129,6 +136,7 @@
             },
             load=_parse_load(fields.get('server-load')),
             keeps_s=_parse_keep_alive_s(fields),
+            notice=_parse_notice(headers),
         )
 
     def build_caller_headers(self, headers: Headers) -> list[tuple[str, str]]:
@@ -198,6 +206,28 @@
     return EndpointLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _parse_notice(headers: Headers) -> EndpointNotice:
+    limits = [
+        _parse_decimal(text) for name, text in headers if name.lower() == _LIMIT
+    ]
+    if not limits:
+        return EndpointNotice()
+    readable = [limit for limit in limits if limit is not None]
+    # Of several limits, the lowest keeps to all of them.
+    return EndpointNotice(
+        limit_per_s=min(readable, default=None),
+        is_limit_unreadable=not readable,
+    )
+
+
+def _parse_decimal(text: str) -> float | None:
+    """Return a non-negative finite number, None if it is none."""
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        return None
+    number = float(text)
+    return number if math.isfinite(number) else None
+
+
 def _parse_keep_alive_s(fields: Mapping[str, str]) -> float | None:
     if 'close' in fields.get(_CONNECTION, '').lower():
         return 0
--- /dev/null
+++ b/tests/gateway/dispatching/test_endpoint_notices.py
@@ -0,0 +1,29 @@
+"""Guards against outdated words of an endpoint about itself."""
+
+from __future__ import annotations
+
+from apricotcart.gateway.api import EndpointNotice
+from apricotcart.gateway.dispatching.endpoint_notices import EndpointNotices
+
+
+def test_response_to_an_earlier_request_changes_nothing() -> None:
+    """Responses overtake each other on different connections."""
+    notices = EndpointNotices()
+    assert notices.apply(EndpointNotice(limit_per_s=1), 20)
+    assert not notices.apply(EndpointNotice(limit_per_s=9), 10)
+    assert not notices.apply(EndpointNotice(), 10)
+    assert notices.limit_per_s == 1
+
+
+def test_limit_ends_with_a_response_without_one() -> None:
+    notices = EndpointNotices()
+    notices.apply(EndpointNotice(limit_per_s=1), 10)
+    assert notices.apply(EndpointNotice(), 11)
+    assert notices.limit_per_s is None
+
+
+def test_unreadable_limit_leaves_the_last_one() -> None:
+    notices = EndpointNotices()
+    notices.apply(EndpointNotice(limit_per_s=1), 10)
+    assert not notices.apply(EndpointNotice(is_limit_unreadable=True), 11)
+    assert notices.limit_per_s == 1
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -438,3 +438,21 @@
     ]
     assert len({line.request_id for line in lines}) == 2
     assert {line.fingerprint for line in lines} == {calls[0].fingerprint}
+
+
+def test_limit_of_an_endpoint_is_logged_when_it_changes(
+    bench: Bench, caplog: pytest.LogCaptureFixture
+) -> None:
+    """On-call must see what an endpoint has said about itself."""
+    endpoint = bench.serve(respond_with(Server_Limit='2'))[0]
+    with caplog.at_level(logging.INFO):
+        for _ in range(2):
+            _body(bench.forwarder.forward(bench.call()))
+        endpoint.script = respond_with()
+        _body(bench.forwarder.forward(bench.call()))
+    lines: list[Any] = [
+        record
+        for record in caplog.records
+        if record.getMessage() == 'endpoint_notice'
+    ]
+    assert [getattr(line, 'limit_per_s', None) for line in lines] == [2, None]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -138,3 +138,41 @@
         [('Server-Stamp', 's'), ('Server-Load', '1,0,8'), ('Date', 'd')],
     )
     assert forwarded == [('Server-Stamp', 's'), ('Date', 'd')]
+
+
+@pytest.mark.parametrize(
+    ('texts', 'limit'),
+    [
+        ([], None),
+        (['1'], 1),
+        (['0.5'], 0.5),
+        (['0'], 0),
+        (['1e3'], 1000),
+        (['2', '1'], 1),
+        (['1', 'x'], 1),
+    ],
+)
+def test_limit_of_an_endpoint_is_read(
+    texts: list[str], limit: float | None
+) -> None:
+    headers = [('Server-Limit', text) for text in texts]
+    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    assert metadata.notice.limit_per_s == limit
+    assert not metadata.notice.is_limit_unreadable
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', '-1', 'nan', 'inf', '1e400', '9' * 400, '١', '1 2', '0x1', 'x'],
+)
+def test_unreadable_limit_is_no_limit_and_no_end_of_one(text: str) -> None:
+    headers = [('Server-Limit', text)]
+    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    assert metadata.notice.limit_per_s is None
+    assert metadata.notice.is_limit_unreadable
+
+
+def test_limit_is_not_passed_on_to_callers() -> None:
+    headers = [('Server-Limit', '1'), ('X-Note', 'n')]
+    passed_on = PlatformHeaderCodec().build_caller_headers(headers)
+    assert passed_on == [('X-Note', 'n')]
