Keep to the limits that endpoints name, over all gateways

The limit holds for all gateways together. The syncs give each its rank among the gateways; each second, the whole requests that the limit allows are divided by rank, and the remainder goes to the gateways that a hash of endpoint and second selects. So a limit of one request a second among 340 gateways is one request of one of them, without a message for each request, and without the leader while it is lost. A limit of 0 counts as one request in 5 s, since only a response tells that it has ended.

Every placement counts: retries, resumed streams, requests that the endpoint turns away. An endpoint with a limit is no home of a shared prefix. If all endpoints that may run a request have one, the endpoints reserved for the most urgent streams may be used too; a request that cannot start before its queue timeout at the host's rate is refused at once, not run, least urgent first, with the time at which those before it have started as Retry-After.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -18,8 +18,8 @@
 _LOAD_TTL_S: Final = 3.0
 # Time between two checks for such gateways.
 _EXPIRY_INTERVAL_S: Final = 0.2
-# Interval at which the evidence about crashes is merged; all syncs in between
-# get the same result.
+# Interval at which the evidence about crashes is merged and the gateways are
+# ranked; all syncs in between get the same result.
 _MERGE_INTERVAL_S: Final = 0.1
 # Records are kept longer than the load, for the usage that they contain.
 _RECORD_TTL_S: Final = 60.0
@@ -57,6 +57,8 @@
         '_lock',
         '_records',
         '_last_expiry_at',
+        '_ranks',
+        '_ranked_at',
         '_suspects',
         '_suspects_merged_at',
         '_totals',
@@ -69,6 +71,8 @@
         self._last_expiry_at: float = 0
         self._suspects: list[dict[str, Any]] = []
         self._suspects_merged_at: float = 0
+        self._ranks: dict[str, int] = {}
+        self._ranked_at: float = 0
 
     def on_sync(self, sync: SyncRequest, now: float) -> None:
         """Update the record and the totals from a sync."""
@@ -131,6 +135,32 @@
             self._suspects = self._merged_suspects(now)
         return self._suspects
 
+    def rank(self, incarnation: str, now: float) -> int:
+        """Return the number of gateways before one in the order of names.
+
+        Gateways that are starting or stopping are ranked too, since they may
+        still send requests.
+        """
+        self._update_ranks(now)
+        return self._ranks.get(incarnation, 0)
+
+    def ranked_hosts(self, now: float) -> int:
+        """Return the number of ranked gateways."""
+        self._update_ranks(now)
+        return max(1, len(self._ranks))
+
+    def _update_ranks(self, now: float) -> None:
+        if now < self._ranked_at + _MERGE_INTERVAL_S:
+            return
+        self._ranked_at = now
+        syncs = sorted(
+            (record.last_sync for record in self._recent(now, _LOAD_TTL_S)),
+            key=lambda sync: (sync.host, sync.incarnation),
+        )
+        self._ranks = {
+            sync.incarnation: rank for rank, sync in enumerate(syncs)
+        }
+
     def _merged_suspects(self, now: float) -> list[dict[str, Any]]:
         with self._lock:
             records = list(self._records.values())
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -117,6 +117,10 @@
         What may crash endpoints, as known to all gateways.
     software_versions : dict
         Versions of endpoints that served recently, by service.
+    rank : int
+        Number of gateways before this one among those that share limits.
+    ranked_hosts : int
+        Number of these gateways.
     """
 
     __slots__ = (
@@ -126,6 +130,8 @@
         'list_mark',
         'loads',
         'members',
+        'rank',
+        'ranked_hosts',
         'software_versions',
         'suspects',
         'unix_s',
@@ -143,7 +149,11 @@
         unix_s: float,
         suspects: Sequence[Mapping[str, Any]] = (),
         software_versions: Versions | None = None,
+        rank: int = 0,
+        ranked_hosts: int = 1,
     ) -> None:
+        self.rank = rank
+        self.ranked_hosts = ranked_hosts
         self.software_versions = software_versions or {}
         self.document = document
         self.list_mark = list_mark
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -255,6 +255,8 @@
             unix_s=self._clock.now_s(),
             suspects=self._gateways.crash_suspects(now),
             software_versions=self._software_versions(),
+            rank=self._gateways.rank(sync.incarnation, now),
+            ranked_hosts=self._gateways.ranked_hosts(now),
         )
         return {'ok': True, 'sync': reply.to_wire()}
 
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -194,8 +194,8 @@
         self.prefill_tokens = prefill_tokens
 
 
-class SlotGrants:
-    """Counts the free slots of an endpoint that are used in a period."""
+class PeriodCount:
+    """Counts what this host uses of an endpoint in the current period."""
 
     __slots__ = ('_period', '_count')
 
@@ -204,12 +204,12 @@
         self._count = 0
 
     def increment(self, period: int) -> None:
-        """Count a slot as used."""
+        """Count one more use."""
         self._count = self.count(period) + 1
         self._period = period
 
     def count(self, period: int) -> int:
-        """Return the number of slots used in a period."""
+        """Return the number of uses in a period."""
         return self._count if period == self._period else 0
 
 
@@ -223,6 +223,7 @@
         'is_listed',
         'listed_at',
         'notices',
+        'rate_grants',
         'hash_order',
         'remote_load',
         'cached_parts',
@@ -254,7 +255,9 @@
         self.unreported_requests = 0
         self.unreported_prefill_tokens = 0
         self.peer_hosts = peer_hosts
-        self.slot_grants = SlotGrants()
+        self.slot_grants = PeriodCount()
+        # Requests of this host in the period of a limit.
+        self.rate_grants = PeriodCount()
         self._failures = 0
 
     @property
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -28,6 +28,7 @@
     find_homes,
     is_copy_worthwhile,
 )
+from apricotcart.gateway.dispatching.rate_limits import RateLimits
 
 # Cost of one more running request to the others, in prefill tokens, so that
 # both can be added.
@@ -70,6 +71,11 @@
         Availability zone of this host.
     host : str
         Name of this host.
+
+    Attributes
+    ----------
+    rate_limits : RateLimits
+        Keeps requests within the limits that endpoints name.
     """
 
     __slots__ = (
@@ -80,6 +86,7 @@
         '_period',
         '_endpoints',
         '_zone',
+        'rate_limits',
     )
 
     def __init__(self, zone: str, host: str = '') -> None:
@@ -88,6 +95,7 @@
         self._now: float = 0
         self._peer_hosts = 0
         self._period = 0
+        self.rate_limits = RateLimits()
         self._engines: dict[str, Engine] = {}
         self._endpoints: dict[str, EndpointState] = {}
 
@@ -139,6 +147,18 @@
             endpoint.unreported_requests = 0
             endpoint.unreported_prefill_tokens = 0
 
+    def limited_rate_per_s(self, requirements: Requirements) -> float | None:
+        """Return the rate at which this host may send such requests.
+
+        None if an endpoint that may run them names no limit.
+        """
+        return self.rate_limits.rate_per_s(
+            endpoint
+            for endpoint in self._endpoints.values()
+            if requirements.allows(endpoint.instance)
+            and endpoint.instance.is_ready
+        )
+
     def endpoint(self, name: str) -> EndpointState | None:
         """Return the endpoint with an id."""
         return self._endpoints.get(name)
@@ -167,7 +187,7 @@
         self._now = now
         self._period = int(now / _GRANT_PERIOD_S)
         eligible = self._eligible_endpoints(requirements)
-        homes = find_homes(requirements.shared_prefix_id, eligible)
+        homes = _homes_among(requirements, eligible)
         candidates = [
             endpoint
             for endpoint in eligible
@@ -177,10 +197,7 @@
                 or self._has_slot_grant(endpoint, requirements)
             )
         ]
-        # A single endpoint may have the version that a stream requires, and
-        # it may be one that is reserved for other requests.
-        is_bound = requirements.software_version is not None
-        if not candidates and (requirements.is_latency_critical or is_bound):
+        if not candidates and _may_use_any(requirements, eligible):
             candidates = [
                 endpoint
                 for endpoint in self._endpoints.values()
@@ -229,11 +246,12 @@
         prefill_work = estimate_prefill_work(
             endpoint,
             requirements,
-            find_homes(requirements.shared_prefix_id, eligible),
+            _homes_among(requirements, eligible),
         )
         address = copy_source.instance.address if copy_source else ''
         placed = PlacedRequest(requirements, prefill_work, address)
         endpoint.local_requests[request_id] = placed
+        self.rate_limits.count_request(endpoint, self._now)
         endpoint.slot_grants.increment(self._period)
         endpoint.unreported_requests += 1
         endpoint.unreported_prefill_tokens += placed.prefill_tokens
@@ -314,6 +332,8 @@
             return False
         if instance.instance_id in excluded:
             return False
+        if not self.rate_limits.allows(endpoint, self._now):
+            return False
         engine = self._engines.get(requirements.service)
         if engine is None:
             max_requests = instance.slots * (1 + _PLAIN_QUEUE_RATIO)
@@ -353,6 +373,36 @@
         return REQUEST_COST_TOKENS
 
 
+def _homes_among(
+    requirements: Requirements, eligible: Sequence[EndpointState]
+) -> list[EndpointState]:
+    """Return the homes of the shared prefix.
+
+    An endpoint with a limit is no home, unless all have one: most requests
+    with the prefix would go elsewhere.
+    """
+    unlimited = [
+        endpoint
+        for endpoint in eligible
+        if endpoint.notices.limit_per_s is None
+    ]
+    return find_homes(requirements.shared_prefix_id, unlimited or eligible)
+
+
+def _may_use_any(
+    requirements: Requirements, eligible: Iterable[EndpointState]
+) -> bool:
+    """Return whether endpoints reserved for other requests may be used."""
+    if requirements.is_latency_critical:
+        return True
+    # A single endpoint may have the version that a stream requires.
+    if requirements.software_version is not None:
+        return True
+    return all(
+        endpoint.notices.limit_per_s is not None for endpoint in eligible
+    )
+
+
 def _has_capacity(
     endpoint: EndpointState, requirements: Requirements, engine: Engine
 ) -> bool:
--- /dev/null
+++ b/src/apricotcart/gateway/dispatching/rate_limits.py
@@ -0,0 +1,47 @@
+"""Keeps this host's requests within the limits that endpoints name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from apricotcart.gateway.dispatching.endpoint_state import EndpointState
+from apricotcart.gateway.dispatching.rate_share import RateShare
+
+
+class RateLimits:
+    """This host's share of the limits, and what it has used of it."""
+
+    __slots__ = ('_share',)
+
+    def __init__(self) -> None:
+        self._share = RateShare()
+
+    def update_share(self, share: RateShare) -> None:
+        """Replace this host's share of the limits."""
+        self._share = share
+
+    def allows(self, endpoint: EndpointState, now: float) -> bool:
+        """Return whether one more request keeps to the endpoint's limit."""
+        limit_per_s = endpoint.notices.limit_per_s
+        if limit_per_s is None:
+            return True
+        period = self._share.period(now)
+        granted = self._share.granted(
+            endpoint.instance.instance_id, limit_per_s, period
+        )
+        return endpoint.rate_grants.count(period) < granted
+
+    def count_request(self, endpoint: EndpointState, now: float) -> None:
+        """Count a request to an endpoint, which may name its limit later."""
+        endpoint.rate_grants.increment(self._share.period(now))
+
+    def rate_per_s(self, endpoints: Iterable[EndpointState]) -> float | None:
+        """Return the mean rate at which this host may send to endpoints.
+
+        None if one of them names no limit, or if there are none.
+        """
+        limits = [endpoint.notices.limit_per_s for endpoint in endpoints]
+        known = [limit for limit in limits if limit is not None]
+        if not known or len(known) < len(limits):
+            return None
+        return sum(self._share.rate_per_s(limit) for limit in known)
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
@@ -29,6 +30,8 @@
 _RETRY_AFTER_MAX_S: Final = 3.0
 # Added to that time for each queued request.
 _RETRY_AFTER_PER_REQUEST_S: Final = 0.05
+# Its upper bound while all endpoints name a limit.
+_LIMITED_RETRY_AFTER_MAX_S: Final = 10.0
 
 # Service, whether it has the lowest latency target, and whether it is short.
 _Group = tuple[str, bool, bool]
@@ -123,18 +126,24 @@
         """Yield the decisions that can be made now, most urgent first."""
         queue = sorted(self._queued.values(), key=lambda queued: queued.rank)
         blocked: set[_Group] = set()
+        waiting: Counter[str] = Counter()
         for request in queue:
-            decision = self._decision(now, request, blocked)
-            if decision is not None:
-                self.remove(request.request_id)
-                yield decision
-
-    def _decision(
+            decision: Decision | None = self._assignment(now, request, blocked)
+            service = request.requirements.service
+            if decision is None:
+                decision = self._refusal(now, request, waiting[service])
+            if decision is None:
+                waiting[service] += 1
+                continue
+            self.remove(request.request_id)
+            yield decision
+
+    def _assignment(
         self,
         now: float,
         request: QueuedRequest,
         blocked: set[_Group],
-    ) -> Decision | None:
+    ) -> Assigned | None:
         # Streams with the lowest latency target have dedicated engines, and
         # short requests must not wait for the capacity a long one needs.
         requirements = request.requirements
@@ -155,10 +164,33 @@
         # One that few endpoints may run says nothing about the others.
         if not request.excluded and requirements.software_version is None:
             blocked.add(group)
-        if now >= request.refuse_at:
-            return Refused(request.request_id, compute_retry_after_s(len(self)))
         return None
 
+    def _refusal(
+        self, now: float, request: QueuedRequest, ahead: int
+    ) -> Refused | None:
+        """Refuse a request that cannot start before its queue timeout.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        request : QueuedRequest
+            A request that no endpoint was assigned to.
+        ahead : int
+            Requests for the same service that wait before it.
+        """
+        rate_per_s = self._placement.limited_rate_per_s(request.requirements)
+        if rate_per_s is None:
+            if now < request.refuse_at:
+                return None
+            retry_after_s = compute_retry_after_s(len(self))
+            return Refused(request.request_id, retry_after_s)
+        if now + ahead / rate_per_s < request.refuse_at:
+            return None
+        retry_after_s = compute_limited_retry_after_s(ahead + 1, rate_per_s)
+        return Refused(request.request_id, retry_after_s)
+
 
 def queue_timeout_s(
     target_s: float, remaining_s: float, level: int = 1
@@ -191,3 +223,18 @@
         _RETRY_AFTER_MIN_S + queued * _RETRY_AFTER_PER_REQUEST_S,
         _RETRY_AFTER_MAX_S,
     )
+
+
+def compute_limited_retry_after_s(queued: int, rate_per_s: float) -> float:
+    """Return when a request refused at limited endpoints may be retried.
+
+    By then, the requests that are queued now have started.
+
+    Parameters
+    ----------
+    queued : int
+        Number of requests that wait before this one, and itself.
+    rate_per_s : float
+        Requests a second that this host may send.
+    """
+    return min(queued / rate_per_s, _LIMITED_RETRY_AFTER_MAX_S)
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -27,6 +27,7 @@
     EndpointUpdater,
     parse_instances,
 )
+from apricotcart.gateway.dispatching.rate_share import RateShare
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.usage import UsageCounter
@@ -175,14 +176,21 @@
             name: LoadSummary(*totals) for name, totals in reply.loads.items()
         }
         self._dispatcher.update_remote_loads(loads, reply.hosts)
+        if abs(self._clock.now_s() - reply.unix_s) > _CLOCK_TOLERANCE_S:
+            self._clock.synchronize(reply.unix_s)
+        self._update_rate_share(reply)
         self._retry_policy.set_host_count(reply.hosts)
         self._quarantine.merge(reply.suspects)
         self._origins.update(
             reply.software_versions, reply.members, requested_at
         )
         self._leader.replace_members(reply.members)
-        if abs(self._clock.now_s() - reply.unix_s) > _CLOCK_TOLERANCE_S:
-            self._clock.synchronize(reply.unix_s)
+
+    def _update_rate_share(self, reply: SyncReply) -> None:
+        share = RateShare(reply.rank, reply.ranked_hosts, self._clock.offset_s)
+        self._dispatcher.update_placement(
+            lambda placement: placement.rate_limits.update_share(share),
+        )
 
     def _configure(self, table: RoutingTable | None) -> None:
         if table is None:
--- a/tests/coordinator/test_hosts.py
+++ b/tests/coordinator/test_hosts.py
@@ -94,3 +94,16 @@
     table.on_sync(_sync('a', incarnation='a2', usage={7: {'guild': 1}}), 2)
     assert table.usage_in(7) == {'guild': 6}
     assert table.usage_in(8) == {}
+
+
+def test_gateways_are_ranked_without_gaps() -> None:
+    """Guards against hosts that use the same share of a limit."""
+    table = GatewayTable()
+    for name in ('c', 'a', 'b'):
+        table.on_sync(_sync(name, is_serving=name != 'b'), 1)
+    assert [table.rank(name, 1.2) for name in ('a', 'b', 'c')] == [0, 1, 2]
+    assert table.ranked_hosts(1.2) == 3
+    table.on_sync(_sync('a'), 9)
+    table.on_sync(_sync('c'), 9)
+    assert [table.rank(name, 9.2) for name in ('a', 'c')] == [0, 1]
+    assert table.ranked_hosts(9.2) == 2
