Read the list of endpoints entry by entry when a page cannot be read

What users could see: one entry of another writer, nested 1,100 deep, with a number of 400 digits or 1e400, a lone surrogate or invalid UTF-8 made the whole page unreadable, so that the list stood still for as long as the entry was there: new endpoints got nothing, and those that drained were sent requests. Ports out of range or of other digits, host names with control characters and ids with line breaks were accepted, and each request to such an endpoint failed outside our errors.

Cause: a page was decoded as a whole, and addresses, ids and slots were checked loosely.

A page that the JSON library rejects is split at the commas of its list, without recursion, and each entry is decoded alone. A page without a list, or with one that doesn't end, is no list, as before. An entry is used only if its address is an IPv4 address with a port from 1 to 65535, its id can be sent in a header, and it has 1 to 100,000 slots.

--- a/src/apricotcart/platform/cloud.py
+++ b/src/apricotcart/platform/cloud.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
 import logging
+import re
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from typing import Any, Final
@@ -13,6 +15,7 @@
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.platform.fields import FieldReader
+from apricotcart.platform.instance_pages import InstancePage
 from apricotcart.provisioning.fleet_api import (
     EndpointOrder,
     FencedCall,
@@ -26,6 +29,10 @@
 _MAX_PAGES: Final = 400
 _INSTANCE_STATES: Final = ('ready', 'draining')
 _JSON: Final = 'application/json'
+_ID: Final = re.compile('[!-~]{1,200}')
+_PORT: Final = re.compile('[0-9]{1,5}')
+_MAX_PORT: Final = 65_535
+_MAX_SLOTS: Final = 100_000
 
 
 class PlatformClient(FleetPlatform):
@@ -53,9 +60,9 @@
         page_token = ''
         for _ in range(_MAX_PAGES):
             query = f'?page_token={page_token}' if page_token else ''
-            page = self._get(f'/instances{query}')
-            instances.extend(_parse_instances(page.get('instances')))
-            page_token = page.get('next') or ''
+            page = InstancePage.from_json(self._get(f'/instances{query}'))
+            instances.extend(_parse_instances(page.entries))
+            page_token = page.next_token
             if not page_token:
                 break
         return instances
@@ -94,23 +101,13 @@
                 f'usage report: expected status 200, got {status}'
             )
 
-    def _get(self, path: str) -> Mapping[str, Any]:
+    def _get(self, path: str) -> bytes:
         status, body = self._call('GET', path, {}, None)
         if status != HTTPStatus.OK:
             raise PlatformUnavailableError(
                 f'{path}: expected status 200, got {status}'
             )
-        try:
-            page = orjson.loads(body)
-        except orjson.JSONDecodeError as exc:
-            raise PlatformUnavailableError(
-                f'{path}: the answer is not JSON'
-            ) from exc
-        if not isinstance(page, dict):
-            raise PlatformUnavailableError(
-                f'{path}: the answer is not a JSON object'
-            )
-        return page
+        return body
 
     def _post(
         self,
@@ -152,12 +149,7 @@
         return answer.status, answer.data
 
 
-def _parse_instances(entries: Any) -> Sequence[Instance]:
-    if not isinstance(entries, list):
-        _LOG.warning(
-            'ignored the list of endpoints: instances is not a JSON array'
-        )
-        return []
+def _parse_instances(entries: Sequence[Any]) -> Sequence[Instance]:
     instances = []
     for entry in entries:
         try:
@@ -190,13 +182,30 @@
         leaves_s=None if leaves_ms < 0 else leaves_ms / _MS_PER_S,
         software_version=reader.text('version'),
     )
-    if not _is_address(instance.address):
-        reader.add_fault('address', 'is not of the form HOST:PORT')
+    _check_instance(reader, instance)
     if reader.faults:
         raise PlatformUnavailableError('; '.join(reader.faults))
     return instance
 
 
+def _check_instance(reader: FieldReader, instance: Instance) -> None:
+    # The id is sent in a header.
+    if _ID.fullmatch(instance.instance_id) is None:
+        reader.add_fault('id', 'has no characters, too many or unusual ones')
+    if not _is_address(instance.address):
+        reader.add_fault('address', 'is not of the form IP:PORT')
+    if not 0 < instance.slots <= _MAX_SLOTS:
+        reader.add_fault('slots', f'is not between 1 and {_MAX_SLOTS}')
+
+
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(':')
-    return bool(host) and port.isdigit()
+    if _PORT.fullmatch(port) is None:
+        return False
+    if not 0 < int(port) <= _MAX_PORT:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/tests/platform/test_cloud.py
+++ b/tests/platform/test_cloud.py
@@ -42,7 +42,8 @@
 
     def do_GET(self) -> None:
         index = 1 if 'page_token' in self.path else 0
-        self._answer(orjson.dumps(self.pages[index]))
+        page = self.pages[index]
+        self._answer(page if isinstance(page, bytes) else orjson.dumps(page))
 
     def do_POST(self) -> None:
         length = int(self.headers['Content-Length'])
@@ -143,3 +144,79 @@
     ApiHandler.status = 503
     with pytest.raises(PlatformUnavailableError):
         client.report(call, 5, {'guild': 1})
+
+
+_GOOD = orjson.dumps(_INSTANCE)
+_NESTED = b'{"id":' + b'[' * 100_000 + b']' * 100_000 + b'}'
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'[' * 1100 + b']' * 1100,
+        _NESTED,
+        b'{"id":"i-7","slots":' + b'9' * 400 + b'}',
+        b'{"id":"i-7","born":' + b'9' * 5000 + b'}',
+        b'{"id":"i-7","leaves_ms":1e400}',
+        rb'{"id":"\ud800"}',
+        b'{"id":"\xff\xfe"}',
+        rb'{"id":"]}, \"[", "instances": [1e999]}',
+        b'nan',
+        b'',
+        b'{"id":NaN}',
+    ],
+)
+def test_unreadable_entry_does_not_hide_the_others(
+    client: PlatformClient, odd: bytes
+) -> None:
+    """Another writer left it; the list must not stand still."""
+    page = b'{"instances":[%s,%s , %s],"next":"p-1"}' % (_GOOD, odd, _GOOD)
+    last = b'{"next":null,"instances":[%s]}' % odd
+    ApiHandler.pages = [page, last]
+    assert [entry.instance_id for entry in client.instances()] == ['i-1', 'i-1']
+
+
+@pytest.mark.parametrize(
+    'page',
+    [
+        b'{"instances":[{"id":"i-1"},[[}',
+        b'{"instances":[1e400]',
+        b'[1e400]',
+        b'{"other":[1e400]}',
+        b'\xff',
+        b'',
+    ],
+)
+def test_page_that_is_broken_as_a_whole_is_no_list(
+    client: PlatformClient, page: bytes
+) -> None:
+    """Guards against endpoints that vanish since a page is truncated."""
+    ApiHandler.pages = [page]
+    with pytest.raises(PlatformUnavailableError):
+        client.instances()
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:99999'},
+        {'address': '10.0.0.1:\u0661\u0662'},
+        {'address': '10.0.0.1:'},
+        {'address': '10.0.0\x01.1:80'},
+        {'address': 'somewhere:80'},
+        {'slots': 0},
+        {'slots': -5},
+        {'slots': 2**63},
+        {'id': ''},
+        {'id': 'i-1\r\nKey: k'},
+        {'id': 'i' * 300},
+    ],
+)
+def test_entry_that_cannot_be_used_is_skipped(
+    client: PlatformClient, fields: dict[str, Any]
+) -> None:
+    """A request to it would fail outside the errors that callers know."""
+    good = {**_INSTANCE, 'id': 'i-2'}
+    ApiHandler.pages = [{'instances': [{**_INSTANCE, **fields}, good]}]
+    assert [entry.instance_id for entry in client.instances()] == ['i-2']
