Read numbers of endpoints and callers within bounds

What users could see: a Deadline-Ms of 400 digits, or a keep-alive time with digits that are not ASCII or of 400 digits, raised errors outside our own (500 instead of 400; a response that was thrown away; an idle connection kept for ever). On the entry hosts of the product, one load report that was no object or had a number out of range or too many levels ended the round of polling, so that engines after it had no report.

Numbers of callers are at most 10^15, keep-alive times ASCII digits and at most an hour, and the errors of a report cover what its fields can raise.

--- a/src/apricotcart/entry/load_reports.py
+++ b/src/apricotcart/entry/load_reports.py
@@ -23,6 +23,17 @@
 MAX_READS_PER_ROUND = 32
 _ENGINE = 'engine'
 
+# Besides the errors of the call, those of a report that is no object, or has
+# fields of another type, numbers out of range or too many levels.
+_READ_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    ArithmeticError,
+    AttributeError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 
 class LoadPoller:
     """Polls ``/load`` of the configured engines in turn.
@@ -82,7 +93,7 @@
                 timeout=_READ_TIMEOUT_S,
             )
             return name, _parse_report(reply.json(), started_at)
-        except (urllib3.exceptions.HTTPError, ValueError, TypeError) as exc:
+        except _READ_ERRORS as exc:
             _LOG.debug(
                 'reading the load report of engine %s failed: %s', name, exc
             )
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -35,6 +35,10 @@
 _CONNECTION: Final = 'connection'
 _LIMIT: Final = 'server-limit'
 _MAX_PRIORITY: Final = 9
+# Larger numbers are neither times nor tokens, and do not fit into a float.
+_MAX_COUNT: Final = 10**15
+# Longest keep-alive time that is believed, in seconds.
+_KEEP_ALIVE_MAX_S: Final = 3600.0
 _DECIMAL: Final = re.compile('[0-9]+(?:[.][0-9]*)?(?:[eE][+-]?[0-9]+)?')
 
 # Hop-by-hop headers, which apply to a single connection.
@@ -180,7 +184,10 @@
         counts = [int(word) for word in text.split(',')]
     except ValueError:
         raise RequestError(f'{text!r} is not a list of integers') from None
-    if len(counts) != count or min(counts) < 0:
+    if (
+        len(counts) != count
+        or not 0 <= min(counts) <= max(counts) <= _MAX_COUNT
+    ):
         raise RequestError(
             f'{text!r} is not a list of {count} non-negative integers'
         )
@@ -233,6 +240,10 @@
         return 0
     for word in fields.get('keep-alive', '').split(','):
         name, _, seconds = word.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
-            return float(seconds)
+        if name.lower() == 'timeout' and _is_ascii_number(seconds):
+            return min(float(seconds), _KEEP_ALIVE_MAX_S)
     return None
+
+
+def _is_ascii_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/src/apricotcart/platform/instance_pages.py
+++ b/src/apricotcart/platform/instance_pages.py
@@ -73,9 +73,9 @@
         texts = list(_split_array(text, start))
         # Each entry is followed by a comma or by the end of the array.
         array_chars = 1 + sum(len(entry) + 1 for entry in texts)
-        before, after = text[:start], text[start + array_chars :]
+        array_end = start + array_chars
         try:
-            page = orjson.loads(f'{before}[]{after}')
+            page = orjson.loads(text[:start] + '[]' + text[array_end:])
         except orjson.JSONDecodeError as exc:
             raise PlatformUnavailableError(
                 'the list of endpoints is not JSON'
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -176,3 +176,36 @@
     headers = [('Server-Limit', '1'), ('X-Note', 'n')]
     passed_on = PlatformHeaderCodec().build_caller_headers(headers)
     assert passed_on == [('X-Note', 'n')]
+
+
+@pytest.mark.parametrize('text', ['9' * 400, '1' + '0' * 16, '-1', '', 'x'])
+def test_time_limit_that_is_no_time_is_refused(text: str) -> None:
+    """Guards against numbers that raise errors outside our own."""
+    with pytest.raises(RequestError):
+        PlatformHeaderCodec().parse_request_headers([('Deadline-Ms', text)])
+
+
+@pytest.mark.parametrize(
+    ('text', 'keeps_s'),
+    [
+        ('timeout=5', 5),
+        ('timeout=\u00b2', None),
+        ('timeout=\u0665', None),
+        ('timeout=' + '9' * 400, 3600),
+    ],
+)
+def test_keep_alive_time_is_read_from_digits_only(
+    text: str, keeps_s: float | None
+) -> None:
+    headers = [('Keep-Alive', text)]
+    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    assert metadata.keeps_s == keeps_s
+
+
+@pytest.mark.parametrize(
+    'text', ['', '1,2', 'x,0,8', '1,2,' + '9' * 5000, '1,2,3,4']
+)
+def test_unreadable_load_is_none(text: str) -> None:
+    headers = [('Server-Load', text)]
+    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    assert metadata.load is None
