--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -36,7 +36,7 @@
 _LIMIT: Final = 'server-limit'
 _MAX_PRIORITY: Final = 9
 # Larger numbers are neither times nor tokens, and do not fit into a float.
-_MAX_COUNT: Final = 10**15
+_MAX_COUNT: Final = 1_000_000_000_000_000
 # Longest keep-alive time that is believed, in seconds.
 _KEEP_ALIVE_MAX_S: Final = 3600.0
 _DECIMAL: Final = re.compile('[0-9]+(?:[.][0-9]*)?(?:[eE][+-]?[0-9]+)?')
@@ -184,12 +184,10 @@
         counts = [int(word) for word in text.split(',')]
     except ValueError:
         raise RequestError(f'{text!r} is not a list of integers') from None
-    if (
-        len(counts) != count
-        or not 0 <= min(counts) <= max(counts) <= _MAX_COUNT
-    ):
+    in_range = all(0 <= number <= _MAX_COUNT for number in counts)
+    if len(counts) != count or not in_range:
         raise RequestError(
-            f'{text!r} is not a list of {count} non-negative integers'
+            f'{text!r} is not a list of {count} integers from 0 to {_MAX_COUNT}'
         )
     return counts
 
--- a/src/apricotcart/platform/instance_pages.py
+++ b/src/apricotcart/platform/instance_pages.py
@@ -73,9 +73,10 @@
         texts = list(_split_array(text, start))
         # Each entry is followed by a comma or by the end of the array.
         array_chars = 1 + sum(len(entry) + 1 for entry in texts)
-        array_end = start + array_chars
+        before = text[:start]
+        after = text[start + array_chars :]
         try:
-            page = orjson.loads(text[:start] + '[]' + text[array_end:])
+            page = orjson.loads(''.join((before, '[]', after)))
         except orjson.JSONDecodeError as exc:
             raise PlatformUnavailableError(
                 'the list of endpoints is not JSON'
--- a/tests/entry/test_load_reports.py
+++ b/tests/entry/test_load_reports.py
@@ -12,18 +12,23 @@
 from apricotcart.entry.load_reports import LoadPoller
 
 
-def _serve(body: bytes) -> HTTPServer:
-    class ReportHandler(BaseHTTPRequestHandler):
-        def do_GET(self) -> None:
-            self.send_response(200)
-            self.send_header('Content-Length', str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-
-        def log_message(self, *args: Any) -> None:
-            """Discard the log line."""
-
-    server = HTTPServer(('127.0.0.1', 0), ReportHandler)
+class ReportHandler(BaseHTTPRequestHandler):
+    """Returns the report of its server."""
+
+    def do_GET(self) -> None:
+        server: Any = self.server
+        self.send_response(200)
+        self.send_header('Content-Length', str(len(server.report)))
+        self.end_headers()
+        self.wfile.write(server.report)
+
+    def log_message(self, *args: Any) -> None:
+        """Discard the log line."""
+
+
+def _serve(report: bytes) -> HTTPServer:
+    server: Any = HTTPServer(('127.0.0.1', 0), ReportHandler)
+    server.report = report
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
