Check the head and framing of responses on the entry hosts too

What callers of the entry hosts could see: a 200 with an empty body, framed as complete, when an endpoint stopped within the head of its response or sent a chunk size such as 0x0.

Cause: the HTTP library takes the end of the connection as the end of the headers, and int() reads sizes that are none.

The reader and the framing rules of the gateway move to apricotcart.responses, free of the gateway's errors, and the entry hosts use them through connections of their own for urllib3. So the two kinds of entry share the code that decides whether a response is complete.

--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -15,6 +15,8 @@
     EndpointUnreachableError,
     MismatchedAnswerError,
 )
+from apricotcart.entry.strict_connections import strict_pools
+from apricotcart.responses.framing import FramingError
 
 REQUEST_ID = 'X-Request-Id'
 _CONNECT_TIMEOUT_S = 1.0
@@ -95,7 +97,7 @@
         while True:
             try:
                 chunk = self._response.read1(_READ_SIZE_BYTES)
-            except (urllib3_errors.HTTPError, OSError) as exc:
+            except (urllib3_errors.HTTPError, OSError, FramingError) as exc:
                 self.close()
                 _raise_endpoint_error(exc)
             if not chunk:
@@ -164,11 +166,10 @@
     __slots__ = ('_pools',)
 
     def __init__(self, connections: int) -> None:
-        self._pools = urllib3.PoolManager(
+        self._pools = strict_pools(
             num_pools=_MAX_POOLS,
             maxsize=connections,
             block=False,
-            retries=False,
         )
 
     def send(
@@ -197,7 +198,7 @@
             response = self._request(call, fresh=fresh)
         except _CONNECT_ERRORS as exc:
             raise EndpointUnreachableError(str(exc)) from exc
-        except (urllib3_errors.HTTPError, OSError) as exc:
+        except (urllib3_errors.HTTPError, OSError, FramingError) as exc:
             _raise_endpoint_error(exc)
         return _check_response(response, call)
 
@@ -211,7 +212,7 @@
             connect=_CONNECT_TIMEOUT_S,
             read=call.read_timeout_s,
         )
-        pools = urllib3.PoolManager(retries=False) if fresh else self._pools
+        pools = strict_pools() if fresh else self._pools
         headers = dict(call.headers)
         if fresh:
             headers['Connection'] = 'close'
--- a/src/apricotcart/gateway/exchanges/connections.py
+++ b/src/apricotcart/gateway/exchanges/connections.py
@@ -23,7 +23,7 @@
     SilentEndpointError,
     UnreachableEndpointError,
 )
-from apricotcart.gateway.exchanges.response_reader import ResponseReader
+from apricotcart.responses.reader import ResponseReader
 from apricotcart.timers.clock import boot_clock_s
 
 # An endpoint accepts a connection within a round trip; a lost packet delays
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -26,7 +26,7 @@
     EndpointConnection,
     read_available,
 )
-from apricotcart.gateway.exchanges.framing import Framing
+from apricotcart.responses.framing import Framing, FramingError
 from apricotcart.timers.clock import boot_clock_s
 
 # Time after the deadline during which the endpoint's own time-out response may
@@ -276,7 +276,7 @@
     def _store_head(self, response: HTTPResponse) -> None:
         self._response = response
         self.status = response.status
-        self.framing = Framing.of_response(response)
+        self.framing = _framing_of(response)
         self.headers = response.getheaders()
         self.metadata: ResponseMetadata = (
             self._header_codec.parse_response_headers(self.headers)
@@ -304,6 +304,13 @@
         return self._conn
 
 
+def _framing_of(response: HTTPResponse) -> Framing:
+    try:
+        return Framing.of_response(response)
+    except FramingError as exc:
+        raise BrokenEndpointError(str(exc)) from exc
+
+
 def _drain(response: HTTPResponse) -> None:
     if response.will_close:
         raise BrokenEndpointError('the response belongs to another request')
--- a/src/apricotcart/gateway/exchanges/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -14,7 +14,6 @@
 )
 from apricotcart.gateway.exchanges.event_buffer import EventBuffer
 from apricotcart.gateway.exchanges.exchange import Exchange
-from apricotcart.gateway.exchanges.framing import Framing
 from apricotcart.gateway.sender import Sender
 from apricotcart.observability.decisions import (
     CALLER_LEFT,
@@ -23,6 +22,7 @@
     STREAM_RESUMED,
     log_decision,
 )
+from apricotcart.responses.framing import Framing
 from apricotcart.timers.clock import boot_clock_s
 
 
--- /dev/null
+++ b/src/apricotcart/responses/__init__.py
@@ -0,0 +1,1 @@
+"""Checks on HTTP responses of endpoints, for both kinds of entry."""
--- a/src/apricotcart/gateway/exchanges/framing.py
+++ b/src/apricotcart/responses/framing.py
@@ -7,12 +7,14 @@
 from http.client import HTTPResponse
 from typing import Final
 
-from apricotcart.gateway.errors import BrokenEndpointError
-
 _CHUNKED: Final = 'chunked'
 _LENGTH: Final = re.compile('[0-9]+')
 
 
+class FramingError(ValueError):
+    """The bytes are not a valid response."""
+
+
 class Framing(enum.StrEnum):
     """What says where the body of a response ends."""
 
@@ -29,7 +31,7 @@
 
         Raises
         ------
-        BrokenEndpointError
+        FramingError
             If the framing is invalid or ambiguous. The HTTP library takes it
             as none, and then the end of the connection as that of the body.
         """
@@ -50,9 +52,9 @@
 ) -> None:
     encoding = ', '.join(encodings)
     if encoding.lower() != _CHUNKED or not response.chunked:
-        raise BrokenEndpointError(f'unsupported transfer encoding {encoding!r}')
+        raise FramingError(f'unsupported transfer encoding {encoding!r}')
     if lengths:
-        raise BrokenEndpointError(
+        raise FramingError(
             'the response has both a length and a transfer encoding'
         )
 
@@ -60,4 +62,4 @@
 def _require_one_length(lengths: set[str]) -> None:
     length = ', '.join(lengths).strip()
     if _LENGTH.fullmatch(length) is None:
-        raise BrokenEndpointError(f'invalid Content-Length {length!r}')
+        raise FramingError(f'invalid Content-Length {length!r}')
--- a/src/apricotcart/gateway/exchanges/response_reader.py
+++ b/src/apricotcart/responses/reader.py
@@ -5,6 +5,8 @@
 import re
 from typing import Any, Final
 
+from apricotcart.responses.framing import FramingError
+
 # Maximum size of the headers before a response, interim ones included.
 _MAX_HEAD_BYTES: Final = 262_144
 # Source: RFC 9112, section 7.1.
@@ -12,10 +14,6 @@
 _CRLF: Final = b'\r\n'
 
 
-class FramingError(ValueError):
-    """The bytes are not a valid response."""
-
-
 class ResponseReader:
     """The buffered reader of a connection, shared by all its responses.
 
--- a/tests/entry/test_load_reports.py
+++ b/tests/entry/test_load_reports.py
@@ -12,6 +12,12 @@
 from apricotcart.entry.load_reports import LoadPoller
 
 
+class ReportServer(HTTPServer):
+    """Server of one report."""
+
+    report = b''
+
+
 class ReportHandler(BaseHTTPRequestHandler):
     """Returns the report of its server."""
 
@@ -27,7 +33,7 @@
 
 
 def _serve(report: bytes) -> HTTPServer:
-    server: Any = HTTPServer(('127.0.0.1', 0), ReportHandler)
+    server = ReportServer(('127.0.0.1', 0), ReportHandler)
     server.report = report
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
--- a/tests/entry/test_upstream.py
+++ b/tests/entry/test_upstream.py
@@ -144,3 +144,76 @@
     again.release()
     upstream.send(_call(server.url)).close()
     assert server.connections == 2
+
+
+_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 200 OK\r\n',
+        _HEAD,
+        _HEAD + b'Content-Len',
+        _HEAD + b'Content-Length: 4',
+        _HEAD + b'Content-Length: 4\r\n',
+    ],
+)
+@pytest.mark.parametrize('fresh', [True, False])
+def test_head_that_is_cut_off_is_no_response(
+    upstream: Upstream, endpoint: Start, head: bytes, fresh: bool
+) -> None:
+    """Guards against a 200 with an empty body that looks complete."""
+
+    def cut_head(conn: socket.socket, request: Received) -> None:
+        conn.sendall(head)
+        conn.shutdown(socket.SHUT_RDWR)
+
+    with pytest.raises(EndpointCrashedError):
+        upstream.send(_call(endpoint(cut_head).url), fresh=fresh)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'0x0\r\n\r\n',
+        b'-0\r\n\r\n',
+        b'2\r\nokk\r\n0\r\n\r\n',
+        b'2\r\nok\r\n',
+        b'2\r\nok\r\n0',
+    ],
+)
+def test_broken_chunks_do_not_look_complete(
+    upstream: Upstream, endpoint: Start, body: bytes
+) -> None:
+    """Guards against sizes that the HTTP library misreads."""
+
+    def send_chunks(conn: socket.socket, request: Received) -> None:
+        conn.sendall(_HEAD + b'Transfer-Encoding: chunked\r\n\r\n' + body)
+        conn.shutdown(socket.SHUT_RDWR)
+
+    answer = upstream.send(_call(endpoint(send_chunks).url))
+    with pytest.raises(EndpointCrashedError):
+        answer.read(MAX_BYTES)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        b'Content-Length: 2\r\nContent-Length: 3\r\n',
+        b'Content-Length: 2x\r\n',
+        b'Content-Length: 2\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: gzip\r\n',
+    ],
+)
+def test_ambiguous_framing_is_no_response(
+    upstream: Upstream, endpoint: Start, fields: bytes
+) -> None:
+    """Guards against a body that ends where nobody meant it to."""
+
+    def send_head(conn: socket.socket, request: Received) -> None:
+        conn.sendall(_HEAD + fields + b'\r\nok')
+        conn.shutdown(socket.SHUT_RDWR)
+
+    with pytest.raises(EndpointCrashedError):
+        upstream.send(_call(endpoint(send_head).url))
