Refuse late requests that may outlast a planned stop, and answer the others

What callers could see: in a planned stop, a booking that came 2.8 to 4 s after SIGTERM was passed on whatever its time limit was, and its connection was cut at the end of the grace without a response, although it may have run. So were streams that came before.

Cause: requests were accepted by phase and kind, not by how long they may run, and the process ended without a word once its time was over.

After the first 2.8 s, in which callers still have old addresses, a request is accepted only if the longest time that it may take, by its caller and its route, ends before the stop; others get 503, not run, and may come at once to another host. Shorter streams are accepted there too. 0.25 s before the process ends itself, requests that are still in progress are ended: 502 if they may have run, 503 if they were only queued; streams that have begun break off.

The test of the phases asked by kind; it now asks by time, with the same long stream in the same phase, and also refuses a long order there.

--- a/src/apricotcart/gateway/active_requests.py
+++ b/src/apricotcart/gateway/active_requests.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import enum
+import math
 import threading
+from collections.abc import Callable
+
+from apricotcart.timers.clock import boot_clock_s
 
 
 class Phase(enum.IntEnum):
@@ -12,7 +16,7 @@
     SERVING = 0
     # No longer in the directory; still serves callers with a cached answer.
     LEAVING = 1
-    # Refuses new streams, which would not end before the process is killed.
+    # Refuses new requests that may not end before the process is killed.
     CLOSING = 2
     # Refuses all new requests and finishes those in progress.
     FINISHING = 3
@@ -25,11 +29,15 @@
     ----------
     phase : Phase
         Phase of a planned shutdown.
+    ends_at : float
+        When the shutdown ends, in seconds of the boot clock.
     """
 
-    __slots__ = ('_count', '_idle', '_lock', 'phase')
+    __slots__ = ('_count', '_idle', '_lock', '_on_end', 'ends_at', 'phase')
 
     def __init__(self) -> None:
+        self.ends_at: float = math.inf
+        self._on_end: dict[int, Callable[[], None]] = {}
         self._lock = threading.Lock()
         self._idle = threading.Condition(self._lock)
         self._count = 0
@@ -40,10 +48,29 @@
         """Whether connections are closed after the response."""
         return self.phase is not Phase.SERVING
 
-    def refuses(self, *, is_stream: bool) -> bool:
-        """Return whether a new request is refused."""
-        last_phase = Phase.LEAVING if is_stream else Phase.CLOSING
-        return self.phase > last_phase
+    def refuses(self, longest_s: float) -> bool:
+        """Return whether a new request is refused.
+
+        Parameters
+        ----------
+        longest_s : float
+            Longest time that it may take, in seconds.
+        """
+        if self.phase is Phase.CLOSING:
+            return boot_clock_s() + longest_s > self.ends_at
+        return self.phase is Phase.FINISHING
+
+    def add_end_callback(self, on_end: Callable[[], None]) -> None:
+        """Call a function if the request of this thread outlasts the host."""
+        with self._lock:
+            self._on_end[threading.get_ident()] = on_end
+
+    def end_all(self) -> None:
+        """Call the functions of all requests that are in progress."""
+        with self._lock:
+            callbacks = list(self._on_end.values())
+        for on_end in callbacks:
+            on_end()
 
     def enter(self) -> None:
         """Count a request that starts."""
@@ -53,6 +80,7 @@
     def leave(self) -> None:
         """Count a request that ends."""
         with self._lock:
+            self._on_end.pop(threading.get_ident(), None)
             self._count -= 1
             if not self._count:
                 self._idle.notify_all()
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -143,8 +143,9 @@
         started_at = boot_clock_s()
         self._state.wait_until_known(metadata.wait_s or _DEFAULT_WAIT_S)
         call = self._call(WebRequest(environ), headers, metadata, started_at)
-        if self._active_requests.refuses(is_stream=call.is_stream):
+        if self._active_requests.refuses(call.remaining_s()):
             raise LeavingError('this host is shutting down', retry_after_s=0.1)
+        self._active_requests.add_end_callback(call.on_host_ending)
         guard.watch(environ[CONNECTION_KEY].socket, call)
         return self._forwarder.forward(call)
 
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -42,6 +42,8 @@
         Whether an endpoint may have run it.
     is_caller_gone : bool
         Whether the caller has closed its connection.
+    is_host_ending : bool
+        Whether this host ends before the response is complete.
     origin : StreamOrigin or None
         Where the stream began, once it has events or if the caller resumes
         it; only endpoints of the same origin may go on with it.
@@ -58,6 +60,7 @@
         'fingerprint',
         'may_have_run',
         'is_caller_gone',
+        'is_host_ending',
         'message',
         'origin',
         'request_id',
@@ -94,6 +97,7 @@
         self.send_count = 0
         self.may_have_run = False
         self.is_caller_gone = False
+        self.is_host_ending = False
         self.failure_response: WebResponse | None = None
 
     @property
@@ -157,6 +161,14 @@
     def on_caller_gone(self) -> None:
         """Cancel the request after its caller closed the connection."""
         self.is_caller_gone = True
+        self._cancel()
+
+    def on_host_ending(self) -> None:
+        """End the request with the response that its state allows."""
+        self.is_host_ending = True
+        self._cancel()
+
+    def _cancel(self) -> None:
         self.dispatcher.cancel(self.request_id)
         conn: Any = self.conn
         if conn is not None:
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -143,6 +143,8 @@
             raise CallerLeftError(
                 'the caller closed its connection before the request was sent'
             )
+        if call.is_host_ending:
+            raise UnreachableEndpointError('this host is shutting down')
         if not self.endpoint.accepts_requests:
             # The endpoint started to drain while the connection was being
             # established, which takes seconds if packets are lost.
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -16,6 +16,8 @@
 )
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
+    CallerLeftError,
+    LeavingError,
     SilentEndpointError,
 )
 from apricotcart.gateway.exchanges.connections import ConnectionPool
@@ -112,7 +114,7 @@
             excluded=call.excluded_endpoints,
         )
         queued_at = boot_clock_s()
-        endpoint = self.dispatcher.acquire(request)
+        endpoint = self._acquire_endpoint(call, request)
         self._recheck_quarantine(call, endpoint)
         log_decision(
             REQUEST_SENT,
@@ -156,7 +158,9 @@
 
     def may_retry(self, call: Call) -> bool:
         """Return whether the request may be retried."""
-        if call.is_caller_gone or self.quarantine.holds(call):
+        if call.is_caller_gone or call.is_host_ending:
+            return False
+        if self.quarantine.holds(call):
             return False
         return self.retry_policy.may_retry(
             call.route,
@@ -172,10 +176,9 @@
         A connection that was not established puts no load on an endpoint,
         and so does not count against the retry budget.
         """
-        if (
-            call.is_caller_gone
-            or len(call.excluded_endpoints) > _MAX_UNREACHABLE
-        ):
+        if call.is_caller_gone or call.is_host_ending:
+            return False
+        if len(call.excluded_endpoints) > _MAX_UNREACHABLE:
             return False
         return call.remaining_s() > 0
 
@@ -242,6 +245,16 @@
             raise BrokenEndpointError(message)
         raise StreamVersionGoneError(message, software=origin.software_version)
 
+    def _acquire_endpoint(
+        self, call: Call, request: QueuedRequest
+    ) -> EndpointState:
+        try:
+            return self.dispatcher.acquire(request)
+        except CallerLeftError:
+            if call.is_host_ending and not call.may_have_run:
+                raise LeavingError('this host is shutting down') from None
+            raise
+
     def _recheck_quarantine(self, call: Call, endpoint: EndpointState) -> None:
         # It may have been quarantined while the request was queued.
         try:
--- a/src/apricotcart/gateway/stopping.py
+++ b/src/apricotcart/gateway/stopping.py
@@ -7,19 +7,22 @@
 from typing import Final
 
 from apricotcart.gateway.active_requests import ActiveRequests, Phase
+from apricotcart.timers.clock import boot_clock_s
 
 _LOG = logging.getLogger(__name__)
 # Callers cache a directory answer for its time to live, some for three times
 # that.
 _TTL_MULTIPLE: Final = 3
-# How long new streams are still accepted; later ones would be cut off by the
-# kill.
-_STREAM_ACCEPT_S: Final = 2.8
+# How long all new requests are still accepted; later ones only if they end
+# before the kill in any case.
+_ACCEPT_S: Final = 2.8
 # Time from the start of the shutdown until the directory no longer lists this
 # host.
 _DIRECTORY_LAG_S: Final = 1.0
 # How long before the kill the process ends by itself.
 _KILL_MARGIN_S: Final = 0.4
+# Time for the responses to requests that did not finish.
+_LAST_RESPONSES_S: Final = 0.25
 
 
 def stop_calls(
@@ -39,15 +42,18 @@
         Time to live of the directory answers that list this host, in
         seconds.
     """
-    deadline = time.monotonic() + stop_s - _KILL_MARGIN_S
+    deadline = boot_clock_s() + stop_s - _KILL_MARGIN_S
     leaving_s = min(answer_ttl_s * _TTL_MULTIPLE + _DIRECTORY_LAG_S, stop_s / 2)
-    stream_accept_s = min(_STREAM_ACCEPT_S, leaving_s)
+    accept_s = min(_ACCEPT_S, leaving_s)
+    active_requests.ends_at = deadline - _LAST_RESPONSES_S
     active_requests.phase = Phase.LEAVING
-    time.sleep(stream_accept_s)
+    time.sleep(accept_s)
     active_requests.phase = Phase.CLOSING
-    time.sleep(leaving_s - stream_accept_s)
+    time.sleep(leaving_s - accept_s)
     active_requests.phase = Phase.FINISHING
-    if active_requests.wait_idle(deadline - time.monotonic()):
+    if active_requests.wait_idle(active_requests.ends_at - boot_clock_s()):
         _LOG.info('all requests finished before the shutdown')
-    else:
-        _LOG.warning('shutting down with requests still in progress')
+        return
+    _LOG.warning('ending the requests that are still in progress')
+    active_requests.end_all()
+    active_requests.wait_idle(deadline - boot_clock_s())
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -34,6 +34,8 @@
 from apricotcart.timers.clock import boot_clock_s
 
 _TIMEOUT_S = 5
+# Longest time that a test waits for a response.
+_READ_TIMEOUT_S = 12
 _LEASE_S = 600.0
 _CHUNK_SIZE = re.compile(rb'[0-9A-Fa-f]+\r\n')
 _attempts = itertools.count(1)
@@ -94,11 +96,13 @@
 class ServedGateway:
     """The application of a gateway, reached over sockets.
 
-    Its routes are ``/once/``, ``/stream/`` and ``/resumable/``.
+    Its routes are ``/once/``, ``/idempotent/``, ``/stream/`` and
+    ``/resumable/``.
     """
 
     def __init__(self, bench: Bench) -> None:
         self.bench = bench
+        self.active_requests = ActiveRequests()
         self._watcher = CallerWatcher()
         self._watcher.start()
         app = GatewayApplication(
@@ -107,7 +111,7 @@
             dispatcher=bench.dispatcher,
             forwarder=bench.forwarder,
             watcher=self._watcher,
-            active_requests=ActiveRequests(),
+            active_requests=self.active_requests,
             resumption=StreamResumption(bench.origins, bench.dispatcher),
         )
         self._server = start_listener(app)
@@ -130,7 +134,13 @@
             *extra,
         ]
         raw = '\r\n'.join([*lines, '', '']).encode()
-        return _read_to_end(self._server.bind_addr, raw)
+        return _read_to_end(self.address, raw)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Address of the listener."""
+        address: tuple[str, int] = self._server.bind_addr
+        return address
 
     def stop(self) -> None:
         """Stop the listener and the watcher."""
@@ -154,7 +164,7 @@
 
 def _read_to_end(address: tuple[str, int], raw: bytes) -> Received:
     received = b''
-    with socket.create_connection(address, _TIMEOUT_S) as conn:
+    with socket.create_connection(address, _READ_TIMEOUT_S) as conn:
         conn.sendall(raw)
         while True:
             try:
@@ -171,6 +181,7 @@
         version=1,
         routes=[
             _route('once', RouteKind.ONCE),
+            _route('idempotent', RouteKind.IDEMPOTENT),
             _route('stream', RouteKind.STREAM),
             _route('resumable', RouteKind.STREAM, resumable=True),
         ],
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -2,25 +2,50 @@
 
 from __future__ import annotations
 
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from typing import Final
+
+import pytest
+from gateway.conftest import Bench
+from gateway.endpoints import ReceivedRequest
+from gateway.served_gateway import Received, ServedGateway
+
 from apricotcart.gateway.active_requests import ActiveRequests, Phase
+from apricotcart.gateway.stopping import stop_calls
+from apricotcart.timers.clock import boot_clock_s
+
+# Time to the kill, and times at which requests arrive, from the signal on.
+_STOP_S: Final = 8.0
+_EARLY_S: Final = 0.5
+_LATE_S: Final = 3.4
+_TTL_S: Final = 1.0
+# Longest times of requests, and what is left when they arrive.
+_LONG_S: Final = 15.0
+_SHORT_S: Final = 1.0
+_LEFT_S: Final = 3.0
+_ROUTES: Final = ('once', 'idempotent', 'stream')
 
 
-def test_phases_refuse_streams_first_then_everything() -> None:
-    """Guards against accepting a stream that cannot end before the kill.
+def test_phases_refuse_what_may_not_end_in_time() -> None:
+    """Guards against accepting a request that cannot end before the kill.
 
     Seen on sailom-fleet, mix --seed 259758087821: a stream accepted 3.97 s
     after SIGTERM was cut off 4 s later.
     """
     active_requests = ActiveRequests()
-    assert not active_requests.refuses(is_stream=True)
+    active_requests.ends_at = boot_clock_s() + _LEFT_S
+    assert not active_requests.refuses(_LONG_S)
     active_requests.phase = Phase.LEAVING
     assert active_requests.closes_connections
-    assert not active_requests.refuses(is_stream=True)
+    assert not active_requests.refuses(_LONG_S)
     active_requests.phase = Phase.CLOSING
-    assert active_requests.refuses(is_stream=True)
-    assert not active_requests.refuses(is_stream=False)
+    assert active_requests.refuses(_LONG_S)
+    assert not active_requests.refuses(_SHORT_S)
     active_requests.phase = Phase.FINISHING
-    assert active_requests.refuses(is_stream=False)
+    assert active_requests.refuses(_SHORT_S)
 
 
 def test_wait_idle_ends_with_the_last_request() -> None:
@@ -29,3 +54,84 @@
     assert not active_requests.wait_idle(0.05)
     active_requests.leave()
     assert active_requests.wait_idle(0)
+
+
+def _never_answer(conn: socket.socket, request: ReceivedRequest) -> bool:
+    return bool(conn.recv(1))
+
+
+class Stop:
+    """A planned stop that runs beside the requests of a test."""
+
+    def __init__(self, gateway: ServedGateway) -> None:
+        self._gateway = gateway
+        self._thread = threading.Thread(
+            target=stop_calls, args=(gateway.active_requests, _STOP_S, _TTL_S)
+        )
+        self.responses: dict[str, Received] = {}
+
+    def run(self, delay_s: float, wait_ms: int) -> None:
+        """Ask on each route a time after the start, and wait for the end."""
+        self._thread.start()
+        time.sleep(delay_s)
+        callers = [
+            threading.Thread(target=self._ask, args=(route, wait_ms))
+            for route in _ROUTES
+        ]
+        for caller in callers:
+            caller.start()
+        self._thread.join()
+        # The process has ended.
+        self._gateway.stop()
+        for caller in callers:
+            caller.join()
+
+    def _ask(self, route: str, wait_ms: int) -> None:
+        self.responses[route] = self._gateway.ask(route, wait_ms=wait_ms)
+
+
+@pytest.fixture
+def stop(bench: Bench) -> Iterator[Stop]:
+    """Return a stop of a gateway whose endpoints never answer."""
+    bench.serve(_never_answer, _never_answer)
+    yield Stop(ServedGateway(bench))
+
+
+def test_late_request_that_may_outlast_the_stop_is_refused(
+    bench: Bench, stop: Stop
+) -> None:
+    """Guards against requests that are passed on and cut at the kill."""
+    stop.run(_LATE_S, wait_ms=9000)
+    statuses = {response.status for response in stop.responses.values()}
+    assert statuses == {503}
+    assert not any(endpoint.received for endpoint in bench.endpoints)
+
+
+def test_late_request_that_ends_in_time_is_accepted(
+    bench: Bench, stop: Stop
+) -> None:
+    """Callers with an old address must not all be refused."""
+    stop.run(_LATE_S, wait_ms=1000)
+    statuses = {response.status for response in stop.responses.values()}
+    assert statuses == {504}
+    assert any(endpoint.received for endpoint in bench.endpoints)
+
+
+def test_request_that_outlasts_the_stop_gets_a_response(
+    bench: Bench, stop: Stop
+) -> None:
+    """Guards against callers whose connection closes without a word."""
+    stop.run(_EARLY_S, wait_ms=9500)
+    statuses = {response.status for response in stop.responses.values()}
+    assert statuses == {502}
+    assert all(response.is_complete for response in stop.responses.values())
+
+
+def test_queued_request_that_outlasts_the_stop_is_not_run(
+    bench: Bench, stop: Stop
+) -> None:
+    """Guards against a 502 for what no endpoint has seen."""
+    bench.placement.update_instances([])
+    stop.run(_LATE_S, wait_ms=3000)
+    statuses = {response.status for response in stop.responses.values()}
+    assert statuses == {503}
