Send nothing more to endpoints that say they leave

Cause: nothing read the header.

The word is part of the typed notice that each answer brings, refusals included, and stays for the run of the endpoint: one that starts again under its id is another run. It counts like draining in the list everywhere that is read: placement, queue, the check before each send, resumed streams, homes and sources of caches, evidence about crashes. Running requests end in peace. An endpoint that is the last of its service gets no more requests either: callers are refused before anything has run, since it may end at any time.

--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -173,6 +173,8 @@
 
     Attributes
     ----------
+    is_leaving : bool
+        Whether it ends soon and is to get no more requests.
     limit_per_s : float or None
         Requests a second that it takes from all hosts together; None if it
         names no limit.
@@ -180,14 +182,16 @@
         Whether it names a limit that is not a number of requests.
     """
 
-    __slots__ = ('is_limit_unreadable', 'limit_per_s')
+    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s')
 
     def __init__(
         self,
         *,
+        is_leaving: bool = False,
         limit_per_s: float | None = None,
         is_limit_unreadable: bool = False,
     ) -> None:
+        self.is_leaving = is_leaving
         self.limit_per_s = limit_per_s
         self.is_limit_unreadable = is_limit_unreadable
 
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -138,6 +138,7 @@
             log_decision(
                 ENDPOINT_NOTICE,
                 endpoint=endpoint.instance.instance_id,
+                is_leaving=endpoint.notices.is_leaving,
                 limit_per_s=notice.limit_per_s,
                 duration_s=boot_clock_s() - sent_at,
             )
--- a/src/apricotcart/gateway/dispatching/endpoint_notices.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_notices.py
@@ -10,6 +10,9 @@
 
     Attributes
     ----------
+    is_leaving : bool
+        Whether it has said that it ends soon. That cannot be withdrawn: an
+        endpoint that stays is another run of it.
     limit_per_s : float or None
         Requests a second that it takes from all hosts together; None if it
         names no limit.
@@ -17,9 +20,10 @@
         When the request was sent whose response last said so, in seconds.
     """
 
-    __slots__ = ('limit_at', 'limit_per_s')
+    __slots__ = ('is_leaving', 'limit_at', 'limit_per_s')
 
     def __init__(self) -> None:
+        self.is_leaving = False
         self.limit_per_s: float | None = None
         self.limit_at: float = 0
 
@@ -34,6 +38,11 @@
             When the request was sent, in seconds. A response to an earlier
             request than the last one says nothing new.
         """
+        has_left = notice.is_leaving and not self.is_leaving
+        self.is_leaving |= notice.is_leaving
+        return self._apply_limit(notice, sent_at) or has_left
+
+    def _apply_limit(self, notice: EndpointNotice, sent_at: float) -> bool:
         if notice.is_limit_unreadable or sent_at < self.limit_at:
             return False
         self.limit_at = sent_at
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -305,8 +305,9 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether the endpoint is still listed and is not draining."""
-        return self.is_listed and self.instance.is_ready
+        """Whether it is listed, and neither list nor itself says it leaves."""
+        is_draining = not self.instance.is_ready or self.notices.is_leaving
+        return self.is_listed and not is_draining
 
     @property
     def is_copy_source(self) -> bool:
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -156,7 +156,7 @@
             endpoint
             for endpoint in self._endpoints.values()
             if requirements.allows(endpoint.instance)
-            and endpoint.instance.is_ready
+            and endpoint.accepts_requests
         )
 
     def endpoint(self, name: str) -> EndpointState | None:
@@ -224,7 +224,7 @@
         """
         return any(
             requirements.allows(endpoint.instance)
-            and endpoint.instance.is_ready
+            and endpoint.accepts_requests
             and name not in excluded
             for name, endpoint in self._endpoints.items()
         )
@@ -280,7 +280,7 @@
             endpoint
             for endpoint in self._endpoints.values()
             if endpoint.instance.service == requirements.service
-            and endpoint.instance.is_ready
+            and endpoint.accepts_requests
         ]
         if requirements.service not in self._engines or len(endpoints) < 2:
             return endpoints
@@ -328,7 +328,7 @@
         excluded: Collection[str],
     ) -> bool:
         instance = endpoint.instance
-        if not (requirements.allows(instance) and instance.is_ready):
+        if not (requirements.allows(instance) and endpoint.accepts_requests):
             return False
         if instance.instance_id in excluded:
             return False
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -40,6 +40,7 @@
         'host',
         'incarnation',
         'index',
+        'is_leaving',
         'kind',
         'leader',
         'levels_above',
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import math
-import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Final
 
 from apricotcart.gateway.api import (
     EndpointLoad,
-    EndpointNotice,
     EndpointRequestMetadata,
     HeaderCodec,
     Headers,
@@ -18,6 +15,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from apricotcart.platform.notices import LEAVING, LIMIT, parse_notice
 from apricotcart.web.errors import RequestError
 
 _MS_PER_S: Final = 1000
@@ -33,13 +31,11 @@
 _PROMPT_PARTS: Final = 'prompt-prefix'
 _KEY: Final = 'key'
 _CONNECTION: Final = 'connection'
-_LIMIT: Final = 'server-limit'
 _MAX_PRIORITY: Final = 9
 # Larger numbers are neither times nor tokens, and do not fit into a float.
 _MAX_COUNT: Final = 1_000_000_000_000_000
 # Longest keep-alive time that is believed, in seconds.
 _KEEP_ALIVE_MAX_S: Final = 3600.0
-_DECIMAL: Final = re.compile('[0-9]+(?:[.][0-9]*)?(?:[eE][+-]?[0-9]+)?')
 
 # Hop-by-hop headers, which apply to a single connection.
 _HOP_BY_HOP: Final = frozenset(
@@ -77,7 +73,7 @@
 )
 # Headers of endpoints' answers that are not forwarded to callers.
 _INTERNAL: Final = frozenset(
-    ('server-load', 'not-executed', 'instance-id', _LIMIT)
+    ('server-load', 'not-executed', 'instance-id', LIMIT, LEAVING)
 )
 
 
@@ -140,7 +136,7 @@
             },
             load=_parse_load(fields.get('server-load')),
             keeps_s=_parse_keep_alive_s(fields),
-            notice=_parse_notice(headers),
+            notice=parse_notice(headers),
         )
 
     def build_caller_headers(self, headers: Headers) -> list[tuple[str, str]]:
@@ -211,28 +207,6 @@
     return EndpointLoad(running=running, waiting=waiting, slots=slots)
 
 
-def _parse_notice(headers: Headers) -> EndpointNotice:
-    limits = [
-        _parse_decimal(text) for name, text in headers if name.lower() == _LIMIT
-    ]
-    if not limits:
-        return EndpointNotice()
-    readable = [limit for limit in limits if limit is not None]
-    # Of several limits, the lowest keeps to all of them.
-    return EndpointNotice(
-        limit_per_s=min(readable, default=None),
-        is_limit_unreadable=not readable,
-    )
-
-
-def _parse_decimal(text: str) -> float | None:
-    """Return a non-negative finite number, None if it is none."""
-    if _DECIMAL.fullmatch(text.strip()) is None:
-        return None
-    number = float(text)
-    return number if math.isfinite(number) else None
-
-
 def _parse_keep_alive_s(fields: Mapping[str, str]) -> float | None:
     if 'close' in fields.get(_CONNECTION, '').lower():
         return 0
