Give endpoints the pause that they ask for

Cause: nothing read the header; only the penalty for failures kept requests few.

A 503 or 429 with Retry-After pauses the endpoint for this host, with or without Not-Executed. Placement, the queue and the check before each send read it, so that retries, resumed streams and requests whose connection took long count too. If all endpoints that may run a request are paused, it is refused at once when none opens before its queue timeout, not run, with the time that is left as Retry-After. The word is the host's own: it says what is wanted from this host.

Values: fractions count, 0 is none, of several the longest counts; a date, -1, nan and 400 digits are no pause; 300 s at most are believed, and an endpoint that wants longer says so again with its next answer.

The limits and pauses that decide when a queued request may start are joined in StartEstimate.

--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -180,9 +180,11 @@
         names no limit.
     is_limit_unreadable : bool
         Whether it names a limit that is not a number of requests.
+    pause_s : float
+        Time in seconds for which it wants no requests from this host.
     """
 
-    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s')
+    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s', 'pause_s')
 
     def __init__(
         self,
@@ -190,7 +192,9 @@
         is_leaving: bool = False,
         limit_per_s: float | None = None,
         is_limit_unreadable: bool = False,
+        pause_s: float = 0,
     ) -> None:
+        self.pause_s = pause_s
         self.is_leaving = is_leaving
         self.limit_per_s = limit_per_s
         self.is_limit_unreadable = is_limit_unreadable
@@ -271,7 +275,9 @@
         """Return the headers of a request to an endpoint."""
 
     @abstractmethod
-    def parse_response_headers(self, headers: Headers) -> ResponseMetadata:
+    def parse_response_headers(
+        self, headers: Headers, status: int
+    ) -> ResponseMetadata:
         """Parse the headers of an endpoint's response."""
 
     @abstractmethod
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -133,13 +133,16 @@
     ) -> None:
         """Apply what an endpoint says about itself with a response."""
         with self._lock:
-            has_changed = endpoint.notices.apply(notice, sent_at)
+            has_changed = endpoint.notices.apply(
+                notice, sent_at, boot_clock_s()
+            )
         if has_changed:
             log_decision(
                 ENDPOINT_NOTICE,
                 endpoint=endpoint.instance.instance_id,
                 is_leaving=endpoint.notices.is_leaving,
-                limit_per_s=notice.limit_per_s,
+                limit_per_s=endpoint.notices.limit_per_s,
+                retry_after_s=notice.pause_s,
                 duration_s=boot_clock_s() - sent_at,
             )
 
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -28,7 +28,10 @@
     find_homes,
     is_copy_worthwhile,
 )
-from apricotcart.gateway.dispatching.rate_limits import RateLimits
+from apricotcart.gateway.dispatching.rate_limits import (
+    RateLimits,
+    StartEstimate,
+)
 
 # Cost of one more running request to the others, in prefill tokens, so that
 # both can be added.
@@ -147,16 +150,15 @@
             endpoint.unreported_requests = 0
             endpoint.unreported_prefill_tokens = 0
 
-    def limited_rate_per_s(self, requirements: Requirements) -> float | None:
-        """Return the rate at which this host may send such requests.
-
-        None if an endpoint that may run them names no limit.
-        """
-        return self.rate_limits.rate_per_s(
-            endpoint
-            for endpoint in self._endpoints.values()
-            if requirements.allows(endpoint.instance)
-            and endpoint.accepts_requests
+    def start_estimate(
+        self, requirements: Requirements, now: float
+    ) -> StartEstimate:
+        """Return when requests may start by what their endpoints ask for."""
+        allowed = self._allowed(requirements)
+        pauses_s = [endpoint.notices.pause_left_s(now) for endpoint in allowed]
+        return StartEstimate(
+            pause_s=min(pauses_s, default=0),
+            rate_per_s=self.rate_limits.rate_per_s(allowed),
         )
 
     def endpoint(self, name: str) -> EndpointState | None:
@@ -241,7 +243,7 @@
             endpoint,
             requirements,
             self._now,
-            self._copy_candidates(requirements, eligible),
+            _copy_candidates(self._endpoints.values(), requirements, eligible),
         )
         prefill_work = estimate_prefill_work(
             endpoint,
@@ -258,19 +260,14 @@
         endpoint.record_prefill(requirements.parts)
         return placed
 
-    def _copy_candidates(
-        self,
-        requirements: Requirements,
-        eligible: Sequence[EndpointState],
-    ) -> list[EndpointState]:
-        """Return the endpoints that the prefix may be copied from."""
-        draining = [
+    def _allowed(self, requirements: Requirements) -> list[EndpointState]:
+        """Return the endpoints that may ever run such a request."""
+        return [
             endpoint
             for endpoint in self._endpoints.values()
-            if endpoint.instance.service == requirements.service
-            and endpoint.is_copy_source
+            if requirements.allows(endpoint.instance)
+            and endpoint.accepts_requests
         ]
-        return [*eligible, *draining]
 
     def _eligible_endpoints(
         self, requirements: Requirements
@@ -330,7 +327,8 @@
         instance = endpoint.instance
         if not (requirements.allows(instance) and endpoint.accepts_requests):
             return False
-        if instance.instance_id in excluded:
+        is_paused = endpoint.notices.pause_left_s(self._now) > 0
+        if is_paused or instance.instance_id in excluded:
             return False
         if not self.rate_limits.allows(endpoint, self._now):
             return False
@@ -373,6 +371,21 @@
         return REQUEST_COST_TOKENS
 
 
+def _copy_candidates(
+    endpoints: Iterable[EndpointState],
+    requirements: Requirements,
+    eligible: Sequence[EndpointState],
+) -> list[EndpointState]:
+    """Return the endpoints that a prefix may be copied from."""
+    draining = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.instance.service == requirements.service
+        and endpoint.is_copy_source
+    ]
+    return [*eligible, *draining]
+
+
 def _homes_among(
     requirements: Requirements, eligible: Sequence[EndpointState]
 ) -> list[EndpointState]:
--- a/src/apricotcart/gateway/dispatching/rate_limits.py
+++ b/src/apricotcart/gateway/dispatching/rate_limits.py
@@ -45,3 +45,27 @@
         if not known or len(known) < len(limits):
             return None
         return sum(self._share.rate_per_s(limit) for limit in known)
+
+
+class StartEstimate:
+    """When requests may start, by what their endpoints ask for.
+
+    Attributes
+    ----------
+    pause_s : float
+        Time until an endpoint may get one, in seconds.
+    rate_per_s : float or None
+        Rate at which this host may send them; None without a limit.
+    """
+
+    __slots__ = ('pause_s', 'rate_per_s')
+
+    def __init__(self, *, pause_s: float, rate_per_s: float | None) -> None:
+        self.pause_s = pause_s
+        self.rate_per_s = rate_per_s
+
+    def wait_s(self, ahead: int) -> float:
+        """Return the expected wait behind other requests, in seconds."""
+        if self.rate_per_s is None:
+            return self.pause_s
+        return self.pause_s + ahead / self.rate_per_s
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -180,16 +180,15 @@
         ahead : int
             Requests for the same service that wait before it.
         """
-        rate_per_s = self._placement.limited_rate_per_s(request.requirements)
-        if rate_per_s is None:
-            if now < request.refuse_at:
-                return None
-            retry_after_s = compute_retry_after_s(len(self))
-            return Refused(request.request_id, retry_after_s)
-        if now + ahead / rate_per_s < request.refuse_at:
+        estimate = self._placement.start_estimate(request.requirements, now)
+        if now + estimate.wait_s(ahead) < request.refuse_at:
             return None
-        retry_after_s = compute_limited_retry_after_s(ahead + 1, rate_per_s)
-        return Refused(request.request_id, retry_after_s)
+        retry_after_s = compute_retry_after_s(len(self))
+        if estimate.rate_per_s is not None:
+            retry_after_s = compute_limited_retry_after_s(
+                ahead + 1, estimate.rate_per_s
+            )
+        return Refused(request.request_id, max(estimate.pause_s, retry_after_s))
 
 
 def queue_timeout_s(
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -10,6 +10,7 @@
 from apricotcart.gateway.api import (
     EndpointRequestMetadata,
     HeaderCodec,
+    Headers,
     ResponseMetadata,
 )
 from apricotcart.gateway.call import Call
@@ -108,7 +109,7 @@
         """
         if self._call.message.method == 'HEAD':
             return False
-        content_type = self._content_type()
+        content_type = _content_type_of(self.headers)
         if content_type == _EVENT_STREAM:
             return True
         is_framed = self.framing is not Framing.CLOSE
@@ -139,16 +140,7 @@
         conn = self._pool.acquire(self.endpoint.instance.address)
         self._conn = conn
         call.conn = conn
-        if call.is_caller_gone:
-            raise CallerLeftError(
-                'the caller closed its connection before the request was sent'
-            )
-        if call.is_host_ending:
-            raise UnreachableEndpointError('this host is shutting down')
-        if not self.endpoint.accepts_requests:
-            # The endpoint started to drain while the connection was being
-            # established, which takes seconds if packets are lost.
-            raise UnreachableEndpointError('the endpoint is draining')
+        self._require_sendable()
         self._write(conn, last_event_id)
         self._read_head(conn)
         self.has_response = True
@@ -222,6 +214,24 @@
             self._conn.discard()
             self._conn = None
 
+    def _require_sendable(self) -> None:
+        """Check what may have changed while the connection was established.
+
+        That takes seconds if packets are lost.
+        """
+        if self._call.is_caller_gone:
+            raise CallerLeftError(
+                'the caller closed its connection before the request was sent'
+            )
+        if self._call.is_host_ending:
+            raise UnreachableEndpointError('this host is shutting down')
+        endpoint = self.endpoint
+        is_paused = endpoint.notices.pause_left_s(boot_clock_s()) > 0
+        if is_paused or not endpoint.accepts_requests:
+            raise UnreachableEndpointError(
+                'the endpoint is draining or asked for a pause'
+            )
+
     def _check_response(self) -> None:
         if self.metadata.is_not_run:
             raise NotExecutedError(
@@ -281,7 +291,9 @@
         self.framing = _framing_of(response)
         self.headers = response.getheaders()
         self.metadata: ResponseMetadata = (
-            self._header_codec.parse_response_headers(self.headers)
+            self._header_codec.parse_response_headers(
+                self.headers, response.status
+            )
         )
 
     def _matches_attempt(self, *, is_first: bool) -> bool:
@@ -294,18 +306,19 @@
             raise BrokenEndpointError('the response has no attempt id')
         return True
 
-    def _content_type(self) -> str:
-        for name, text in self.headers:
-            if name.lower() == 'content-type':
-                return text.partition(';')[0].strip().lower()
-        return ''
-
     def _connected(self) -> EndpointConnection:
         if self._conn is None:
             raise BrokenEndpointError('the connection is already closed')
         return self._conn
 
 
+def _content_type_of(headers: Headers) -> str:
+    for name, text in headers:
+        if name.lower() == 'content-type':
+            return text.partition(';')[0].strip().lower()
+    return ''
+
+
 def _framing_of(response: HTTPResponse) -> Framing:
     try:
         return Framing.of_response(response)
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -144,7 +144,12 @@
 )
 SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'name')
 ENDPOINT_NOTICE: Final = Event(
-    'endpoint_notice', 'endpoint', 'is_leaving', 'limit_per_s', _DURATION
+    'endpoint_notice',
+    'endpoint',
+    'is_leaving',
+    'limit_per_s',
+    'retry_after_s',
+    _DURATION,
 )
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -121,7 +121,9 @@
             forwarded.append(('Last-Event-Id', metadata.last_event_id))
         return forwarded
 
-    def parse_response_headers(self, headers: Headers) -> ResponseMetadata:
+    def parse_response_headers(
+        self, headers: Headers, status: int
+    ) -> ResponseMetadata:
         """Parse the headers of an endpoint's answer."""
         fields = _lowercase_fields(headers)
         return ResponseMetadata(
@@ -136,7 +138,7 @@
             },
             load=_parse_load(fields.get('server-load')),
             keeps_s=_parse_keep_alive_s(fields),
-            notice=parse_notice(headers),
+            notice=parse_notice(headers, status),
         )
 
     def build_caller_headers(self, headers: Headers) -> list[tuple[str, str]]:
--- a/src/apricotcart/platform/notices.py
+++ b/src/apricotcart/platform/notices.py
@@ -4,17 +4,33 @@
 
 import math
 import re
+from http import HTTPStatus
 from typing import Final
 
 from apricotcart.gateway.api import EndpointNotice, Headers
 
 LIMIT: Final = 'server-limit'
 LEAVING: Final = 'server-leaving'
+_PAUSE: Final = 'retry-after'
+_TURNED_AWAY: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
+# Longest pause that is believed. An endpoint that wants a longer one says so
+# again with its next answer.
+_MAX_PAUSE_S: Final = 300.0
 _DECIMAL: Final = re.compile('[0-9]+(?:[.][0-9]*)?(?:[eE][+-]?[0-9]+)?')
 
 
-def parse_notice(headers: Headers) -> EndpointNotice:
-    """Return what an endpoint says about itself with a response."""
+def parse_notice(headers: Headers, status: int) -> EndpointNotice:
+    """Return what an endpoint says about itself with a response.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        Headers of the response.
+    status : int
+        Its status; only one that turns the request away can ask for a pause.
+    """
     limits = [_parse_decimal(text) for text in _texts_of(headers, LIMIT)]
     readable = [limit for limit in limits if limit is not None]
     return EndpointNotice(
@@ -22,7 +38,20 @@
         # Of several limits, the lowest keeps to all of them.
         limit_per_s=min(readable, default=None),
         is_limit_unreadable=bool(limits) and not readable,
+        pause_s=_pause_s(headers) if status in _TURNED_AWAY else 0,
+    )
+
+
+def _pause_s(headers: Headers) -> float:
+    """Return the longest time that is stated, 0 without a readable one.
+
+    A date is not read: it would depend on the clocks of two hosts.
+    """
+    pauses_s = [_parse_decimal(text) for text in _texts_of(headers, _PAUSE)]
+    longest_s = max(
+        (pause_s for pause_s in pauses_s if pause_s is not None), default=0
     )
+    return min(longest_s, _MAX_PAUSE_S)
 
 
 def _texts_of(headers: Headers, wanted: str) -> list[str]:
--- a/tests/gateway/test_endpoint_words.py
+++ b/tests/gateway/test_endpoint_words.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import time
 
 import pytest
 from gateway.conftest import Bench
@@ -18,9 +19,14 @@
 )
 
 from apricotcart.desired.records import RouteKind
-from apricotcart.errors.tree import ApricotcartError
+from apricotcart.errors.tree import NOT_RUN, ApricotcartError
 
 _REQUESTS = 30
+_PAUSE_S = 2.5
+_INTERVAL_S = 0.05
+# Requests that may arrive between half a second after the word and its end.
+_DURING_PAUSE_MAX = 2
+_GRACE_S = 0.5
 
 
 def _ask(bench: Bench, kind: RouteKind = RouteKind.ONCE) -> int:
@@ -103,3 +109,74 @@
     leaving, _ = bench.serve(refuse, respond_with())
     assert {_ask(bench) for _ in range(_REQUESTS)} == {200}
     assert len(leaving.received) <= 1
+
+
+class PausingEndpoint:
+    """Turns requests away with 503 and asks for a pause."""
+
+    def __init__(self, **fields: str) -> None:
+        self._fields = fields
+        self.arrivals: list[float] = []
+
+    def __call__(self, conn: socket.socket, request: ReceivedRequest) -> bool:
+        self.arrivals.append(time.monotonic())
+        conn.sendall(
+            response_bytes(
+                request, b'', '503 Service Unavailable', **self._fields
+            )
+        )
+        return True
+
+    def during_pause(self) -> int:
+        told_at = self.arrivals[0]
+        return sum(
+            told_at + _GRACE_S < at < told_at + _PAUSE_S for at in self.arrivals
+        )
+
+
+def _ask_for(bench: Bench, seconds: float) -> list[int]:
+    statuses = []
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        statuses.append(_ask(bench, RouteKind.IDEMPOTENT))
+        time.sleep(_INTERVAL_S)
+    return statuses
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'Not_Executed': '1', 'Retry_After': str(_PAUSE_S)},
+        {'Retry_After': str(_PAUSE_S)},
+    ],
+)
+def test_endpoint_that_asks_for_a_pause_gets_no_requests(
+    bench: Bench, fields: dict[str, str]
+) -> None:
+    """Also when it is the only one left."""
+    endpoint = PausingEndpoint(**fields)
+    bench.serve(endpoint)
+    _ask_for(bench, _PAUSE_S)
+    assert endpoint.during_pause() <= _DURING_PAUSE_MAX
+
+
+def test_other_endpoints_serve_during_a_pause(bench: Bench) -> None:
+    endpoint = PausingEndpoint(Not_Executed='1', Retry_After=str(_PAUSE_S))
+    bench.serve(endpoint, respond_with())
+    assert set(_ask_for(bench, _PAUSE_S)) == {200}
+    assert endpoint.during_pause() <= _DURING_PAUSE_MAX
+
+
+def test_callers_are_refused_early_with_the_time_that_is_left(
+    bench: Bench,
+) -> None:
+    """Guards against callers that are held, or come back too early."""
+    bench.serve(PausingEndpoint(Not_Executed='1', Retry_After=str(_PAUSE_S)))
+    _ask(bench)
+    asked_at = time.monotonic()
+    with pytest.raises(ApricotcartError) as caught:
+        bench.forwarder.forward(bench.call())
+    assert time.monotonic() - asked_at < _GRACE_S
+    assert caught.value.run_state == NOT_RUN
+    retry_after_s = caught.value.retry_after_s or 0
+    assert _PAUSE_S - 2 * _GRACE_S < retry_after_s <= _PAUSE_S
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -127,6 +127,7 @@
             ('Server-Load', '3,1,8'),
             ('Connection', 'close'),
         ],
+        200,
     )
     assert metadata.is_not_run
     assert metadata.load is not None and metadata.load.waiting == 1
@@ -156,7 +157,7 @@
     texts: list[str], limit: float | None
 ) -> None:
     headers = [('Server-Limit', text) for text in texts]
-    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    metadata = PlatformHeaderCodec().parse_response_headers(headers, 200)
     assert metadata.notice.limit_per_s == limit
     assert not metadata.notice.is_limit_unreadable
 
@@ -167,7 +168,7 @@
 )
 def test_unreadable_limit_is_no_limit_and_no_end_of_one(text: str) -> None:
     headers = [('Server-Limit', text)]
-    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    metadata = PlatformHeaderCodec().parse_response_headers(headers, 200)
     assert metadata.notice.limit_per_s is None
     assert metadata.notice.is_limit_unreadable
 
@@ -198,7 +199,7 @@
     text: str, keeps_s: float | None
 ) -> None:
     headers = [('Keep-Alive', text)]
-    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    metadata = PlatformHeaderCodec().parse_response_headers(headers, 200)
     assert metadata.keeps_s == keeps_s
 
 
@@ -207,5 +208,28 @@
 )
 def test_unreadable_load_is_none(text: str) -> None:
     headers = [('Server-Load', text)]
-    metadata = PlatformHeaderCodec().parse_response_headers(headers)
+    metadata = PlatformHeaderCodec().parse_response_headers(headers, 200)
     assert metadata.load is None
+
+
+@pytest.mark.parametrize(
+    ('texts', 'pause_s'),
+    [
+        ([], 0),
+        (['3'], 3),
+        (['0.25'], 0.25),
+        (['0'], 0),
+        (['1', '4'], 4),
+        (['-1'], 0),
+        (['nan'], 0),
+        (['9' * 400], 0),
+        (['86400'], 300),
+        (['Sat, 05 Dec 2026 09:00:00 GMT'], 0),
+    ],
+)
+def test_pause_of_an_endpoint_is_read(texts: list[str], pause_s: float) -> None:
+    """No value raises, and none holds an endpoint back for hours."""
+    headers = [('Retry-After', text) for text in texts]
+    for status, expected in ((503, pause_s), (429, pause_s), (200, 0)):
+        metadata = PlatformHeaderCodec().parse_response_headers(headers, status)
+        assert metadata.notice.pause_s == expected
