Log the quarantine of a suspect under a field that can be logged

Cause: suspect_quarantined and suspect_released had a field called name, which the logging library reserves: KeyError "Attempt to overwrite 'name' in LogRecord".

--- a/src/apricotcart/gateway/crash_quarantine.py
+++ b/src/apricotcart/gateway/crash_quarantine.py
@@ -155,12 +155,12 @@
             log_decision(
                 SUSPECT_QUARANTINED,
                 kind=str(suspect.kind),
-                name=suspect.name,
+                suspect=suspect.name,
                 endpoints=','.join(self._suspects.endpoints_of(suspect)),
             )
         for suspect in before - after:
             log_decision(
-                SUSPECT_RELEASED, kind=str(suspect.kind), name=suspect.name
+                SUSPECT_RELEASED, kind=str(suspect.kind), suspect=suspect.name
             )
 
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -140,9 +140,9 @@
     _DURATION,
 )
 SUSPECT_QUARANTINED: Final = Event(
-    'suspect_quarantined', 'kind', 'name', 'endpoints'
+    'suspect_quarantined', 'kind', 'suspect', 'endpoints'
 )
-SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'name')
+SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'suspect')
 ENDPOINT_NOTICE: Final = Event(
     'endpoint_notice',
     'endpoint',
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -75,6 +75,7 @@
         'span_id',
         'state_age_s',
         'status',
+        'suspect',
         'term',
         'tier',
         'tokens_in',
--- a/tests/observability/test_decisions.py
+++ b/tests/observability/test_decisions.py
@@ -12,6 +12,7 @@
     EVENTS,
     REQUEST_REFUSED,
     DecisionCounter,
+    Event,
     LineRateLimiter,
     disallowed_fields,
     log_decision,
@@ -67,3 +68,13 @@
     )
     assert line.endswith(' 3')
     assert 'apricotcart_decision_seconds' in page
+
+
+@pytest.mark.parametrize('event', EVENTS, ids=lambda event: event.name)
+def test_every_field_can_be_logged(
+    event: Event, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against names that the logging library reserves."""
+    with caplog.at_level(logging.INFO):
+        log_decision(event, **dict.fromkeys(event.fields, 'x'))
+    assert caplog.records
