--- a/review/harness.py
+++ b/review/harness.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -27,7 +28,7 @@
 HOST_NAME = 'seals.example'
 KEY = 'key-of-guild-1'
 TENANT = 'guild-1'
-ENDED = 0
+LISTEN_PORTS = (20_000, 32_000)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -55,13 +56,12 @@
 
 
 def free_ports(count: int, ips: list[str]) -> int:
-    """Return the first of `count` consecutive ports that are free on all IPs."""
+    """Return the first of `count` consecutive ports that are free on all IPs.
+
+    They are below those that the system gives to outgoing connections.
+    """
     for _ in range(50):
-        with socket.socket() as probe:
-            probe.bind((ips[0], 0))
-            first = probe.getsockname()[1]
-        if first + count > 65_000:
-            continue
+        first = random.randrange(*LISTEN_PORTS)
         try:
             for ip in ips:
                 for port in range(first, first + count):
@@ -76,11 +76,11 @@
 class RawServer:
     """Calls a function with each accepted socket, on a thread of its own."""
 
-    def __init__(self, ip: str, handle) -> None:
+    def __init__(self, ip: str, handle, port: int = 0) -> None:
         self._handle = handle
         self._socket = socket.socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((ip, 0))
+        self._socket.bind((ip, port))
         self._socket.listen(256)
         self.port = self._socket.getsockname()[1]
         self.address = f'{ip}:{self.port}'
@@ -155,6 +155,9 @@
         self.record = record
         self.service = service
         self.name = name
+        self.version = 'v1'
+        # Number of its lifetimes before this one.
+        self.restarts = 0
         self.work_s = work_s
         self.slots = slots
         self.on_request = None
@@ -173,7 +176,7 @@
             'service': self.service,
             'address': self.address,
             'zone': zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': state,
             'warmup_left_ms': 0,
@@ -211,6 +214,7 @@
 
     def close(self) -> None:
         """End like a killed process: all connections at once."""
+        self.restarts += 1
         self.server.close()
         for conn in list(self._conns):
             try:
@@ -218,6 +222,14 @@
             except OSError:
                 pass
 
+    def start_again(self, version: str) -> None:
+        """Start a new lifetime under the same id, at the same address."""
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.running = 0
+        ip, _, port = self.address.rpartition(':')
+        self.server = RawServer(ip, self._serve, int(port))
+
     def _serve(self, conn: socket.socket) -> None:
         self._conns.add(conn)
         try:
@@ -268,6 +280,9 @@
         self.record = record
         self.entries: list = []
         self.list_body = None
+        # Earlier lists with the time of their end; the list lags by this.
+        self.lag_s = 0.0
+        self._earlier: list[tuple[float, list]] = []
         self.server = RawServer(ip, self._serve)
         self.address = self.server.address
 
@@ -288,7 +303,17 @@
     def _list(self) -> bytes:
         if self.list_body is not None:
             return self.list_body
-        return json.dumps({'instances': self.entries, 'next': None}).encode()
+        entries = self.entries
+        shown_at = time.monotonic() - self.lag_s
+        for ended_at, earlier in reversed(self._earlier):
+            if ended_at > shown_at:
+                entries = earlier
+        return json.dumps({'instances': entries, 'next': None}).encode()
+
+    def replace_entries(self, entries: list) -> None:
+        """Change the list, which shows that after its lag."""
+        self._earlier.append((time.monotonic(), self.entries))
+        self.entries = entries
 
 
 SETTINGS = """[host]
