--- a/review/harness.py
+++ b/review/harness.py
@@ -409,15 +409,20 @@
 class Deployment:
     """Control hosts, entry hosts and the stand-ins of one case."""
 
-    def __init__(self, folder, control=3, entry=1) -> None:
-        self.record = Record(folder)
+    def __init__(
+        self, folder, control=3, entry=1, spare=0, seeds=None, record=None
+    ) -> None:
+        self.record = record or Record(folder)
         self._temp = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.workers: list[Worker] = []
         self.processes: list[Process] = []
         base = 10 + os.getpid() % 200
         self.platform_ip = f'127.{base}.0.200'
         self.worker_ip = f'127.{base}.0.210'
-        self.control_ips = [f'127.{base}.0.{n + 11}' for n in range(control)]
+        self.control_ips = [
+            f'127.{base}.0.{n + 11}' for n in range(control + spare)
+        ]
+        self.seeds = self.control_ips[:seeds]
         self.entry_ips = [f'127.{base}.0.{n + 31}' for n in range(entry)]
         self.port = free_ports(8, self.control_ips + self.entry_ips)
         self.platform = Platform(self.record, self.platform_ip)
@@ -427,6 +432,7 @@
             self.control.append(self._process('coordinator', ip, number))
         for number, ip in enumerate(self.entry_ips, start=1):
             self.entry.append(self._process('gateway', ip, number))
+        self.spares = [self.control.pop() for _ in range(spare)]
         self.processes = [*self.control, *self.entry]
         self.version = 0
 
@@ -470,8 +476,22 @@
     def entry_address(self, number: int = 0) -> tuple[str, int]:
         return self.entry_ips[number], self.port + 4
 
+    def end_first_start(self) -> None:
+        """Let later starts read settings in which it is over."""
+        for process in [*self.processes, *self.spares]:
+            text = process.config.read_text()
+            process.config.write_text(
+                text.replace('first_start = true', 'first_start = false')
+            )
+
+    def empty_disk(self, process: Process) -> None:
+        """Lose the data folder of a process that has ended."""
+        folder = self._temp / process.config.stem
+        shutil.rmtree(folder)
+        folder.mkdir()
+
     def close(self) -> None:
-        for process in self.processes:
+        for process in [*self.processes, *self.spares]:
             process.end()
         for worker in self.workers:
             worker.close()
@@ -520,7 +540,7 @@
                 listen=listen,
                 port=port,
                 last_port=port + 1,
-                seeds=','.join(f'{c}:{port + 2}' for c in self.control_ips),
+                seeds=','.join(f'{c}:{port + 2}' for c in self.seeds),
                 folder=folder,
                 platform=self.platform.address,
                 metrics=port + 6,
@@ -634,10 +654,15 @@
 def main(folder: str, case) -> None:
     """Run a case; `case(folder)` returns whether the rule held."""
     path = pathlib.Path(folder).resolve().parent
+    # A case that is stopped from outside ends its processes first.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         held = case(path)
     except SetupError as exc:
         print('the case could not run:', exc)
         sys.exit(NOT_RUN)
+    except SystemExit:
+        # Callers may still be waiting on their threads.
+        os._exit(NOT_RUN)
     print('held' if held else 'BROKEN')
     sys.exit(HELD if held else BROKEN)
