Add review case 3: a second lost disk during a rejoin blocks the members

Seen: a control host loses its disk again 10 to 45 ms after the leader has added it; it never votes again, two dead voters stay among six, and when another host goes for good nothing is read back, acknowledged or served. Cause: a second replacement is refused until the first one has acknowledged its promotion, and that one is gone.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,13 @@
-"""One of two workers of an engine service answers with bodies that never end.
+"""A control host loses its disk again while it returns; later another one goes.
 
-The script is also the platform: it kills a gateway that uses more than the
-memory of its machine, and starts it again a second later.
+Host A is killed, loses its disk and starts again with an empty one, several
+times, each time soon after the leader has added it. Then it is left alone.
+Later host B goes for good and an empty one at another address takes its place.
+With TROUBLE=0, A loses its disk only once.
 """
 
+import json
+import random
 import signal
 import threading
 import time
@@ -11,180 +15,149 @@
 from harness import (
     TROUBLE,
     Deployment,
+    SetupError,
     call,
     desired_state,
+    http_call,
     main,
     route,
 )
 
-MEMORY_MB = 300
-# Callers of drafts at each of the two gateways.
-DRAFTS_PER_GATEWAY = 48
-EVENTS = 20
-EVENT_PAUSE_S = 0.1
-ORDER_CALLERS = 4
-SECONDS = 80
-RESTART_S = 1.0
-ENDS_ALLOWED = 2
-# Rate of the bytes on one channel: 4 MB/s, or 96 MB/s for a gateway, which is
-# less than the link of its machine carries (1,000 Mbit/s).
-BLOCK = b'%x\r\n%s\r\n' % (64_000, b'a' * 64_000)
-BLOCK_PAUSE_S = 0.016
-
-
-def endless_body(worker, conn, request):
-    worker.note_run(request)
-    attempt = request.get('attempt-id')
-    worker.record.add(f'worker {worker.name}: {attempt}: body without end')
-    conn.sendall(
-        (
-            'HTTP/1.1 200 OK\r\n'
-            f'Attempt-Id: {attempt}\r\n'
-            f'Server-Stamp: stamp.{worker.name}\r\n'
-            'Content-Type: application/octet-stream\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'
-        ).encode()
-    )
-    try:
-        while True:
-            conn.sendall(BLOCK)
-            time.sleep(BLOCK_PAUSE_S)
-    finally:
-        worker.record.add(
-            f'worker {worker.name}: the channel of {attempt} is closed'
-        )
-
-
-def sound_stream(worker, conn, request):
-    """Answer a draft with a short stream of events."""
-    worker.note_run(request)
-    head = ''.join(
-        f'{name}: {value}\r\n' for name, value in worker.stamp_headers(request)
-    )
-    conn.sendall(
-        (
-            f'HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'
-        ).encode()
-    )
-    for number in range(1, EVENTS + 1):
-        event = f'id: {number}\ndata: {request.get("attempt-id")}\n\n'.encode()
-        conn.sendall(b'%x\r\n%s\r\n' % (len(event), event))
-        time.sleep(EVENT_PAUSE_S)
-    conn.sendall(b'0\r\n\r\n')
-    return True
+ROUNDS_MAX = 40
+# Time from the leader's log line to the next loss of the disk.
+AGAIN_S = (0.01, 0.045)
+ADDED_TIMEOUT_S = 6.0
+# Undisturbed time of A before B goes; `catch_up_s` is 4.
+QUIET_S = 10.0
+REPLACED_AFTER_S = 2.0
+# `recover_s` is 12. The operator reads for `contact_ms` (3 s) and longer.
+RECOVER_S = 12.0
+READ_S = 8.0
+
+
+def lose_disk(deployment, host):
+    host.signal(signal.SIGKILL)
+    host.popen.wait()
+    deployment.empty_disk(host)
+    deployment.record.add(f'{host.ip}: killed, its disk is lost, starts again')
+    host.start()
+
+
+def wait_until_added(deployment, host, offsets):
+    """Return whether some host logs that it has added this one."""
+    mark = f'added {host.ip}'.encode()
+    until = time.monotonic() + ADDED_TIMEOUT_S
+    while time.monotonic() < until:
+        for process, offset in offsets.items():
+            with process.log.open('rb') as log:
+                log.seek(offset)
+                if mark in log.read():
+                    return True
+        time.sleep(0.002)
+    return False
+
+
+def disturb(deployment, host):
+    """Lose the disk of a host until a return of it fails, or 40 times."""
+    rng = random.Random()
+    for number in range(1, ROUNDS_MAX + 1):
+        offsets = {
+            process: process.log.stat().st_size
+            for process in deployment.control
+            if process is not host
+        }
+        lose_disk(deployment, host)
+        if not wait_until_added(deployment, host, offsets):
+            return number
+        if not TROUBLE:
+            return number
+        time.sleep(rng.uniform(*AGAIN_S))
+    return ROUNDS_MAX
+
+
+def read_back(deployment):
+    """Return the version that any control host gives, None without one."""
+    for ip in deployment.control_ips:
+        try:
+            status, body = http_call(
+                ip, deployment.port + 2, 'GET', '/v1/Config.Fetch', timeout=1
+            )
+        except OSError:
+            continue
+        if status == 200:
+            return json.loads(body)['version']
+    return None
 
 
 def case(folder):
-    deployment = Deployment(folder, control=3, entry=2)
+    # Five control hosts, three of them seeds, and one for replacement.
+    deployment = Deployment(folder, control=5, entry=2, spare=1, seeds=3)
     record = deployment.record
     stopping = threading.Event()
-    ends = {0: 0, 1: 0}
-    peaks = {0: 0.0, 1: 0.0}
-
-    def watch(number):
-        """Do what the platform does with a process over its memory."""
-        process = deployment.entry[number]
-        while not stopping.is_set():
-            time.sleep(0.02)
-            used_mb = process.memory_mb()
-            peaks[number] = max(peaks[number], used_mb)
-            if used_mb <= MEMORY_MB:
-                continue
-            ends[number] += 1
-            record.add(
-                f'platform: {process.role} {number} uses {used_mb:.0f} MB of '
-                f'{MEMORY_MB} MB and is killed (end {ends[number]})'
-            )
-            process.signal(signal.SIGKILL)
-            process.popen.wait()
-            time.sleep(RESTART_S)
-            process.start()
-            time.sleep(0.5)
-
+    statuses = []
     try:
-        for number, answer in enumerate(
-            (endless_body if TROUBLE else sound_stream, sound_stream)
-        ):
-            engine = deployment.worker(
-                'engine', f'i-engine-{number}', slots=64
-            )
-            engine.on_request = answer
         for number in range(3):
-            deployment.worker(
-                'pressroom', f'i-press-{number}', work_s=0.06
-            )
-        deployment.start(
-            desired_state(
-                [
-                    route(
-                        'draft', '/draft/', 'streaming', 'engine',
-                        timeout_ms=12000, goal_ms=600, gap_goal_ms=200,
-                        priority=0, resumable=False, max_attempts=1,
-                    ),
-                    route('book', '/book/', 'unsafe', 'pressroom'),
-                ],
-                ['engine', 'pressroom'],
-            )
+            deployment.worker('pressroom', f'i-press-{number}')
+        state = desired_state(
+            [route('book', '/book/', 'unsafe', 'pressroom')], ['pressroom']
         )
-        watchers = [
-            threading.Thread(target=watch, args=(n,)) for n in range(2)
-        ]
-        for thread in watchers:
-            thread.start()
-        until = time.monotonic() + SECONDS
-        orders = []
-
-        def draft(gateway, caller):
-            number = 0
-            while time.monotonic() < until:
-                number += 1
-                call(
-                    record, deployment.entry_address(gateway), '/draft/seal',
-                    f'd{gateway}-{caller}-{number}', deadline_ms=12000,
-                )
-                time.sleep(0.5)
-
-        def order(caller):
+        deployment.start(state)
+        deployment.end_first_start()
+        time.sleep(4)
+        host_a = deployment.control[2]
+        host_b = deployment.control[0]
+        rounds = disturb(deployment, host_a)
+        record.add(f'{host_a.ip}: left alone after {rounds} losses')
+        time.sleep(QUIET_S)
+        deployment.replace_state(state)
+
+        def ask():
             number = 0
-            while time.monotonic() < until:
+            while not stopping.is_set():
                 number += 1
-                attempt = f'o{caller}-{number}'
-                orders.append((attempt, call(
+                answer = call(
                     record, deployment.entry_address(number % 2),
-                    '/book/seal', attempt,
-                )))
-                time.sleep(0.05)
-
-        threads = [
-            threading.Thread(target=draft, args=(gateway, caller))
-            for gateway in range(2)
-            for caller in range(DRAFTS_PER_GATEWAY)
-        ]
-        threads += [
-            threading.Thread(target=order, args=(caller,))
-            for caller in range(ORDER_CALLERS)
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+                    '/book/seal', f'o-{number}',
+                )
+                statuses.append((time.monotonic(), answer.status))
+                time.sleep(0.1)
+
+        caller = threading.Thread(target=ask)
+        caller.start()
+        host_b.signal(signal.SIGKILL)
+        record.add(f'{host_b.ip}: goes for good')
+        gone_at = time.monotonic()
+        time.sleep(REPLACED_AFTER_S)
+        spare = deployment.spares[0]
+        spare.start()
+        record.add(f'{spare.ip}: starts with an empty disk in its place')
+        time.sleep(RECOVER_S)
+        until = time.monotonic() + READ_S
+        version = None
+        while version is None and time.monotonic() < until:
+            version = read_back(deployment)
+            record.add(f'operator: reads back version {version}')
+            time.sleep(0.2)
+        try:
+            deployment.replace_state(state, timeout_s=5)
+            is_acked = True
+        except SetupError as exc:
+            record.add(f'operator: {exc}')
+            is_acked = False
         stopping.set()
-        for thread in watchers:
-            thread.join()
-        run = {
-            attempt for worker in deployment.workers
-            for _, attempt in worker.runs
-        }
-        lost = [a for a, got in orders if a in run and not got.status]
+        caller.join()
+        late = [
+            status for at, status in statuses if at > gone_at + RECOVER_S
+        ]
         text = (
-            f'gateways ended over {MEMORY_MB} MB {ends[0]} and {ends[1]} '
-            f'times (largest use seen {peaks[0]:.0f} and {peaks[1]:.0f} MB); '
-            f'{len(lost)} of {len(orders)} orders ran and were not answered'
+            f'{rounds} losses of the disk of {host_a.ip}; from {RECOVER_S} s '
+            f'after another host went: state read back: {version}, change '
+            f'acknowledged: {is_acked}, {late.count(200)} of {len(late)} '
+            'requests served'
         )
         record.add(text)
         print(text)
-        return min(ends.values()) <= ENDS_ALLOWED
+        return version is not None
     finally:
         stopping.set()
         deployment.close()
