--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,9 +23,10 @@
     route,
 )
 
-ROUNDS_MAX = 40
+ROUNDS_MAX = 100
+DISTURB_MAX_S = 45.0
 # Time from the leader's log line to the next loss of the disk.
-AGAIN_S = (0.01, 0.045)
+AGAIN_S = (0.01, 0.06)
 ADDED_TIMEOUT_S = 6.0
 # Undisturbed time of A before B goes; `catch_up_s` is 4.
 QUIET_S = 10.0
@@ -58,8 +59,9 @@
 
 
 def disturb(deployment, host):
-    """Lose the disk of a host until a return of it fails, or 40 times."""
+    """Lose the disk of a host until a return of it fails, or too often."""
     rng = random.Random()
+    until = time.monotonic() + DISTURB_MAX_S
     for number in range(1, ROUNDS_MAX + 1):
         offsets = {
             process: process.log.stat().st_size
@@ -69,7 +71,7 @@
         lose_disk(deployment, host)
         if not wait_until_added(deployment, host, offsets):
             return number
-        if not TROUBLE:
+        if not TROUBLE or time.monotonic() > until:
             return number
         time.sleep(rng.uniform(*AGAIN_S))
     return ROUNDS_MAX
