--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -15,8 +15,8 @@
     EndpointUnreachableError,
     MismatchedAnswerError,
 )
-from apricotcart.entry.strict_connections import strict_pools
 from apricotcart.responses.framing import FramingError
+from apricotcart.responses.strict_connections import strict_pools
 
 REQUEST_ID = 'X-Request-Id'
 _CONNECT_TIMEOUT_S = 1.0
