Remove a voter whose disk was lost before its replacement is promoted

Cause: the replacement was promoted first. If it was lost before it acknowledged that, two dead voters of one host stayed for ever: the leader waited for the first replacement, a second one was refused, and the policy on lost voters waited for the joining host.

Change: the leader removes the old voter once the learner has caught up, and then promotes the learner, so that a lost host has at most one dead voter. A host that joins anew supersedes its earlier learners. The policy waits only for joining hosts that answer. The changes of members are a module of their own, and the host name of an identity is parsed in one place.

Two tests held the old order: one mechanism test now adds the learner beside a dead voter, where promoting it still stops commits; the test that a voter stays until its replacement holds the entry checks the same before the removal, and a new one that the promotion waits for it. The policy test of a change in progress now has a joining host that answers, as its name says; one that does not has a test of its own.

--- a/src/apricotcart/consensus/joining.py
+++ b/src/apricotcart/consensus/joining.py
@@ -54,13 +54,14 @@
     node_id: str,
     peer: Progress | None,
 ) -> str | None:
-    history = core.log.history
-    if peer is None:
-        # The joining node itself is the leader.
-        return ChangeKind.RETIRE if node_id == core.cfg.node_id else None
-    if node_id in history.members.learners:
-        is_ready = is_caught_up(core, contact, node_id, peer)
-        return ChangeKind.PROMOTE if is_ready else None
-    # The old voter is removed once its replacement has the entry that
-    # promoted the replacement.
-    return ChangeKind.RETIRE if peer.match_index >= history.index else None
+    members = core.log.history.members
+    is_learner = node_id in members.learners
+    if is_learner:
+        is_ready = peer is not None and is_caught_up(
+            core, contact, node_id, peer
+        )
+        if not is_ready:
+            return None
+    if members.joining[node_id] in members.voters:
+        return ChangeKind.RETIRE
+    return ChangeKind.PROMOTE if is_learner else None
--- a/src/apricotcart/consensus/leadership.py
+++ b/src/apricotcart/consensus/leadership.py
@@ -14,6 +14,7 @@
 from apricotcart.consensus.core import Core
 from apricotcart.consensus.failures import MembershipError
 from apricotcart.consensus.joining import next_membership_change
+from apricotcart.consensus.member_changes import apply_change
 from apricotcart.consensus.members import MemberChange
 from apricotcart.consensus.quorum_contact import QuorumContact
 from apricotcart.consensus.read_queue import ReadQueue
@@ -86,7 +87,7 @@
         history = self.core.log.history
         if history.index > self.core.commit_index:
             raise MembershipError('another membership change is in progress')
-        members = history.members.with_change(change)
+        members = apply_change(history.members, change)
         self._enqueue(ticket, EntryKind.MEMBERS, members.to_bytes())
         self.flush()
         self.replicator.track_members()
--- a/src/apricotcart/control/bootstrap.py
+++ b/src/apricotcart/control/bootstrap.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 from typing import Final
 
+from apricotcart.consensus.identity import FIRST_INCARNATION, first_node_id
 from apricotcart.consensus.members import Members
-from apricotcart.control.identity import FIRST_INCARNATION, first_node_id
 from apricotcart.errors.tree import SettingsError, VersionConflictError
 from apricotcart.settings.control import ControlConfig
 from apricotcart.storage.identity import Identity
--- a/src/apricotcart/control/joining.py
+++ b/src/apricotcart/control/joining.py
@@ -8,8 +8,13 @@
 from typing import Any
 
 from apricotcart.consensus.api import Role
-from apricotcart.consensus.members import ChangeKind, MemberChange
-from apricotcart.control.identity import host_name
+from apricotcart.consensus.identity import host_name
+from apricotcart.consensus.members import (
+    ChangeKind,
+    MemberChange,
+    Members,
+    voter_to_replace,
+)
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.transport.api import PeerLinks
@@ -103,19 +108,18 @@
         return self._node_id in members['voters'] + members['learners']
 
     def _admit(self, node_id: str) -> None:
-        members = self._loop.status()['members']
-        if node_id in members['voters'] + members['learners']:
+        members = Members.from_wire(self._loop.status()['members'])
+        if node_id in members.all_members:
             return
-        name = host_name(node_id)
-        replaced = [old for old in members['voters'] if host_name(old) == name]
+        replaced = voter_to_replace(members, node_id)
         change = MemberChange(
             kind=ChangeKind.JOIN,
             node_id=node_id,
-            replaces=replaced[0] if replaced else '',
+            replaces=replaced,
         )
         try:
             self._loop.change_members(change, _CHANGE_TIMEOUT_S)
         except ApricotcartError as exc:
             _LOG.debug('this host could not add %s: %s', node_id, exc)
             return
-        _LOG.info('added %s, replaced identities: %s', node_id, replaced)
+        _LOG.info('added %s, replaces voter: %s', node_id, replaced or 'none')
--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -11,11 +11,11 @@
 
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.consensus.api import Role
+from apricotcart.consensus.identity import host_name
 from apricotcart.consensus.members import MemberChange
 from apricotcart.consensus.messages import Message
 from apricotcart.consensus.node import Node
 from apricotcart.control.api import ReplicatedState, WireMessage
-from apricotcart.control.identity import host_name
 from apricotcart.control.pending_requests import PendingRequests, ReplyFuture
 from apricotcart.control.suspension import SuspensionReporter
 from apricotcart.timers.clock import boot_clock_s
--- a/src/apricotcart/coordinator/addresses.py
+++ b/src/apricotcart/coordinator/addresses.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from apricotcart.control.identity import host_name
+from apricotcart.consensus.identity import host_name
 
 
 class Ports:
--- a/src/apricotcart/coordinator/any_host_client.py
+++ b/src/apricotcart/coordinator/any_host_client.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from apricotcart.control.identity import host_name
+from apricotcart.consensus.identity import host_name
 from apricotcart.coordinator.addresses import Ports
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.dispatching.hashing import hash_to_unit
--- a/src/apricotcart/coordinator/formation.py
+++ b/src/apricotcart/coordinator/formation.py
@@ -5,8 +5,8 @@
 import logging
 import random
 
+from apricotcart.consensus.identity import FIRST_INCARNATION, first_node_id
 from apricotcart.consensus.members import Members
-from apricotcart.control.identity import FIRST_INCARNATION, first_node_id
 from apricotcart.coordinator.addresses import ip_of
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.storage.disk import Disk
--- a/src/apricotcart/coordinator/joining.py
+++ b/src/apricotcart/coordinator/joining.py
@@ -5,8 +5,8 @@
 import logging
 from typing import Any
 
+from apricotcart.consensus.identity import host_name
 from apricotcart.consensus.messages import Message, VoteRequest
-from apricotcart.control.identity import host_name
 from apricotcart.control.joining import JOIN, Joiner
 
 _LOG = logging.getLogger(__name__)
--- a/src/apricotcart/coordinator/leader_search.py
+++ b/src/apricotcart/coordinator/leader_search.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
-from apricotcart.control.identity import host_name
+from apricotcart.consensus.identity import host_name
 from apricotcart.errors.tree import NotLeaderError
 
 # Time after which a host that did not answer is asked again although others
--- a/src/apricotcart/coordinator/member_policy.py
+++ b/src/apricotcart/coordinator/member_policy.py
@@ -52,16 +52,18 @@
         is_even = len(members.voters) % 2 == 0
         if not is_even or len(members.voters) <= _MIN_VOTERS:
             return None
-        if members.joining:
-            return None
         expired = [
-            voter
-            for voter, since in self._unresponsive_since.items()
+            node_id
+            for node_id, since in self._unresponsive_since.items()
             if now >= since + _UNRESPONSIVE_S
         ]
-        if not expired:
+        if not set(members.joining).issubset(expired):
+            # A joining host may soon be a voter, or replace one.
+            return None
+        voters = [node_id for node_id in expired if node_id in members.voters]
+        if not voters:
             return None
-        oldest = min(expired, key=self._unresponsive_since.__getitem__)
+        oldest = min(voters, key=self._unresponsive_since.__getitem__)
         return MemberChange(kind=ChangeKind.REMOVE, node_id=oldest)
 
     def _update_unresponsive(
@@ -70,10 +72,8 @@
         members: Members,
         answering: Collection[str],
     ) -> None:
-        unresponsive = [
-            node_id for node_id in members.voters if node_id not in answering
-        ]
         self._unresponsive_since = {
-            voter: self._unresponsive_since.get(voter, now)
-            for voter in unresponsive
+            node_id: self._unresponsive_since.get(node_id, now)
+            for node_id in members.all_members
+            if node_id not in answering
         }
--- a/src/apricotcart/coordinator/peer_links.py
+++ b/src/apricotcart/coordinator/peer_links.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from apricotcart.codec.envelope import Sealer
-from apricotcart.control.identity import host_name
+from apricotcart.consensus.identity import host_name
 from apricotcart.coordinator.addresses import Ports
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.transport.api import WireMessage
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
+from apricotcart.consensus.identity import host_name
 from apricotcart.control.api import ReplicatedState
-from apricotcart.control.identity import host_name
 from apricotcart.coordinator.endpoint_list import EndpointList
 from apricotcart.coordinator.endpoint_relay import EndpointRelay
 from apricotcart.coordinator.hosts import GatewayTable
--- a/tests/consensus/faults.py
+++ b/tests/consensus/faults.py
@@ -15,7 +15,7 @@
     """Runs clients continuously while faults overlap.
 
     Only one host at a time may have a lost disk, since the loss of two disks
-    of three can lose committed writes.
+    of three can lose committed writes. That host may lose it again.
     """
 
     def __init__(self, seed: int, size: int = 3) -> None:
@@ -172,8 +172,10 @@
 
 
 def lose_disk(schedule: FaultSchedule, host: Host) -> None:
-    """Lose the disk, unless the cluster is not repaired yet."""
-    if schedule.host_without_disk is None and schedule.cluster.is_repaired():
+    """Lose the disk, unless another host is not repaired yet."""
+    lost = schedule.host_without_disk
+    is_repaired = lost is None and schedule.cluster.is_repaired()
+    if is_repaired or lost is host:
         schedule.host_without_disk = host
         schedule.cluster.lose_disk(host)
 
--- a/tests/consensus/test_mechanisms.py
+++ b/tests/consensus/test_mechanisms.py
@@ -192,13 +192,16 @@
         read_after_freeze(node_type_with(base=NoReadIndexReplica))
 
 
-def write_during_join(cluster: Cluster) -> None:
-    """Lose a disk, isolate the host, add it as a learner and write."""
+def write_during_join(cluster: Cluster, *, replace: bool = False) -> None:
+    """Lose a disk, isolate the host, add it as a learner and write.
+
+    Without the replacement, its old voter stays among the members.
+    """
     leader = cluster.await_leader()
     lost = follower_of(cluster, leader)
     cluster.lose_disk(lost)
     cluster.isolate(lost, 20)
-    cluster.join(lost)
+    cluster.join(lost, replace=replace)
     cluster.run(0.5)
     cluster.write_until_accepted(1)
 
@@ -208,6 +211,7 @@
 ) -> None:
     """Guards against promoting an unreachable learner, which stops commits."""
     write_during_join(Cluster(4))
+    write_during_join(Cluster(4), replace=True)
     monkeypatch.setattr(joining, 'is_caught_up', lambda *_args: True)
     with pytest.raises(AssertionError, match='no write was accepted'):
         write_during_join(Cluster(4))
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -11,6 +11,7 @@
     MAX_UNCOMMITTED_BYTES,
 )
 from apricotcart.consensus.failures import MembershipError
+from apricotcart.consensus.member_changes import apply_change
 from apricotcart.consensus.members import MemberChange, Members
 from apricotcart.consensus.messages import (
     AppendRequest,
@@ -322,11 +323,12 @@
     """Guards against keeping a replacement that was lost itself."""
     members = Members(voters=['a.1', 'b.1', 'c.1'])
     for node_id in ('c.2', 'c.3'):
-        members = members.with_change(
-            MemberChange(kind='join', node_id=node_id, replaces='c.1')
+        members = apply_change(
+            members,
+            MemberChange(kind='join', node_id=node_id, replaces='c.1'),
         )
     assert members.learners == ['c.3']
-    members = members.with_change(MemberChange(kind='remove', node_id='c.1'))
+    members = apply_change(members, MemberChange(kind='remove', node_id='c.1'))
     assert members.joining == {'c.3': ''}
 
 
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -236,7 +236,9 @@
     assert node.members == _MEMBERS
 
 
-def test_retire_before_replacement_holds_entry(node: Node) -> None:
+def test_old_voter_stays_until_its_replacement_has_caught_up(
+    node: Node,
+) -> None:
     """Guards against removing a voter whose replacement lags behind."""
     elect_node(node)
     accept_entries(node, 3)
@@ -244,20 +246,30 @@
         3, MemberChange(kind='join', node_id='c.2', replaces='c.1')
     )
     accept_entries(node, 4)
-    node.change_members(3, MemberChange(kind='promote', node_id='c.2'))
-    accept_entries(node, 5)
     leadership = node._replica.leadership
     assert leadership is not None
-    progress = leadership.replicator.progress
-    # Three of the four voters have the entry, but not the replacement.
-    progress['c.1'].record_accepted(5)
-    leadership.advance_commit()
-    assert node.commit_index == 5
     node.tick(3)
     assert 'c.1' in node.members.voters
-    progress['c.2'].record_accepted(5)
+    leadership.contact.acknowledge('c.2', 1)
+    leadership.replicator.progress['c.2'].record_accepted(4)
     node.tick(3)
-    assert node.members.voters == ['a.1', 'b.1', 'c.2']
+    assert node.members == Members(
+        voters=['a.1', 'b.1'], learners=['c.2'], joining={'c.2': ''}
+    )
+
+
+def test_promotion_waits_for_the_removal_of_the_old_voter(node: Node) -> None:
+    """Guards against four voters of which two are the same host."""
+    elect_node(node)
+    accept_entries(node, 3)
+    node.change_members(
+        3, MemberChange(kind='join', node_id='c.2', replaces='c.1')
+    )
+    accept_entries(node, 4)
+    node.drain_completions()
+    node.change_members(3, MemberChange(kind='promote', node_id='c.2'))
+    assert isinstance(node.drain_completions()[0].error, MembershipError)
+    assert node.members.voters == ['a.1', 'b.1', 'c.1']
 
 
 def test_progress_late_rejection() -> None:
--- a/tests/control/real_hosts.py
+++ b/tests/control/real_hosts.py
@@ -13,9 +13,9 @@
 
 from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
+from apricotcart.consensus.identity import first_node_id
 from apricotcart.consensus.members import Members
 from apricotcart.consensus.node import Node
-from apricotcart.control.identity import first_node_id
 from apricotcart.control.joining import JOIN, Joiner
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.control.machine import ReplicatedMachine
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from apricotcart.consensus.identity import first_node_id
 from apricotcart.consensus.members import Members
-from apricotcart.control.identity import first_node_id
 from apricotcart.control.server import ControlServer
 from apricotcart.errors.tree import StorageError, UnavailableError
 from apricotcart.process.api import EXIT_FAILED, EXIT_OK
--- a/tests/coordinator/test_member_policy.py
+++ b/tests/coordinator/test_member_policy.py
@@ -15,8 +15,13 @@
     *unresponsive: str,
     joining: dict[str, str] | None = None,
 ) -> str | None:
-    members = Members(voters=voters, joining=joining)
-    answering = [voter for voter in voters if voter not in unresponsive]
+    learners = list(joining or ())
+    members = Members(voters=voters, learners=learners, joining=joining)
+    answering = [
+        node_id
+        for node_id in members.all_members
+        if node_id not in unresponsive
+    ]
     change = policy.next_change(now, members, answering)
     if change is None:
         return None
@@ -56,6 +61,14 @@
     assert _next_removal(policy, 9, _SIX, 'b.0', joining={'g.1': ''}) is None
 
 
+def test_joining_host_that_is_lost_does_not_keep_a_lost_voter() -> None:
+    policy = MemberPolicy()
+    lost = ('b.0', 'g.1')
+    _next_removal(policy, 0, _SIX, *lost, joining={'g.1': ''})
+    removal = _next_removal(policy, 9, _SIX, *lost, joining={'g.1': ''})
+    assert removal == 'b.0'
+
+
 def test_longest_unresponsive_voter_is_removed_first() -> None:
     policy = MemberPolicy()
     _next_removal(policy, 0, _SIX, 'c.0')
