Close a replaced connection with the last call on it

What callers saw: changes and reads of the desired state ended with "Object closed" after 0.002 to 1.1 s, also at a healthy control host.

Cause: calls to one host share a connection. The first one that timed out closed it, and with it all others, whatever time they had left.

Change: new calls use a new connection; the old one is closed with the last call that still waits on it.

Evidence: test_call_goes_on_after_another_one_has_timed_out failed before.

--- a/src/apricotcart/transport/redialing.py
+++ b/src/apricotcart/transport/redialing.py
@@ -12,11 +12,34 @@
 WireMessage = dict[str, Any]
 
 
+class _SharedClient:
+    """A client that several calls use at the same time.
+
+    Attributes
+    ----------
+    client : NngRequestClient
+        The client.
+    calls : int
+        Number of calls that use it.
+    is_replaced : bool
+        Whether new calls use another client; this one is closed with its
+        last call.
+    """
+
+    __slots__ = ('calls', 'client', 'is_replaced')
+
+    def __init__(self, client: NngRequestClient) -> None:
+        self.client = client
+        self.calls = 0
+        self.is_replaced = False
+
+
 class RedialingClients:
     """One client per address, which is replaced after an unanswered request.
 
     A connection can stop responding without being closed; only a new
-    connection then reaches the peer.
+    connection then reaches the peer. Other calls that still wait on the old
+    one have their full time.
 
     Parameters
     ----------
@@ -30,7 +53,7 @@
         """Create no connections yet."""
         self._sealer = sealer
         self._lock = threading.Lock()
-        self._clients: dict[str, NngRequestClient] = {}
+        self._clients: dict[str, _SharedClient] = {}
 
     def call(
         self,
@@ -45,31 +68,41 @@
         UnavailableError
             If no answer arrived in time.
         """
-        client = self._get_client(address)
+        shared = self._acquire(address)
         try:
-            return client.call(message, timeout_s)
+            return shared.client.call(message, timeout_s)
         except UnavailableError:
-            self._close_client(address, client)
+            self._replace(address, shared)
             raise
+        finally:
+            self._release(shared)
 
     def close(self) -> None:
         """Close all connections."""
         with self._lock:
             clients = list(self._clients.values())
             self._clients.clear()
-        for client in clients:
-            client.close()
+        for shared in clients:
+            shared.client.close()
 
-    def _get_client(self, address: str) -> NngRequestClient:
+    def _acquire(self, address: str) -> _SharedClient:
         with self._lock:
-            client = self._clients.get(address)
-            if client is None:
-                client = NngRequestClient(address, self._sealer)
-                self._clients[address] = client
-            return client
+            shared = self._clients.get(address)
+            if shared is None:
+                shared = _SharedClient(NngRequestClient(address, self._sealer))
+                self._clients[address] = shared
+            shared.calls += 1
+            return shared
 
-    def _close_client(self, address: str, client: NngRequestClient) -> None:
+    def _replace(self, address: str, shared: _SharedClient) -> None:
         with self._lock:
-            if self._clients.get(address) is client:
+            shared.is_replaced = True
+            if self._clients.get(address) is shared:
                 self._clients.pop(address)
-        client.close()
+
+    def _release(self, shared: _SharedClient) -> None:
+        with self._lock:
+            shared.calls -= 1
+            is_unused = shared.is_replaced and not shared.calls
+        if is_unused:
+            shared.client.close()
