Pass changes on to the next leader while the last one is silent

What callers saw: a valid change had no acknowledgement for seconds of calm; others took 2.4 s and more.

Cause: a control host passed a change on to the host that it took for the leader, and waited for that one host until the whole call ended, 2.8 s. With the 2 ms that were left it asked a healthy host, which then counted as failed.

Change: each host has a time limit of its own, and the search for the leader is repeated until the call ends. A host is not asked with less time than a round trip and a confirmation take. Reads have a limit for each host too.

The new tests of a change during an election and of the time that is left failed before.

--- a/src/apricotcart/coordinator/leader_client.py
+++ b/src/apricotcart/coordinator/leader_client.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Collection, Iterable
+from time import sleep
 from typing import Final
 
 from apricotcart.coordinator.addresses import Ports
@@ -28,6 +29,11 @@
 # Timeout of one host, for calls that another host may answer. A leader confirms
 # itself with a quorum within two round trips and a disk sync.
 HOST_TIMEOUT_S: Final = 0.4
+# Shortest time that is left for another host: a round trip between zones, and a
+# confirmation.
+_MIN_HOST_TIMEOUT_S: Final = 0.05
+# Pause between two searches of one call, while no host leads.
+_SEARCH_PAUSE_S: Final = 0.1
 # Multiple of the timeout for a host that did not answer the last call and may
 # be slow.
 _SLOW_HOST_FACTOR: Final = 2
@@ -69,6 +75,24 @@
         with self._lock:
             self._search.replace_members(node_ids)
 
+    def call_until_answered(
+        self, message: WireMessage, timeout_s: float, host_timeout_s: float
+    ) -> WireMessage:
+        """Search for the leader again until it answers or time runs out.
+
+        Parameters and errors are those of `call`.
+        """
+        deadline = boot_clock_s() + timeout_s
+        while True:
+            try:
+                return self.call(
+                    message, deadline - boot_clock_s(), host_timeout_s
+                )
+            except (ClusterError, CodecError):
+                if _has_ended(deadline - _SEARCH_PAUSE_S):
+                    raise
+            sleep(_SEARCH_PAUSE_S)
+
     def call(
         self, message: WireMessage, timeout_s: float, host_timeout_s: float
     ) -> WireMessage:
@@ -109,11 +133,10 @@
                 failure = exc
 
     def _next_host(self, asked: Collection[str], deadline: float) -> str | None:
-        now = boot_clock_s()
-        if now >= deadline:
+        if _has_ended(deadline):
             return None
         with self._lock:
-            return self._search.choose(asked, now)
+            return self._search.choose(asked, boot_clock_s())
 
     def _call_host(
         self, ip: str, message: WireMessage, timeout_s: float
@@ -166,6 +189,14 @@
             log_decision(LEADER_LOST, leader=ip, reason=exc.code)
 
 
+def _has_ended(deadline: float) -> bool:
+    """Return whether too little time is left to ask a host.
+
+    A host that could not have answered in time must not count as failed.
+    """
+    return boot_clock_s() >= deadline - _MIN_HOST_TIMEOUT_S
+
+
 def _require_success(reply: WireMessage) -> None:
     if not reply.get('ok'):
         raise _error_of(reply)
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 from apricotcart.control.api import ReplicatedState
-from apricotcart.coordinator.leader_client import LeaderClient
+from apricotcart.coordinator.leader_client import (
+    HOST_TIMEOUT_S,
+    LeaderClient,
+)
 from apricotcart.coordinator.messages import FETCH, KIND, REPLACE
 from apricotcart.coordinator.state import REPLACE as REPLACE_COMMAND
 from apricotcart.coordinator.state import CoordinatorState
@@ -29,6 +32,8 @@
 # shorter one, since operators try another host after a second.
 _FORWARD_TIMEOUT_S: Final = 2.8
 _FORWARD_READ_TIMEOUT_S: Final = 0.8
+# Timeout of one host for a change.
+_FORWARD_HOST_TIMEOUT_S: Final = 0.7
 
 
 class DesiredStateService:
@@ -87,7 +92,9 @@
                 'version': version,
                 'document': document,
             }
-            self._leader.call(message, _FORWARD_TIMEOUT_S, _FORWARD_TIMEOUT_S)
+            self._leader.call_until_answered(
+                message, _FORWARD_TIMEOUT_S, _FORWARD_HOST_TIMEOUT_S
+            )
         log_decision(STATE_ACKNOWLEDGED, version=version)
         return version
 
@@ -106,7 +113,7 @@
         except NotLeaderError as exc:
             self._leader.follow_hint(exc)
             reply = self._leader.call(
-                {KIND: FETCH}, _FORWARD_READ_TIMEOUT_S, _FORWARD_READ_TIMEOUT_S
+                {KIND: FETCH}, _FORWARD_READ_TIMEOUT_S, HOST_TIMEOUT_S
             )
             document = reply['document']
         if not document:
--- a/tests/coordinator/test_leader_client.py
+++ b/tests/coordinator/test_leader_client.py
@@ -15,7 +15,7 @@
     LeaderClient,
 )
 from apricotcart.coordinator.leader_search import LeaderSearch
-from apricotcart.coordinator.messages import KIND, SYNC, TERM
+from apricotcart.coordinator.messages import KIND, REPLACE, SYNC, TERM
 from apricotcart.errors.tree import (
     ApricotcartError,
     NotLeaderError,
@@ -48,6 +48,9 @@
     def boot_clock_s(self) -> float:
         return self.now
 
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
     def call(
         self, address: str, message: WireMessage, timeout_s: float
     ) -> WireMessage:
@@ -95,6 +98,7 @@
     """Return control hosts that share a clock with the client."""
     hosts = Hosts()
     monkeypatch.setattr(client_module, 'boot_clock_s', hosts.boot_clock_s)
+    monkeypatch.setattr(client_module, 'sleep', hosts.sleep)
     return hosts
 
 
@@ -261,6 +265,33 @@
         assert hosts.now < election.elected_at + _FOUND_AFTER_S
 
 
+def test_change_is_passed_on_to_the_next_leader(hosts: Hosts) -> None:
+    """Guards against a call that waits for a stalled leader to its end."""
+    for seed in _SEEDS:
+        client = _client_of_stalled_leader(hosts, seed)
+        election = Election(hosts, 2.1)
+        hosts.answers = election.answers()
+        hosts.now += 0.3
+        client.call_until_answered({KIND: REPLACE}, 2.8, 0.7)
+        assert hosts.now < election.elected_at + _FOUND_AFTER_S
+
+
+def test_host_is_not_asked_when_too_little_time_is_left(hosts: Hosts) -> None:
+    """Guards against a healthy host that counts as failed after 2 ms."""
+    asked = []
+
+    def late(timeout_s: float) -> WireMessage:  # noqa: WPS430
+        asked.append(timeout_s)
+        return hosts.off(timeout_s - 0.002)
+
+    for seed in _SEEDS:
+        asked.clear()
+        hosts.answers = {'a': late, 'b': late, 'c': late}
+        with pytest.raises(UnavailableError):
+            _client(hosts, seed).call({KIND: SYNC}, 0.4, 0.4)
+        assert len(asked) == 1
+
+
 def test_search_ends_after_a_few_refusals(hosts: Hosts) -> None:
     """Guards against a storm of calls of hundreds of gateways."""
     calls = []
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -80,6 +80,11 @@
     def follow_hint(self, exc: NotLeaderError) -> None:
         self.hints.append(exc.context.get('leader', ''))
 
+    def call_until_answered(
+        self, message: Any, timeout_s: float, host_timeout_s: float
+    ) -> Any:
+        return self.call(message, timeout_s, host_timeout_s)
+
     def call(
         self, message: Any, timeout_s: float, host_timeout_s: float
     ) -> Any:
