Acknowledge a change once the gateways in touch have it

What callers saw: requests were handled by a version older than one that had been acknowledged up to 3.2 s before (CONFIG).

Cause: an acknowledgement said that a quorum of control hosts had the change. Gateways learn of it with their next sync. If the leader stops in between, they obey the older version until they have found its successor.

Change: the leader acknowledges a change when the syncs of the last second have left no older version at a gateway, at most 0.4 s after the commit. A gateway that is lost holds up the changes of one second. Weighed: to wait for the leases of the copies (7 s and more, longer than an operator waits), a shorter lease (rejects all requests in each election).

--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -24,6 +24,7 @@
     DesiredStateService,
 )
 from apricotcart.coordinator.state import CoordinatorState
+from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.coordinator.sync_messages import SyncReply, SyncRequest
 from apricotcart.errors.tree import CodecError
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
@@ -49,6 +50,8 @@
         Cached list of endpoints.
     clock : SteadyUnixClock
         Clock for Unix time.
+    copies : StateCopies
+        Learns which version each sync leaves at a gateway.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         gateways: GatewayTable,
         endpoints: EndpointList,
         clock: SteadyUnixClock,
+        copies: StateCopies,
     ) -> None:
+        self._copies = copies
         self._replicated = replicated
         self._state = state
         self._service = service
@@ -107,7 +112,9 @@
         now = boot_clock_s()
         self._gateways.on_sync(sync, now)
         mark, instances = self._endpoints.changes_since(sync.list_mark)
-        is_newer = self._state.version > sync.version
+        version = self._state.version
+        is_newer = version > sync.version
+        self._copies.update(sync.incarnation, max(version, sync.version))
         reply = SyncReply(
             document=self._state.document if is_newer else None,
             list_mark=mark,
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -40,6 +40,7 @@
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
 from apricotcart.coordinator.state import CoordinatorState
+from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.membership.answers import ServingHost, ServingHostDirectory
 from apricotcart.platform.adapter import PlatformAdapter
@@ -147,11 +148,13 @@
             self._clients,
             LeaderSearch(ip_of(address) for address in cfg.links.seeds),
         )
+        copies = StateCopies()
         self._service = DesiredStateService(
             self._loop,
             self._state,
             self._leader,
             self._adapter.document_format(),
+            copies,
         )
         self._endpoints = EndpointList(platform)
         self._tasks = LeaderTasks(self._loop, self._state, self._endpoints)
@@ -162,6 +165,7 @@
             gateways=self._gateways,
             endpoints=self._endpoints,
             clock=self._clock,
+            copies=copies,
         )
         self._duties = Duties(
             name=cfg.host.name,
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -12,6 +12,7 @@
 from apricotcart.coordinator.messages import FETCH, KIND, REPLACE
 from apricotcart.coordinator.state import REPLACE as REPLACE_COMMAND
 from apricotcart.coordinator.state import CoordinatorState
+from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.desired.api import DocumentFormat
 from apricotcart.desired.errors import (
     InvalidDesiredStateError,
@@ -19,6 +20,7 @@
 )
 from apricotcart.errors.tree import NotLeaderError
 from apricotcart.observability.decisions import (
+    COPIES_OUTDATED,
     STATE_ACKNOWLEDGED,
     STATE_REFUSED,
     log_decision,
@@ -32,8 +34,12 @@
 # shorter one, since operators try another host after a second.
 _FORWARD_TIMEOUT_S: Final = 2.8
 _FORWARD_READ_TIMEOUT_S: Final = 0.8
-# Timeout of one host for a change.
+# Timeout of one host for a change: a commit, and the wait for the gateways.
 _FORWARD_HOST_TIMEOUT_S: Final = 0.7
+# Longest wait for the gateways before a change is acknowledged: an interval of
+# their syncs, and a round trip. One that has just been lost delays changes by
+# this much until it is no longer waited for.
+_COPIES_TIMEOUT_S: Final = 0.4
 
 
 class DesiredStateService:
@@ -51,9 +57,11 @@
         Forwards calls to the leader.
     document_format : DocumentFormat
         Decodes and validates documents.
+    copies : StateCopies
+        Versions that the gateways have, while this host leads.
     """
 
-    __slots__ = ('_format', '_leader', '_replicated', '_state')
+    __slots__ = ('_copies', '_format', '_leader', '_replicated', '_state')
 
     def __init__(
         self,
@@ -61,11 +69,13 @@
         state: CoordinatorState,
         leader: LeaderClient,
         document_format: DocumentFormat,
+        copies: StateCopies,
     ) -> None:
         self._replicated = replicated
         self._state = state
         self._leader = leader
         self._format = document_format
+        self._copies = copies
 
     def replace(self, document: bytes) -> int:
         """Commit a document; the highest version takes effect.
@@ -121,7 +131,7 @@
         return document
 
     def commit(self, version: int, document: bytes) -> None:
-        """Commit a validated document on this host.
+        """Commit a validated document on this host and let it take effect.
 
         Raises
         ------
@@ -134,6 +144,8 @@
             {'kind': REPLACE_COMMAND, 'version': version, 'document': document},
             _COMMIT_TIMEOUT_S,
         )
+        if not self._copies.wait_for(version, _COPIES_TIMEOUT_S):
+            log_decision(COPIES_OUTDATED, version=version)
 
     def read(self) -> bytes:
         """Return the newest document if this host leads.
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -160,6 +160,8 @@
 )
 STATE_ACKNOWLEDGED: Final = Event('state_acknowledged', 'version')
 STATE_REFUSED: Final = Event('state_refused', _REASON)
+# A change was acknowledged although a gateway in touch may not have it.
+COPIES_OUTDATED: Final = Event('copies_outdated', 'version')
 LEADER_FOUND: Final = Event('leader_found', 'leader')
 CONTROL_CALL_FAILED: Final = Event(
     'control_call_failed',
@@ -202,6 +204,7 @@
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
     STATE_REFUSED,
+    COPIES_OUTDATED,
     LEADER_FOUND,
     CONTROL_CALL_FAILED,
     LEADER_LOST,
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
+from threading import Event, Thread
+from time import monotonic, sleep
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.control.api import ReplicatedState
+from apricotcart.coordinator.endpoint_list import EndpointList
+from apricotcart.coordinator.hosts import GatewayTable
+from apricotcart.coordinator.messages import (
+    KIND,
+    SYNC,
+    TERM,
+)
+from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
 from apricotcart.coordinator.state import CoordinatorState
+from apricotcart.coordinator.state_copies import StateCopies
+from apricotcart.coordinator.sync_messages import SyncRequest
 from apricotcart.desired.api import DocumentFormat
 from apricotcart.desired.errors import (
     InvalidDesiredStateError,
@@ -21,6 +34,13 @@
     NotLeaderError,
     UnavailableError,
 )
+from apricotcart.timers.clock import SteadyUnixClock
+
+_WAIT_S = 5
+# Longest acknowledgement while a gateway does not sync, in seconds.
+_BOUNDED_WAIT_S = 0.8
+# Time after which such a gateway is not waited for, in seconds.
+_FORGOTTEN_AFTER_S = 1.2
 
 
 class VersionFormat(DocumentFormat):
@@ -107,10 +127,18 @@
 
 
 @pytest.fixture
-def service(log: FakeLog, leader: FakeLeaderClient) -> DesiredStateService:
+def copies() -> StateCopies:
+    """Return the copies of no gateway."""
+    return StateCopies()
+
+
+@pytest.fixture
+def service(
+    log: FakeLog, leader: FakeLeaderClient, copies: StateCopies
+) -> DesiredStateService:
     """Return the service of one host."""
     client: Any = leader
-    return DesiredStateService(log, log.state, client, VersionFormat())
+    return DesiredStateService(log, log.state, client, VersionFormat(), copies)
 
 
 def test_replace_invalid_is_never_committed(
@@ -172,3 +200,79 @@
 def test_fetch_without_a_desired_state(service: DesiredStateService) -> None:
     with pytest.raises(NoDesiredStateError):
         service.fetch()
+
+
+def test_change_is_acknowledged_once_the_gateways_have_it(
+    service: DesiredStateService,
+    copies: StateCopies,
+) -> None:
+    """Guards against a leader that stops between the two.
+
+    Gateways would obey the older version until they find the next leader.
+    """
+    copies.update('a', 6)
+    copies.update('b', 6)
+    acknowledged = Event()
+
+    def replace() -> None:  # noqa: WPS430
+        service.replace(b'7')
+        acknowledged.set()
+
+    thread = Thread(target=replace)
+    thread.start()
+    copies.update('a', 7)
+    assert not acknowledged.wait(0.1)
+    copies.update('b', 8)
+    assert acknowledged.wait(_WAIT_S)
+    thread.join()
+
+
+def test_gateway_that_stops_syncing_does_not_hold_up_changes(
+    service: DesiredStateService,
+    copies: StateCopies,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    copies.update('a', 6)
+    started_at = monotonic()
+    with caplog.at_level('INFO'):
+        assert service.replace(b'7') == 7
+    assert monotonic() < started_at + _BOUNDED_WAIT_S
+    assert 'copies_outdated' in caplog.text
+    while monotonic() < started_at + _FORGOTTEN_AFTER_S:
+        sleep(0.05)
+    started_at = monotonic()
+    service.replace(b'8')
+    assert monotonic() < started_at + 0.2
+
+
+def test_sync_brings_the_copy_of_a_gateway_up_to_date(
+    service: DesiredStateService, log: FakeLog, copies: StateCopies
+) -> None:
+    service.replace(b'7')
+    requests = CoordinatorRequests(
+        replicated=log,
+        state=log.state,
+        service=service,
+        gateways=GatewayTable(),
+        endpoints=EndpointList(Mock()),
+        clock=SteadyUnixClock.from_host(),
+        copies=copies,
+    )
+    sync = SyncRequest(
+        host='g',
+        incarnation='a',
+        address='g:80',
+        zone='z',
+        is_serving=True,
+        version=6,
+        list_mark=0,
+        loads={},
+        waiting={},
+        usage={},
+    )
+    copies.update('a', 6)
+    reply = requests.answer({KIND: SYNC, **sync.to_wire()})
+    assert reply['sync']['document'] == b'7'
+    assert reply[TERM] == 3
+    assert copies.wait_for(7, 0)
+    assert not copies.wait_for(8, 0)
