Limit the time of a whole response, not of each read

Cause: the timeout of a socket starts anew with each byte. A head, a chunk size, a trailer section or a late response to another request that never ended held a thread of the gateway until the caller left. Trailers and chunk sizes had no limit of their size either.

Change: the reader of a connection has one deadline for all reads of an exchange. It is the reader that already bounds the requests of callers, moved to timers/ for both.

--- a/src/apricotcart/gateway/exchanges/connections.py
+++ b/src/apricotcart/gateway/exchanges/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import socket
 import threading
 from collections import deque
@@ -9,7 +10,7 @@
 from contextlib import suppress
 from http import HTTPStatus
 from http.client import HTTPConnection as PlainConnection
-from http.client import HTTPException, HTTPResponse, IncompleteRead
+from http.client import HTTPException, HTTPResponse
 from typing import Any, Final
 
 from urllib3.connection import HTTPConnection
@@ -25,6 +26,7 @@
 )
 from apricotcart.responses.reader import ResponseReader
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.timers.deadline_reader import DeadlineReader
 
 # An endpoint accepts a connection within a round trip; a lost packet delays
 # this by one second, since TCP retransmits after that time.
@@ -38,9 +40,6 @@
 _MAX_IDLE_PER_ENDPOINT: Final = 32
 # Methods whose requests have no Content-Length without a body.
 _BODYLESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE'))
-_READ_BYTES: Final = 65_536
-# Lower bound, since a timeout of 0 makes the socket non-blocking.
-_TIMEOUT_MIN_S: Final = 0.001
 
 
 class EndpointConnection(HTTPConnection):
@@ -61,6 +60,7 @@
         self.usable_until: float = 0
         self.is_reused = False
         self._socket: socket.socket | None = None
+        self._deadline_reader: DeadlineReader | None = None
         self._reader: Any = None
         self._sent_method = ''
 
@@ -77,7 +77,8 @@
         except (HTTPError, OSError) as exc:
             raise UnreachableEndpointError(str(exc)) from exc
         self._socket = self.sock
-        self._reader = self.sock.makefile('rb')
+        self._deadline_reader = DeadlineReader(self.sock)
+        self._reader = io.BufferedReader(self._deadline_reader)
 
     def send_request(
         self,
@@ -118,10 +119,15 @@
     def read_response(self, timeout_s: float) -> HTTPResponse:
         """Read the status line and headers of the response.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Time limit of all of them, in seconds.
+
         Raises
         ------
         SilentEndpointError
-            If they do not arrive before the timeout.
+            If they are not complete before the timeout.
         BrokenEndpointError
             If the data is not a valid response.
         """
@@ -129,7 +135,7 @@
         return self._receive(lambda: PlainConnection.getresponse(self))
 
     def read_next_response(self) -> HTTPResponse:
-        """Read the next status line and headers on the connection.
+        """Read the next status line and headers within the same time limit.
 
         Raises
         ------
@@ -139,16 +145,16 @@
         return self._receive(lambda: self._begin(self._create_response()))
 
     def set_read_timeout(self, timeout_s: float) -> None:
-        """Set the timeout of subsequent reads, in seconds."""
-        if self._socket is not None:
-            with suppress(OSError):
-                self._socket.settimeout(max(timeout_s, _TIMEOUT_MIN_S))
+        """Limit the time of all subsequent reads together, in seconds."""
+        if self._deadline_reader is not None:
+            self._deadline_reader.limit_time(timeout_s)
 
     def has_unread_bytes(self) -> bool:
         """Return whether unsolicited data arrived or the connection failed."""
-        if self._socket is None or self.sock is None:
+        if self._deadline_reader is None or self.sock is None:
             return True
-        self._socket.settimeout(0)
+        self._deadline_reader.limit_time(None)
+        self.sock.settimeout(0)
         try:
             return bool(self._reader.peek(1))
         except OSError:
@@ -293,31 +299,3 @@
     if boot_clock_s() > conn.usable_until:
         return False
     return not is_connection_dropped(conn)
-
-
-def read_available(response: HTTPResponse) -> bytes:
-    """Read available bytes of a body, at least one; return b'' at its end.
-
-    Raises
-    ------
-    SilentEndpointError
-        If no data arrives before the timeout.
-    ConnectionEndedError
-        If the body is truncated.
-    BrokenEndpointError
-        If its framing is invalid.
-    """
-    try:
-        return response.read1(_READ_BYTES)
-    except TimeoutError as exc:
-        raise SilentEndpointError(
-            'no more data of the response before the timeout'
-        ) from exc
-    except (ConnectionError, IncompleteRead) as exc:
-        raise ConnectionEndedError(
-            f'the response body could not be read: {exc!r}'
-        ) from exc
-    except (OSError, ValueError, HTTPException) as exc:
-        raise BrokenEndpointError(
-            f'the response body could not be read: {exc!r}'
-        ) from exc
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -22,10 +22,13 @@
     NotExecutedError,
     UnreachableEndpointError,
 )
+from apricotcart.gateway.exchanges.bodies import (
+    read_available,
+    skip_body,
+)
 from apricotcart.gateway.exchanges.connections import (
     ConnectionPool,
     EndpointConnection,
-    read_available,
 )
 from apricotcart.responses.framing import Framing, FramingError
 from apricotcart.timers.clock import boot_clock_s
@@ -157,9 +160,9 @@
             If the body is not complete before the deadline.
         """
         conn = self._connected()
+        conn.set_read_timeout(self._call.remaining_s() + _DEADLINE_GRACE_S)
         size = 0
         while True:
-            conn.set_read_timeout(self._call.remaining_s() + _DEADLINE_GRACE_S)
             chunk = read_available(self._response)
             if not chunk:
                 break
@@ -279,7 +282,7 @@
                 return
             is_first = False
             # Skips a late response to an earlier request.
-            _drain(response)
+            skip_body(response)
             response = conn.read_next_response()
         raise BrokenEndpointError(
             'got only responses to other requests on the connection'
@@ -324,12 +327,3 @@
         return Framing.of_response(response)
     except FramingError as exc:
         raise BrokenEndpointError(str(exc)) from exc
-
-
-def _drain(response: HTTPResponse) -> None:
-    if response.will_close:
-        raise BrokenEndpointError('the response belongs to another request')
-    chunk = read_available(response)
-    while chunk:
-        chunk = read_available(response)
-    response.close()
--- a/src/apricotcart/responses/reader.py
+++ b/src/apricotcart/responses/reader.py
@@ -13,8 +13,11 @@
     require_status_line,
 )
 
-# Maximum size of the headers before a response, interim ones included.
-_MAX_HEAD_BYTES: Final = 262_144
+# Maximum size of the headers and trailers of a response, those of interim ones
+# included.
+_MAX_HEAD_BYTES: Final = 65_536
+# Maximum size of a line: a header, or a chunk size with its extensions.
+_MAX_LINE_BYTES: Final = 16_384
 # Source: RFC 9112, section 7.1.
 _CHUNK_SIZE: Final = re.compile(rb'([0-9A-Fa-f]+)[ \t]*(?:;[^\r\n]*)?\r?\n')
 _CRLF: Final = b'\r\n'
@@ -30,9 +33,6 @@
     TRAILER = enum.auto()
 
 
-_HEAD_LINES: Final = frozenset((_Line.STATUS, _Line.HEADER))
-
-
 class ResponseReader:
     """The buffered reader of a connection, shared by all its responses.
 
@@ -75,8 +75,9 @@
         FramingError
             If the line is not what the grammar expects at its place.
         """
+        limit = min(limit, _MAX_LINE_BYTES) if limit > 0 else _MAX_LINE_BYTES
         line: bytes = self._reader.readline(limit)
-        if self._expected_line in _HEAD_LINES:
+        if self._expected_line is not _Line.CHUNK_SIZE:
             self._count_head(len(line))
         if not line.endswith(b'\n'):
             _raise_unterminated(line, limit)
@@ -123,8 +124,8 @@
         """Leave the reader open, since the next response needs it."""
 
     def _count_head(self, size: int) -> None:
-        # The HTTP library limits each block of headers, but not the number
-        # of interim responses.
+        # The HTTP library limits each block of headers, but neither the number
+        # of interim responses nor the trailers.
         self._head_bytes += size
         if self._head_bytes > _MAX_HEAD_BYTES:
             raise FramingError(
--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-import time
 from typing import Any
 
 from cheroot import wsgi
@@ -11,38 +9,18 @@
 from cheroot.server import HTTPConnection
 from cherrypy._cpwsgi_server import CPWSGIHTTPRequest
 
+from apricotcart.timers.deadline_reader import DeadlineReader
 from apricotcart.web.request import CONNECTION_KEY
 
 
-class DeadlineSocketIO(socket.SocketIO):
-    """Reads from a socket until a deadline.
-
-    The server's own timeout restarts with each byte, so a client that sends
-    one byte per second would occupy a thread forever.
-    """
-
-    deadline: float | None = None
-
-    def readinto(self, buffer: Any) -> int | None:
-        """Read into the buffer; raise TimeoutError at the deadline."""
-        sock: socket.socket = self._sock  # type: ignore[attr-defined]
-        if self.deadline is not None:
-            remaining_s = self.deadline - time.monotonic()
-            if remaining_s <= 0:
-                # cheroot recognises time-outs by this text.
-                raise TimeoutError('timed out')
-            sock.settimeout(remaining_s)
-        return super().readinto(buffer)
-
-
-class DeadlineReader(StreamReader):
+class CallerReader(StreamReader):
     """Buffered reader over a socket with a deadline."""
 
     def __init__(self, sock: Any, bufsize: int) -> None:
         """Create a buffered reader of the socket."""
-        self.socket_io = DeadlineSocketIO(sock, 'rb')
+        self.deadline_reader = DeadlineReader(sock)
         # Skips the parent's constructor, which creates its own socket reader.
-        super(StreamReader, self).__init__(self.socket_io, bufsize)
+        super(StreamReader, self).__init__(self.deadline_reader, bufsize)
         self.bytes_read = 0
 
 
@@ -52,10 +30,10 @@
     def parse_request(self) -> None:
         """Read the headers before their deadline, then set that of the body."""
         server = self.server
-        socket_io = self.conn.rfile.socket_io
-        socket_io.deadline = time.monotonic() + server.header_timeout_s
+        reader = self.conn.rfile.deadline_reader
+        reader.limit_time(server.header_timeout_s)
         super().parse_request()
-        socket_io.deadline = time.monotonic() + server.body_timeout_s
+        reader.limit_time(server.body_timeout_s)
         self.conn.socket.settimeout(server.timeout)
 
 
@@ -67,7 +45,7 @@
     def __init__(self, server: Any, sock: Any, *args: Any) -> None:
         """Replace the reader with one that has a deadline."""
         super().__init__(server, sock, *args)
-        self.rfile = DeadlineReader(sock, self.rbufsize)
+        self.rfile = CallerReader(sock, self.rbufsize)
 
 
 class ConnectionGateway(wsgi.Gateway_10):
--- /dev/null
+++ b/tests/gateway/exchanges/test_responses_without_end.py
@@ -0,0 +1,140 @@
+"""Guards against responses without end that hang requests."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+
+import pytest
+from gateway.conftest import Bench
+from gateway.endpoints import ReceivedRequest, Script, chunk
+from gateway.served_gateway import ServedGateway
+
+_WAIT_MS = 600
+# Time after the timeout of a request within which it is answered, in seconds.
+_LATE_S = 0.5
+_DRIP_S = 0.05
+_BLOCK = b'a' * 4000
+
+
+@pytest.fixture
+def gateway(bench: Bench) -> Iterator[ServedGateway]:
+    """Return a gateway that serves callers on loopback."""
+    served = ServedGateway(bench)
+    yield served
+    served.stop()
+
+
+def _head(attempt_id: str, *fields: str) -> bytes:
+    lines = [
+        'HTTP/1.1 200 OK',
+        f'Attempt-Id: {attempt_id}',
+        'Server-Stamp: s',
+        *fields,
+    ]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+def _drip(conn: socket.socket, block: bytes, pause_s: float) -> None:
+    with suppress(OSError):
+        for _ in itertools.repeat(None):
+            conn.sendall(block)
+            time.sleep(pause_s)
+
+
+def _status_line(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(b'HTTP/1.1 200 ')
+    _drip(conn, b'O', _DRIP_S)
+    return False
+
+
+def _header(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(b'HTTP/1.1 200 OK\r\nX-Fill: ')
+    _drip(conn, b'a', _DRIP_S)
+    return False
+
+
+def _interim(conn: socket.socket, request: ReceivedRequest) -> bool:
+    _drip(conn, b'HTTP/1.1 103 Early Hints\r\n\r\n', _DRIP_S)
+    return False
+
+
+def _body(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(_head(request.attempt_id, 'Content-Length: 999999'))
+    _drip(conn, b'a', _DRIP_S)
+    return False
+
+
+def _chunk_size(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(_head(request.attempt_id, 'Transfer-Encoding: chunked'))
+    conn.sendall(b'5;x=')
+    _drip(conn, b'a', _DRIP_S)
+    return False
+
+
+def _trailers(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(_head(request.attempt_id, 'Transfer-Encoding: chunked'))
+    conn.sendall(chunk(b'ok') + b'0\r\n')
+    _drip(conn, b'X-Fill: a\r\n', _DRIP_S)
+    return False
+
+
+def _other_response(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(_head('earlier', 'Transfer-Encoding: chunked'))
+    _drip(conn, chunk(_BLOCK), _DRIP_S)
+    return False
+
+
+def _partial_event(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(
+        _head(
+            request.attempt_id,
+            'Content-Type: text/event-stream',
+            'Transfer-Encoding: chunked',
+        )
+    )
+    _drip(conn, chunk(b'data'), _DRIP_S)
+    return False
+
+
+_SCRIPTS: dict[str, Script] = {
+    'status-line': _status_line,
+    'header': _header,
+    'interim': _interim,
+    'body': _body,
+    'chunk-size': _chunk_size,
+    'trailers': _trailers,
+    'other-response': _other_response,
+    'partial-event': _partial_event,
+}
+
+
+@pytest.mark.parametrize('script', _SCRIPTS.values(), ids=_SCRIPTS)
+@pytest.mark.parametrize('route', ['once', 'stream'])
+def test_response_without_end_ends_with_the_timeout_of_the_request(
+    bench: Bench, gateway: ServedGateway, script: Script, route: str
+) -> None:
+    bench.serve(script)
+    started_at = time.monotonic()
+    received = gateway.ask(route, wait_ms=_WAIT_MS)
+    assert time.monotonic() < started_at + _WAIT_MS / 1000 + _LATE_S
+    assert received.status in {502, 504}
+    assert bench.running() == 0
+
+
+def test_trailers_without_end_are_cut_before_the_timeout(
+    bench: Bench, gateway: ServedGateway
+) -> None:
+    def script(conn: socket.socket, request: ReceivedRequest) -> bool:
+        conn.sendall(_head(request.attempt_id, 'Transfer-Encoding: chunked'))
+        conn.sendall(chunk(b'ok') + b'0\r\n')
+        _drip(conn, b'X-Fill: a\r\n' * 1000, 0)
+        return False
+
+    bench.serve(script)
+    started_at = time.monotonic()
+    assert gateway.ask('once', wait_ms=5000).status == 502
+    assert time.monotonic() < started_at + 2
--- a/tests/responses/test_head_grammar.py
+++ b/tests/responses/test_head_grammar.py
@@ -19,10 +19,8 @@
 
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.api import ForwardedRequest
-from apricotcart.gateway.exchanges.connections import (
-    EndpointConnection,
-    read_available,
-)
+from apricotcart.gateway.exchanges.bodies import read_available
+from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.responses.framing import Framing, FramingError
 from apricotcart.responses.strict_connections import strict_pools
 
