Limit the memory that all responses hold together

Cause: each response could hold 16 MiB, and nothing bounded their sum over up to 800 requests.

Change: bodies and partial events of more than 64 KiB count; together they hold at most 32 MiB, and a response that would grow beyond is broken. Both doors have the limit.

Evidence: test_responses_together_hold_a_limited_memory failed before.

--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -16,6 +16,11 @@
     MismatchedAnswerError,
 )
 from apricotcart.responses.framing import FramingError
+from apricotcart.responses.memory import (
+    HeldBytes,
+    ResponseMemory,
+    ResponseMemoryError,
+)
 from apricotcart.responses.strict_connections import strict_pools
 
 REQUEST_ID = 'X-Request-Id'
@@ -74,12 +79,23 @@
 
 
 class UpstreamAnswer:
-    """Answer of an endpoint, with a body that is read incrementally."""
+    """Answer of an endpoint, with a body that is read incrementally.
+
+    Parameters
+    ----------
+    response : urllib3.BaseHTTPResponse
+        Response whose headers have been read.
+    held : HeldBytes
+        What the answer holds in memory.
+    """
 
-    __slots__ = ('_aborted', '_response', 'content_type', 'status')
+    __slots__ = ('_aborted', '_held', '_response', 'content_type', 'status')
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, held: HeldBytes
+    ) -> None:
         self._response = response
+        self._held = held
         self._aborted = threading.Event()
         self.status = response.status
         self.content_type = response.headers.get('Content-Type', '')
@@ -111,7 +127,8 @@
         Raises
         ------
         EndpointCrashedError
-            If the body is truncated or larger than ``max_bytes``.
+            If the body is truncated or larger than ``max_bytes``, or if all
+            answers together hold too much memory.
         """
         parts = []
         size = 0
@@ -122,6 +139,7 @@
                 raise EndpointCrashedError(
                     'the answer exceeds the maximum size'
                 )
+            self._hold(size)
             parts.append(chunk)
         return b''.join(parts)
 
@@ -147,6 +165,13 @@
             self._aborted.set()
             _shutdown(self._response)
 
+    def _hold(self, size: int) -> None:
+        try:
+            self._held.resize(size)
+        except ResponseMemoryError as exc:
+            self.close()
+            raise EndpointCrashedError(str(exc)) from exc
+
     def _require_not_aborted(self) -> None:
         # For a body without a length, an interrupted read looks like its end.
         if self._aborted.is_set():
@@ -161,11 +186,16 @@
     ----------
     connections : int
         Maximum number of idle connections kept per endpoint.
+    memory : ResponseMemory or None
+        Limits what all answers hold together; a new one if None.
     """
 
-    __slots__ = ('_pools',)
+    __slots__ = ('_memory', '_pools')
 
-    def __init__(self, connections: int) -> None:
+    def __init__(
+        self, connections: int, memory: ResponseMemory | None = None
+    ) -> None:
+        self._memory = memory or ResponseMemory()
         self._pools = strict_pools(
             num_pools=_MAX_POOLS,
             maxsize=connections,
@@ -200,7 +230,9 @@
             raise EndpointUnreachableError(str(exc)) from exc
         except (urllib3_errors.HTTPError, OSError, FramingError) as exc:
             _raise_endpoint_error(exc)
-        return _check_response(response, call)
+        answer = UpstreamAnswer(response, self._memory.hold())
+        _require_match(answer, response, call)
+        return answer
 
     def _request(
         self,
@@ -228,16 +260,15 @@
         )
 
 
-def _check_response(
+def _require_match(
+    answer: UpstreamAnswer,
     response: urllib3.BaseHTTPResponse,
     call: UpstreamCall,
-) -> UpstreamAnswer:
-    answer = UpstreamAnswer(response)
+) -> None:
     returned = response.headers.get(REQUEST_ID)
     if returned is not None and returned != call.request_id:
         answer.close()
         raise MismatchedAnswerError('the answer has the id of another request')
-    return answer
 
 
 def _raise_endpoint_error(exc: Exception) -> NoReturn:
--- a/src/apricotcart/gateway/exchanges/bodies.py
+++ b/src/apricotcart/gateway/exchanges/bodies.py
@@ -1,4 +1,4 @@
-"""Reads the bodies of responses."""
+"""Reads the bodies of responses, and limits what they hold in memory."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
     ConnectionEndedError,
     SilentEndpointError,
 )
+from apricotcart.responses.body_buffer import BodyBuffer
+from apricotcart.responses.memory import HeldBytes, ResponseMemoryError
 
 _READ_BYTES: Final = 65_536
 # Maximum size of a late response that is skipped.
@@ -63,3 +65,31 @@
                 f'{_MAX_SKIPPED_BYTES} bytes'
             )
     response.close()
+
+
+def append_to(body: BodyBuffer, chunk: bytes) -> None:
+    """Add bytes to a body.
+
+    Raises
+    ------
+    BrokenEndpointError
+        If all responses together take too much memory.
+    """
+    try:
+        body.append(chunk)
+    except ResponseMemoryError as exc:
+        raise BrokenEndpointError(str(exc)) from exc
+
+
+def hold(held: HeldBytes, size: int) -> None:
+    """Set how many bytes of a response are kept in memory.
+
+    Raises
+    ------
+    BrokenEndpointError
+        If all responses together take too much.
+    """
+    try:
+        held.resize(size)
+    except ResponseMemoryError as exc:
+        raise BrokenEndpointError(str(exc)) from exc
--- a/src/apricotcart/gateway/exchanges/event_buffer.py
+++ b/src/apricotcart/gateway/exchanges/event_buffer.py
@@ -39,6 +39,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event that is buffered."""
+        return len(self._partial)
+
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes of the stream and return the events that are complete.
 
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -23,6 +23,8 @@
     UnreachableEndpointError,
 )
 from apricotcart.gateway.exchanges.bodies import (
+    append_to,
+    hold,
     read_available,
     skip_body,
 )
@@ -30,7 +32,9 @@
     ConnectionPool,
     EndpointConnection,
 )
+from apricotcart.responses.body_buffer import BodyBuffer
 from apricotcart.responses.framing import Framing, FramingError
+from apricotcart.responses.memory import ResponseMemory
 from apricotcart.timers.clock import boot_clock_s
 
 # Time after the deadline during which the endpoint's own time-out response may
@@ -64,6 +68,8 @@
         Whether the headers of the response have been read.
     framing : Framing or None
         What says where the body ends; None before the headers.
+    held : HeldBytes
+        What the response holds in memory.
     """
 
     __slots__ = (
@@ -76,6 +82,7 @@
         'framing',
         'has_response',
         'headers',
+        'held',
         'is_proven',
         'endpoint',
         'sent_at',
@@ -89,9 +96,11 @@
         endpoint: EndpointState,
         pool: ConnectionPool,
         header_codec: HeaderCodec,
+        memory: ResponseMemory,
     ) -> None:
         self._call = call
         self._pool = pool
+        self.held = memory.hold()
         self._header_codec = header_codec
         self._conn: EndpointConnection | None = None
         self.endpoint = endpoint
@@ -177,22 +186,22 @@
                 f'response body truncated: {missing} bytes after {size} missing'
             )
 
-    def body(self) -> bytes:
+    def body(self) -> BodyBuffer:
         """Read the complete body.
 
         Raises
         ------
         BrokenEndpointError, SilentEndpointError
-            As in `chunks`.
+            As in `chunks`, or if it takes too much memory.
         """
-        body = bytearray()
+        body = BodyBuffer(self.held)
         for chunk in self.chunks():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
+            if body.size + len(chunk) > MAX_BODY_BYTES:
                 raise BrokenEndpointError(
                     f'response body exceeds {MAX_BODY_BYTES} bytes'
                 )
-        return bytes(body)
+            append_to(body, chunk)
+        return body
 
     def finish(self) -> None:
         """Release the connection after a complete response."""
@@ -211,7 +220,11 @@
         )
 
     def abandon(self) -> None:
-        """Close the connection, which cancels the request at the endpoint."""
+        """Close the connection, which cancels the request at the endpoint.
+
+        What was received of the response is discarded.
+        """
+        hold(self.held, 0)
         self._call.conn = None
         if self._conn is not None:
             self._conn.discard()
--- a/src/apricotcart/gateway/exchanges/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -12,6 +12,7 @@
     ConnectionEndedError,
     SilentEndpointError,
 )
+from apricotcart.gateway.exchanges.bodies import hold
 from apricotcart.gateway.exchanges.event_buffer import EventBuffer
 from apricotcart.gateway.exchanges.exchange import Exchange
 from apricotcart.gateway.sender import Sender
@@ -113,14 +114,14 @@
 
     def _read_first_events(self) -> bytes:
         for chunk in self._source:
-            events = self._splitter.feed(chunk)
+            events = self._feed(chunk)
             if events:
                 return events
         raise self._ended_early('the stream ended without an event')
 
     def _complete_events(self) -> Iterator[bytes]:
         for chunk in self._source:
-            events = self._splitter.feed(chunk)
+            events = self._feed(chunk)
             if events:
                 now = boot_clock_s()
                 self._max_event_gap_s = max(
@@ -131,6 +132,13 @@
                 yield events
         self._require_end()
 
+    def _feed(self, chunk: bytes) -> bytes:
+        """Return the events that a chunk completes; hold the rest of it."""
+        events = self._splitter.feed(chunk)
+        if self._exchange is not None:
+            hold(self._exchange.held, self._splitter.partial_bytes)
+        return events
+
     def _require_end(self) -> None:
         """Raise if the end of the response is not the end of the stream."""
         if self._splitter.has_partial:
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -102,11 +102,11 @@
         headers = self._sender.header_codec.build_caller_headers(
             exchange.headers
         )
-        headers.append(('Content-Length', str(len(body))))
+        headers.append(('Content-Length', str(body.size)))
         self._sender.record_run(call, exchange.sent_at)
         self._sender.complete(call, exchange)
         is_failure = status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        call.failure_response = WebResponse(status, headers, [body])
+        call.failure_response = WebResponse(status, headers, body)
         log_decision(
             REQUEST_ANSWERED,
             request_id=call.metadata.attempt_id,
@@ -117,7 +117,7 @@
             status=status,
             framing=exchange.framing,
             duration_s=boot_clock_s() - call.started_at,
-            bytes_out=len(body),
+            bytes_out=body.size,
         )
         if is_failure and self._sender.may_retry(call):
             call.excluded_endpoints.add(exchange.endpoint.instance.instance_id)
--- a/src/apricotcart/gateway/sender.py
+++ b/src/apricotcart/gateway/sender.py
@@ -31,6 +31,7 @@
     SEND_FAILED,
     log_decision,
 )
+from apricotcart.responses.memory import ResponseMemory
 from apricotcart.resumption.errors import StreamVersionGoneError
 from apricotcart.resumption.stream_origins import StreamOrigins
 from apricotcart.timers.clock import boot_clock_s
@@ -67,6 +68,7 @@
         'dispatcher',
         'origins',
         'quarantine',
+        'response_memory',
         'retry_policy',
     )
 
@@ -88,6 +90,7 @@
         self._usage = usage
         self.quarantine = quarantine
         self.origins = origins
+        self.response_memory = ResponseMemory()
 
     def acquire(self, call: Call) -> Exchange:
         """Wait for an endpoint and return the exchange with it.
@@ -141,7 +144,13 @@
             version=call.routing.version,
             state_age_s=call.routing.state_age_s,
         )
-        return Exchange(call, endpoint, self._pool, self.header_codec)
+        return Exchange(
+            call,
+            endpoint,
+            self._pool,
+            self.header_codec,
+            self.response_memory,
+        )
 
     def send(self, exchange: Exchange, last_event_id: str = '') -> None:
         """Send a request and apply what the endpoint says about itself.
--- a/tests/entry/test_answers_without_end.py
+++ b/tests/entry/test_answers_without_end.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from apricotcart.entry.errors import EndpointError
+from apricotcart.entry.errors import EndpointCrashedError, EndpointError
 from apricotcart.entry.upstream import Upstream, UpstreamCall
+from apricotcart.responses.memory import ResponseMemory
 
 _TIMEOUT_S = 0.6
 _LATE_S = 0.3
@@ -95,3 +96,16 @@
 def test_stream_may_last_longer_than_one_read(endpoint: Endpoint) -> None:
     answer = Upstream(1).send(_call(endpoint.url))
     assert b''.join(answer.chunks()) == b'data: a\n\n' * 20
+
+
+@pytest.mark.parametrize(
+    'endpoint', [(_CHUNKED, b'%x\r\n%s\r\n' % (4, b'aaaa'))], indirect=True
+)
+def test_answers_together_hold_a_limited_memory(endpoint: Endpoint) -> None:
+    memory = ResponseMemory(_LARGE_BYTES)
+    others = memory.hold()
+    others.resize(_LARGE_BYTES)
+    large = Endpoint(_CHUNKED, b'%x\r\n%s\r\n' % (99999, b'a' * 99999))
+    with pytest.raises(EndpointCrashedError):
+        Upstream(1, memory).send(_call(large.url)).read(_LARGE_BYTES)
+    large.close()
--- a/tests/entry/test_upstream_proofs.py
+++ b/tests/entry/test_upstream_proofs.py
@@ -15,7 +15,6 @@
 from apricotcart.entry.errors import MismatchedAnswerError
 from apricotcart.entry.upstream import (
     Upstream,
-    UpstreamAnswer,
     UpstreamCall,
 )
 from apricotcart.errors.tree import ApricotcartError
@@ -105,10 +104,7 @@
     The naive variant accepts any answer that arrives on its connection.
     """
     if naive:
-        monkeypatch.setattr(
-            f'{MODULE}._check_response',
-            lambda response, _: UpstreamAnswer(response),
-        )
+        monkeypatch.setattr(f'{MODULE}._require_match', lambda *_: None)
     call.url = f'http://127.0.0.1:{endpoint.port}/'
     if naive:
         assert Upstream(1).send(call).status == 200
--- a/tests/gateway/exchanges/test_responses_without_end.py
+++ b/tests/gateway/exchanges/test_responses_without_end.py
@@ -1,23 +1,30 @@
-"""Guards against responses without end that hang requests."""
+"""Guards against responses without end, which hang requests and fill memory."""
 
 from __future__ import annotations
 
 import itertools
 import socket
+import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
 import pytest
 from gateway.conftest import Bench
-from gateway.endpoints import ReceivedRequest, Script, chunk
-from gateway.served_gateway import ServedGateway
+from gateway.endpoints import ReceivedRequest, Script, chunk, respond_with
+from gateway.served_gateway import Received, ServedGateway
+
+from apricotcart.responses.memory import ResponseMemory, ResponseMemoryError
+from apricotcart.web.response import WebResponse
 
 _WAIT_MS = 600
 # Time after the timeout of a request within which it is answered, in seconds.
 _LATE_S = 0.5
 _DRIP_S = 0.05
 _BLOCK = b'a' * 4000
+_MEBIBYTE = 1_048_576
+_MEMORY_BYTES = 2 * _MEBIBYTE
+_LARGE_BYTES = _MEBIBYTE
 
 
 @pytest.fixture
@@ -138,3 +145,72 @@
     started_at = time.monotonic()
     assert gateway.ask('once', wait_ms=5000).status == 502
     assert time.monotonic() < started_at + 2
+
+
+class _Holding:
+    """A script whose responses keep a large part of a body for a while."""
+
+    def __init__(self) -> None:
+        self.released = threading.Event()
+
+    def __call__(self, conn: socket.socket, request: ReceivedRequest) -> bool:
+        length = 4 * _LARGE_BYTES
+        conn.sendall(_head(request.attempt_id, f'Content-Length: {length}'))
+        with suppress(OSError):
+            conn.sendall(b'a' * _LARGE_BYTES)
+            self.released.wait(5)
+        return False
+
+
+def test_responses_together_hold_a_limited_memory(
+    bench: Bench, gateway: ServedGateway
+) -> None:
+    """Guards against endpoints that fill the memory of a host.
+
+    Sound responses are still delivered while large ones hold the limit.
+    """
+    bench.sender.response_memory = ResponseMemory(_MEMORY_BYTES)
+    holding = _Holding()
+    bench.serve(holding)
+    received: list[Received] = []
+
+    def ask() -> None:  # noqa: WPS430
+        received.append(gateway.ask('once', wait_ms=4000))
+
+    threads = [threading.Thread(target=ask) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    _wait_for(lambda: len(received) >= 2)
+    assert {response.status for response in received} == {502}
+    assert len(received) < len(threads)
+    holding.released.set()
+    for thread in threads:
+        thread.join()
+    bench.serve(respond_with(body=b'sound'))
+    assert gateway.ask('once').body == b'sound'
+
+
+def test_memory_of_a_response_is_released_with_it() -> None:
+    memory = ResponseMemory(_MEMORY_BYTES)
+    for _ in itertools.repeat(None, 5):
+        memory.hold().resize(_MEMORY_BYTES)
+
+
+def test_body_is_held_until_it_is_delivered(bench: Bench) -> None:
+    """Guards against callers that read large responses slowly."""
+    memory = ResponseMemory(_MEMORY_BYTES)
+    bench.sender.response_memory = memory
+    bench.serve(respond_with(body=b'a' * _LARGE_BYTES))
+    response: WebResponse | None = bench.forwarder.forward(bench.call())
+    assert response is not None
+    with pytest.raises(ResponseMemoryError):
+        memory.hold().resize(_MEMORY_BYTES)
+    assert b''.join(response.chunks) == b'a' * _LARGE_BYTES
+    response = None
+    memory.hold().resize(_MEMORY_BYTES)
+
+
+def _wait_for(is_done: Callable[[], bool]) -> None:
+    until = time.monotonic() + 3
+    while time.monotonic() < until and not is_done():
+        time.sleep(0.02)
