Limit the time and size of answers of the platform

What callers would have seen: a host that waits for ever for the platform's list, or fills its memory with it, and then serves from an old one.

Cause: the list, and the load reports of engines, were read whole, of any size, with a timeout that each byte starts anew.

Change: both use the checked connections, whose timeout limits the whole answer, and read at most 4 MiB and 1 MiB.

--- a/src/apricotcart/entry/load_reports.py
+++ b/src/apricotcart/entry/load_reports.py
@@ -7,16 +7,20 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+import orjson
 import urllib3
 
 from apricotcart.distribution.configcopy import ConfigCopy
 from apricotcart.endpoints.records import LoadReport
 from apricotcart.entry.dispatcher import Dispatcher
+from apricotcart.responses.strict_connections import strict_pools
+from apricotcart.responses.whole import read_whole
 from apricotcart.scheduling.scheduler import Scheduler
 
 _LOG = logging.getLogger(__name__)
 POLL_INTERVAL_S = 1.0
 _READ_TIMEOUT_S = 0.5
+_MAX_REPORT_BYTES = 1_048_576
 _WORKERS = 4
 # A host with many endpoints polls only some of them in each round, so that
 # the cost of a round does not grow with the number of endpoints.
@@ -27,6 +31,7 @@
 # fields of another type, numbers out of range or too many levels.
 _READ_ERRORS = (
     urllib3.exceptions.HTTPError,
+    OSError,
     ArithmeticError,
     AttributeError,
     RecursionError,
@@ -58,7 +63,7 @@
         self._config_copy = config_copy
         self._dispatcher = dispatcher
         self._position = 0
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = strict_pools()
         self._workers = ThreadPoolExecutor(_WORKERS, 'load')
 
     def poll(self) -> None:
@@ -91,8 +96,10 @@
                 'GET',
                 f'{url}/load',
                 timeout=_READ_TIMEOUT_S,
+                preload_content=False,
             )
-            return name, _parse_report(reply.json(), started_at)
+            fields = orjson.loads(read_whole(reply, _MAX_REPORT_BYTES))
+            return name, _parse_report(fields, started_at)
         except _READ_ERRORS as exc:
             _LOG.debug(
                 'reading the load report of engine %s failed: %s', name, exc
--- a/src/apricotcart/platform/cloud.py
+++ b/src/apricotcart/platform/cloud.py
@@ -23,10 +23,14 @@
     PlatformUnavailableError,
     StaleFencingError,
 )
+from apricotcart.responses.strict_connections import strict_pools
+from apricotcart.responses.whole import read_whole
 
 _LOG = logging.getLogger(__name__)
 _MS_PER_S: Final = 1000
 _MAX_PAGES: Final = 400
+# A page has some hundred entries of some hundred bytes.
+_MAX_ANSWER_BYTES: Final = 4_194_304
 _INSTANCE_STATES: Final = ('ready', 'draining')
 _JSON: Final = 'application/json'
 _ID: Final = re.compile('[!-~]{1,200}')
@@ -43,7 +47,7 @@
     address : str
         ``IP:PORT`` of the API.
     timeout_s : float
-        Timeout of a call.
+        Time limit of connecting, and of the whole answer, in seconds.
     """
 
     __slots__ = ('_base_url', '_pool', '_timeout_s')
@@ -52,7 +56,7 @@
         """Create the connection pool."""
         self._base_url = f'http://{address}'
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(retries=False, maxsize=2)
+        self._pool = strict_pools(maxsize=2)
 
     def instances(self) -> list[Instance]:
         """Fetch all pages of the list of endpoints."""
@@ -143,10 +147,11 @@
                 headers=headers,
                 timeout=self._timeout_s,
                 redirect=False,
+                preload_content=False,
             )
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return answer.status, read_whole(answer, _MAX_ANSWER_BYTES)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
             raise PlatformUnavailableError(f'{path}: {exc}') from exc
-        return answer.status, answer.data
 
 
 def _parse_instances(entries: Sequence[Any]) -> Sequence[Instance]:
--- a/tests/platform/test_cloud.py
+++ b/tests/platform/test_cloud.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import socket
 import threading
+import time
 from collections.abc import Iterator
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from typing import Any
 
@@ -220,3 +223,58 @@
     good = {**_INSTANCE, 'id': 'i-2'}
     ApiHandler.pages = [{'instances': [{**_INSTANCE, **fields}, good]}]
     assert [entry.instance_id for entry in client.instances()] == ['i-2']
+
+
+_ENDLESS = {
+    'head': b'HTTP/1.1 200 OK\r\nX-Fill: ',
+    'trailers': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'2\r\n{}\r\n0\r\nX-Fill: '
+    ),
+    'body': b'HTTP/1.1 200 OK\r\n\r\n{',
+}
+
+
+@pytest.mark.parametrize('begin', _ENDLESS.values(), ids=_ENDLESS)
+@pytest.mark.parametrize(
+    ('block', 'pause_s'),
+    [(b'a', 0.05), (b'a' * 65536, 0)],
+    ids=['slow', 'fast'],
+)
+def test_answer_without_end_is_abandoned(
+    begin: bytes, block: bytes, pause_s: float
+) -> None:
+    """Guards against a thread or the memory of a host held for ever."""
+    sent: list[int] = []
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        thread = threading.Thread(
+            target=_send_without_end,
+            args=(listener, begin, block, pause_s, sent),
+            daemon=True,
+        )
+        thread.start()
+        port = listener.getsockname()[1]
+        client = PlatformClient(f'127.0.0.1:{port}', 0.5)
+        started_at = time.monotonic()
+        with pytest.raises(PlatformUnavailableError):
+            client.instances()
+        assert time.monotonic() < started_at + 1
+        thread.join(5)
+    assert sum(sent) < 16_000_000
+
+
+def _send_without_end(
+    listener: socket.socket,
+    begin: bytes,
+    block: bytes,
+    pause_s: float,
+    sent: list[int],
+) -> None:
+    conn, _ = listener.accept()
+    with conn, suppress(OSError):
+        conn.recv(65536)
+        conn.sendall(begin)
+        for _ in range(1000):
+            conn.sendall(block)
+            sent.append(len(block))
+            time.sleep(pause_s)
