Find the entries of a page around those that are cut off

Cause: an entry that ends within a string swallows the brackets after it. The page had no structure any more and was rejected as a whole.

Change: the entries of such a page are found by their beginnings, between its start and the last bracket after which the rest of the page is sound. A damaged entry costs itself; a page that is cut at its end is still no list.

--- a/src/apricotcart/platform/instance_pages.py
+++ b/src/apricotcart/platform/instance_pages.py
@@ -1,21 +1,23 @@
 """Reads pages of the platform's list of endpoints, entry by entry.
 
 Entries may come from other writers. One that the JSON library cannot read, for
-example for its nesting or a number, must not hide the others of its page.
+its nesting, a number or since it is cut off, must not hide the others of its
+page.
 """
 
 from __future__ import annotations
 
-import logging
 import re
 from collections.abc import Iterator, Sequence
+from contextlib import suppress
+from itertools import chain
 from typing import Any, Final
 
 import orjson
 
+from apricotcart.platform.instance_texts import decode_piece
 from apricotcart.provisioning.fleet_api import PlatformUnavailableError
 
-_LOG = logging.getLogger(__name__)
 _ENTRIES: Final = 'instances'
 _NEXT: Final = 'next'
 # Strings and the characters that structure a document.
@@ -23,6 +25,8 @@
 _START: Final = re.compile(rf'"{_ENTRIES}"\s*:\s*(?=\[)')
 # Depth of the array of entries in the page.
 _ARRAY_DEPTH: Final = 2
+# Brackets at the end of a page that are tried as the end of the array.
+_MAX_END_TRIES: Final = 50
 
 
 class InstancePage:
@@ -70,20 +74,28 @@
     def _from_text(cls, text: str) -> InstancePage:
         """Decode a page of which some entries cannot be decoded."""
         start = _array_start(text)
-        texts = list(_split_array(text, start))
-        # Each entry is followed by a comma or by the end of the array.
-        array_chars = 1 + sum(len(entry) + 1 for entry in texts)
         before = text[:start]
-        after = text[start + array_chars :]
+        try:
+            pieces, after = _split_by_structure(text, start)
+            page = cls._around(before, after)
+        except PlatformUnavailableError:
+            # An entry that was cut off has changed the structure.
+            end = _array_end(text, start)
+            pieces = [text[start + 1 : end]]
+            page = cls._around(before, text[end + 1 :])
+        page.entries = list(chain.from_iterable(map(decode_piece, pieces)))
+        return page
+
+    @classmethod
+    def _around(cls, before: str, after: str) -> InstancePage:
+        """Decode a page without its entries."""
         try:
             page = orjson.loads(''.join((before, '[]', after)))
         except orjson.JSONDecodeError as exc:
             raise PlatformUnavailableError(
                 'the list of endpoints is not JSON'
             ) from exc
-        decoded = cls._from_object(page)
-        decoded.entries = list(_decode_entries(texts))
-        return decoded
+        return cls._from_object(page)
 
 
 def _array_start(text: str) -> int:
@@ -98,6 +110,32 @@
     raise PlatformUnavailableError('the list of endpoints has no instances')
 
 
+def _array_end(text: str, start: int) -> int:
+    """Return the position of the bracket that ends the array of entries.
+
+    It is the last one after which the rest of the page is sound.
+    """
+    end = len(text)
+    before = text[:start]
+    for _ in range(_MAX_END_TRIES):
+        end = text.rfind(']', start, end)
+        if end < 0:
+            break
+        after = text[end + 1 :]
+        with suppress(orjson.JSONDecodeError):
+            orjson.loads(''.join((before, '[]', after)))
+            return end
+    raise PlatformUnavailableError('the list of endpoints is truncated')
+
+
+def _split_by_structure(text: str, start: int) -> tuple[list[str], str]:
+    """Return the texts of the entries, and the text after the array."""
+    pieces = list(_split_array(text, start))
+    # Each entry is followed by a comma or by the end of the array.
+    array_chars = 1 + sum(len(piece) + 1 for piece in pieces)
+    return pieces, text[start + array_chars :]
+
+
 def _split_array(text: str, start: int) -> Iterator[str]:
     """Yield the texts between the commas of an array at a position."""
     depth = 0
@@ -117,11 +155,3 @@
     if token in {'[', '{'}:
         return 1
     return -1 if token in {']', '}'} else 0
-
-
-def _decode_entries(texts: Sequence[str]) -> Iterator[Any]:
-    for text in texts:
-        try:
-            yield orjson.loads(text.encode(errors='replace'))
-        except orjson.JSONDecodeError as exc:
-            _LOG.warning('skipped an unreadable endpoint of the list: %s', exc)
