Limit the time of a whole answer of any content type on entry hosts

What callers would have seen: a chat call or a service request that hangs while a faulty endpoint sends events without end in place of a whole answer.

Cause: the deadline of a response starts anew with each read of a stream of events, also where the answer is read as a whole.

Change: an answer that is read as a whole ends with the time of its request, whatever its content type.

Evidence: the new case 'events' failed before.

--- a/src/apricotcart/entry/upstream.py
+++ b/src/apricotcart/entry/upstream.py
@@ -22,6 +22,7 @@
     ResponseMemoryError,
 )
 from apricotcart.responses.strict_connections import strict_pools
+from apricotcart.timers.clock import boot_clock_s
 
 REQUEST_ID = 'X-Request-Id'
 _CONNECT_TIMEOUT_S = 1.0
@@ -87,15 +88,28 @@
         Response whose headers have been read.
     held : HeldBytes
         What the answer holds in memory.
+    timeout_s : float
+        Time limit of an answer that is read as a whole, in seconds.
     """
 
-    __slots__ = ('_aborted', '_held', '_response', 'content_type', 'status')
+    __slots__ = (
+        '_aborted',
+        '_held',
+        '_response',
+        '_timeout_s',
+        'content_type',
+        'status',
+    )
 
     def __init__(
-        self, response: urllib3.BaseHTTPResponse, held: HeldBytes
+        self,
+        response: urllib3.BaseHTTPResponse,
+        held: HeldBytes,
+        timeout_s: float,
     ) -> None:
         self._response = response
         self._held = held
+        self._timeout_s = timeout_s
         self._aborted = threading.Event()
         self.status = response.status
         self.content_type = response.headers.get('Content-Type', '')
@@ -129,7 +143,10 @@
         EndpointCrashedError
             If the body is truncated or larger than ``max_bytes``, or if all
             answers together hold too much memory.
+        EndpointTimeoutError
+            If the body is not complete in time, whatever its content type.
         """
+        ends_at = boot_clock_s() + self._timeout_s
         parts = []
         size = 0
         for chunk in self.chunks():
@@ -141,6 +158,9 @@
                 )
             self._hold(size)
             parts.append(chunk)
+            if boot_clock_s() > ends_at:
+                self.close()
+                raise EndpointTimeoutError('the answer has no end')
         return b''.join(parts)
 
     def release(self) -> None:
@@ -230,7 +250,9 @@
             raise EndpointUnreachableError(str(exc)) from exc
         except (urllib3_errors.HTTPError, OSError, FramingError) as exc:
             _raise_endpoint_error(exc)
-        answer = UpstreamAnswer(response, self._memory.hold())
+        answer = UpstreamAnswer(
+            response, self._memory.hold(), call.read_timeout_s
+        )
         _require_match(answer, response, call)
         return answer
 
--- a/tests/entry/test_answers_without_end.py
+++ b/tests/entry/test_answers_without_end.py
@@ -76,6 +76,7 @@
     'header': (_HEAD + b'X-Fill: ', b'a'),
     'body': (_HEAD + b'Content-Length: 999999\r\n\r\n', b'a'),
     'chunk-size': (_CHUNKED + b'5;x=', b'a'),
+    'events': (_EVENTS, b'data: a\n\n'),
     'trailers': (_CHUNKED + b'2\r\nok\r\n0\r\n', b'X-Fill: a\r\n'),
 }
 
