--- a/src/apricotcart/coordinator/leader_client.py
+++ b/src/apricotcart/coordinator/leader_client.py
@@ -89,7 +89,7 @@
                     message, deadline - boot_clock_s(), host_timeout_s
                 )
             except (ClusterError, CodecError):
-                if _has_ended(deadline - _SEARCH_PAUSE_S):
+                if _is_too_late(deadline - _SEARCH_PAUSE_S):
                     raise
             sleep(_SEARCH_PAUSE_S)
 
@@ -119,7 +119,9 @@
         """
         deadline = boot_clock_s() + timeout_s
         asked: set[str] = set()
-        failure: ApricotcartError = UnavailableError('no control host is known')
+        failure: ApricotcartError = UnavailableError(
+            'no control host was asked in time'
+        )
         while True:
             ip = self._next_host(asked, deadline)
             if ip is None:
@@ -133,7 +135,7 @@
                 failure = exc
 
     def _next_host(self, asked: Collection[str], deadline: float) -> str | None:
-        if _has_ended(deadline):
+        if _is_too_late(deadline):
             return None
         with self._lock:
             return self._search.choose(asked, boot_clock_s())
@@ -189,7 +191,7 @@
             log_decision(LEADER_LOST, leader=ip, reason=exc.code)
 
 
-def _has_ended(deadline: float) -> bool:
+def _is_too_late(deadline: float) -> bool:
     """Return whether too little time is left to ask a host.
 
     A host that could not have answered in time must not count as failed.
