--- /dev/null
+++ b/src/apricotcart/gateway/reachability/__init__.py
@@ -0,0 +1,1 @@
+"""Whether this host reaches endpoints at all."""
