Add a soak that runs real processes between stand-ins

No test ran the programs as separate processes with callers that go on while a process ends. It compares what callers got with what endpoints ran.

--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,170 @@
+"""Processes under test together with stand-ins, an operator and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Final
+
+from soak.background import BackgroundLoop
+from soak.callers import Caller
+from soak.checks import PlannedStop, find_violations, summarize
+from soak.endpoints import StandInEndpoint
+from soak.fleet import (
+    OPERATOR_PORT,
+    STOP_S,
+    Fleet,
+    LoopbackNetwork,
+    ManagedProcess,
+)
+from soak.operators import Operator
+from soak.platform_api import StandInPlatform
+from soak.records import Records
+
+_ENDPOINT_PORT: Final = 8080
+_PLATFORM_PORT: Final = 8081
+_READY_TIMEOUT_S: Final = 20.0
+_POLL_S: Final = 0.05
+_MAX_PRINTED: Final = 40
+# A request has ended this long after callers send nothing new.
+_DRAIN_TIMEOUT_S: Final = 5.0
+
+
+class World:
+    """Runs processes and callers, and keeps what they saw.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of settings files, durable state and logs.
+    gateways : int
+        Number of gateways.
+    endpoints : int
+        Number of stand-in endpoints.
+    """
+
+    def __init__(
+        self, folder: Path, gateways: int = 1, endpoints: int = 2
+    ) -> None:
+        network = LoopbackNetwork()
+        self.folder = folder
+        self.records = Records()
+        self.stops: list[PlannedStop] = []
+        self._loop = BackgroundLoop()
+        self._callers: list[Caller] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self.endpoints = [
+            StandInEndpoint(
+                network.ip(31 + number), _ENDPOINT_PORT, self.records
+            )
+            for number in range(endpoints)
+        ]
+        platform = StandInPlatform(
+            f'{network.ip(100)}:{_PLATFORM_PORT}', self.endpoints
+        )
+        self._loop.call(platform.start())
+        for endpoint in self.endpoints:
+            self._loop.call(endpoint.start())
+        self.fleet = Fleet(network, folder, platform.address, gateways)
+        self.operator = Operator(
+            [
+                f'{process.ip}:{OPERATOR_PORT}'
+                for process in self.fleet.coordinators
+            ]
+        )
+
+    def start(self) -> None:
+        """Start the processes and send the first desired state."""
+        self.fleet.start()
+        self.operator.replace(1)
+
+    def add_callers(
+        self, gateway: str, count: int, rng: random.Random, **options: Any
+    ) -> None:
+        """Start callers of a gateway."""
+        callers = [
+            Caller(
+                gateway, self.records, random.Random(rng.random()), **options
+            )
+            for _ in range(count)
+        ]
+        self._callers.extend(callers)
+        self._loop.call(self._run_callers(callers))
+
+    def await_served(self, gateway: str) -> None:
+        """Wait until an endpoint serves a new request of a caller.
+
+        Raises
+        ------
+        TimeoutError
+            If that takes too long.
+        """
+        since = time.monotonic()
+        while time.monotonic() < since + _READY_TIMEOUT_S:
+            if self.records.has_served(gateway, since):
+                return
+            time.sleep(_POLL_S)
+        raise TimeoutError(f'gateway {gateway} serves nobody')
+
+    def signal_stop(self, process: ManagedProcess) -> PlannedStop:
+        """Send SIGTERM to a process."""
+        stop = PlannedStop(process.ip, time.monotonic())
+        self.stops.append(stop)
+        process.send(signal.SIGTERM)
+        return stop
+
+    def await_stop(self, process: ManagedProcess, stop: PlannedStop) -> None:
+        """Wait until a process has ended, for at most its stop time."""
+        deadline = stop.signalled_at + STOP_S
+        try:
+            stop.exit_code = process.running.wait(deadline - time.monotonic())
+        except subprocess.TimeoutExpired:
+            process.kill()
+        stop.ended_at = time.monotonic()
+
+    def finish_callers(self) -> None:
+        """Let callers finish their requests, and send nothing new."""
+        for caller in self._callers:
+            caller.stop()
+        self._loop.call(asyncio.wait(self._tasks, timeout=_DRAIN_TIMEOUT_S))
+
+    def find_faults(self) -> list[str]:
+        """Return a line for each broken promise, and print what happened."""
+        faults = [
+            f'exit code of {stop}' for stop in self.stops if stop.exit_code != 0
+        ]
+        faults.extend(
+            violation.describe(self.stops)
+            for violation in find_violations(self.records, self.stops)
+        )
+        stops = [f'stop of {stop}' for stop in self.stops]
+        lines = [summarize(self.records), *stops, *faults[:_MAX_PRINTED]]
+        sys.stdout.write('\n'.join([*lines, '']))
+        return faults
+
+    def close(self) -> None:
+        """End all processes and stand-ins."""
+        self.fleet.kill()
+        self._loop.stop()
+
+    async def _run_callers(self, callers: Sequence[Caller]) -> None:
+        for caller in callers:
+            self._tasks.append(asyncio.create_task(caller.run()))
+
+
+@contextmanager
+def running_world(folder: Path, **options: Any) -> Iterator[World]:
+    """Provide a world whose processes serve, and end them afterwards."""
+    world = World(folder, **options)
+    try:
+        world.start()
+        yield world
+    finally:
+        world.close()
