Log which connections are open when a process stops

Change: HTTP servers keep their connections from the accept to the close, with what each one is doing. Gateways and coordinators log process_stopped as the last decision of a stop.

--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -93,8 +93,9 @@
         self._build_consensus()
         self._build_services()
 
-    def _stop(self) -> None:
+    def _stop(self) -> str:
         self._loop.stop()
+        return 'idle'
 
     def _build_consensus(self) -> None:
         cfg = self._cfg
@@ -208,9 +209,10 @@
             (listen.operators, operators),
             (listen.directory, directory),
         ):
-            add_server(
+            server = add_server(
                 HttpAddress.from_host_port(address), _server_limits(), app
             )
+            self._servers.add(server.httpserver)
         cherrypy.engine.start()
 
     def _deliver(self, message: Message) -> None:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -95,8 +95,10 @@
         self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
         self._build_sender()
 
-    def _stop(self) -> None:
-        stop_calls(self._active_requests, self._cfg.bounds.stop_s, ANSWER_TTL_S)
+    def _stop(self) -> str:
+        return stop_calls(
+            self._active_requests, self._cfg.bounds.stop_s, ANSWER_TTL_S
+        )
 
     def _build_sender(self) -> None:
         cfg = self._cfg
@@ -158,11 +160,12 @@
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
-        add_server(
+        server = add_server(
             HttpAddress.from_host_port(self._cfg.listen.readiness),
             _limits(_READINESS_THREADS),
             readiness,
         )
+        self._servers.add(server.httpserver)
         cherrypy.engine.start()
 
     def _store_origins(self) -> None:
@@ -194,6 +197,7 @@
             max=_THREADS_MAX,
         )
         http.error_log = _log_server_error
+        self._servers.add(http)
 
 
 def _limits(threads: int) -> ServerLimits:
--- a/src/apricotcart/gateway/stopping.py
+++ b/src/apricotcart/gateway/stopping.py
@@ -29,7 +29,7 @@
     active_requests: ActiveRequests,
     stop_s: float,
     answer_ttl_s: float,
-) -> None:
+) -> str:
     """Finish the requests in progress before the process stops.
 
     Parameters
@@ -41,6 +41,12 @@
     answer_ttl_s : float
         Time to live of the directory answers that list this host, in
         seconds.
+
+    Returns
+    -------
+    str
+        The condition that ended the stop: ``idle``, ``ended`` if the last
+        requests were ended, or ``bound``.
     """
     deadline = boot_clock_s() + stop_s - _KILL_MARGIN_S
     leaving_s = min(answer_ttl_s * _TTL_MULTIPLE + _DIRECTORY_LAG_S, stop_s / 2)
@@ -53,7 +59,9 @@
     active_requests.phase = Phase.FINISHING
     if active_requests.wait_idle(active_requests.ends_at - boot_clock_s()):
         _LOG.info('all requests finished before the shutdown')
-        return
+        return 'idle'
     _LOG.warning('ending the requests that are still in progress')
     active_requests.end_all()
-    active_requests.wait_idle(deadline - boot_clock_s())
+    if active_requests.wait_idle(deadline - boot_clock_s()):
+        return 'ended'
+    return 'bound'
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -186,6 +186,20 @@
 MEMBER_REMOVED: Final = Event('member_removed', 'member')
 STORAGE_FULL: Final = Event('storage_full', 'term')
 STORAGE_REGAINED: Final = Event('storage_regained', 'term', _DURATION)
+# A planned stop ended; the counts are those of the moment of the exit.
+PROCESS_STOPPED: Final = Event(
+    'process_stopped',
+    'role',
+    _REASON,
+    _DURATION,
+    'connections',
+    'idle',
+    'being_read',
+    'awaiting_thread',
+    'unanswered',
+    'closing',
+    'unaccepted',
+)
 
 EVENTS: Final = (
     REQUEST_SENT,
@@ -215,6 +229,7 @@
     MEMBER_REMOVED,
     STORAGE_FULL,
     STORAGE_REGAINED,
+    PROCESS_STOPPED,
 )
 # Fields that are durations in seconds, which a histogram records too.
 _DURATION_FIELDS: Final = ('queue_wait_s', 'first_s', 'pause_s', _DURATION)
--- a/src/apricotcart/process/fleet.py
+++ b/src/apricotcart/process/fleet.py
@@ -9,12 +9,18 @@
 from typing import Any, ClassVar, Self
 
 from apricotcart.observability.catalogue import DROPPED_LOG_RECORDS
-from apricotcart.observability.decisions import DECISION_COUNTER
+from apricotcart.observability.decisions import (
+    DECISION_COUNTER,
+    PROCESS_STOPPED,
+    log_decision,
+)
 from apricotcart.observability.logs import dropped_records
 from apricotcart.observability.metrics import Metrics
 from apricotcart.observability.metrics_server import start_metrics_page
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.settings.fleet import FleetConfig
+from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.server_group import ServerGroup
 
 _LOG = logging.getLogger(__name__)
 
@@ -42,6 +48,7 @@
         self._adapter = adapter
         self._stopping = threading.Event()
         self._exit_code = 0
+        self._servers = ServerGroup()
 
     @classmethod
     def from_config(cls, cfg: FleetConfig) -> Self:
@@ -59,7 +66,7 @@
         _LOG.info('%s %s started', self.role, name)
         self._stopping.wait()
         _LOG.info('%s %s is stopping', self.role, name)
-        self._stop()
+        self._stop_and_log()
         _LOG.info('%s %s stopped', self.role, name)
         return self._exit_code
 
@@ -73,8 +80,19 @@
         """Start serving, and return without waiting for the end."""
 
     @abstractmethod
-    def _stop(self) -> None:
-        """Finish running requests."""
+    def _stop(self) -> str:
+        """Finish running requests; return the condition that ended it."""
+
+    def _stop_and_log(self) -> None:
+        started_at = boot_clock_s()
+        reason = self._stop()
+        log_decision(
+            PROCESS_STOPPED,
+            role=self.role,
+            reason=reason,
+            duration_s=boot_clock_s() - started_at,
+            **self._servers.counts(),
+        )
 
     def _serve_metrics(self) -> None:
         metrics = Metrics()
--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import Any
 
 from cheroot import wsgi
@@ -10,6 +11,7 @@
 from cherrypy._cpwsgi_server import CPWSGIHTTPRequest
 
 from apricotcart.timers.deadline_reader import DeadlineReader
+from apricotcart.web.open_connections import Activity
 from apricotcart.web.request import CONNECTION_KEY
 
 
@@ -36,9 +38,20 @@
         reader.limit_time(server.body_timeout_s)
         self.conn.socket.settimeout(server.timeout)
 
+    def respond(self) -> None:
+        """Call the application and write its whole response."""
+        self.conn.activity = Activity.ANSWERING
+        super().respond()
+
 
 class DeadlineConnection(HTTPConnection):
-    """Connection whose requests have deadlines."""
+    """Connection whose requests have deadlines.
+
+    Attributes
+    ----------
+    activity : Activity
+        What the connection is doing.
+    """
 
     RequestHandlerClass = DeadlineRequest
 
@@ -46,6 +59,19 @@
         """Replace the reader with one that has a deadline."""
         super().__init__(server, sock, *args)
         self.rfile = CallerReader(sock, self.rbufsize)
+        self.activity = Activity.QUEUED
+        server.open_connections.add(self)
+
+    def communicate(self) -> Any:
+        """Read a request and answer it; return whether to keep it open."""
+        self.activity = Activity.READING
+        return super().communicate()  # type: ignore[no-untyped-call]
+
+    def close(self) -> None:
+        """Close the socket."""
+        with ExitStack() as stack:
+            stack.callback(self.server.open_connections.remove, self)
+            super().close()
 
 
 class ConnectionGateway(wsgi.Gateway_10):
--- a/src/apricotcart/web/server.py
+++ b/src/apricotcart/web/server.py
@@ -10,12 +10,17 @@
 
 from apricotcart.web.application import WebApplication
 from apricotcart.web.deadlines import ConnectionGateway, DeadlineConnection
+from apricotcart.web.http_server import TrackingServer
 
 # On shutdown, the thread pool waits this long for running requests.
 _STOP_TIMEOUT_S = 3600
 _ACCEPT_BACKLOG = 256
 
 
+class HttpServer(TrackingServer, CPWSGIServer):  # type: ignore[misc]
+    """HTTP server that cherrypy's engine starts and stops."""
+
+
 class ServerLimits:
     """Limits of an HTTP server on its clients.
 
@@ -123,7 +128,7 @@
 
 
 def _create_http_server(server: Any, limits: ServerLimits) -> Any:
-    http = CPWSGIServer(server)
+    http = HttpServer(server)
     http.ConnectionClass = DeadlineConnection
     http.gateway = ConnectionGateway
     http.header_timeout_s = limits.header_timeout_s
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -9,7 +9,6 @@
 from types import SimpleNamespace
 from typing import Any
 
-from cheroot.wsgi import Server
 from gateway.conftest import Bench
 
 from apricotcart.desired.records import (
@@ -32,6 +31,7 @@
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.platform.headers import PlatformHeaderCodec
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.http_server import TrackingServer
 
 _TIMEOUT_S = 5
 # Longest time that a test waits for a response.
@@ -150,7 +150,7 @@
 
 def start_listener(app: Any) -> Any:
     """Return a listener on loopback that serves a WSGI application."""
-    server: Any = Server(('127.0.0.1', 0), app, timeout=_TIMEOUT_S)
+    server: Any = TrackingServer(('127.0.0.1', 0), app, timeout=_TIMEOUT_S)
     server.ConnectionClass = CallerConnection
     server.gateway = CallerGateway
     server.header_timeout_s = _TIMEOUT_S
