Check that a caller has left before its request is cancelled

Callers saw streams that broke off in the middle, and some 502, although neither they nor an endpoint had failed; most around a planned stop.

Cause: the watcher polls the descriptors of callers' connections and handles the events afterwards. If a connection is closed in between, its descriptor can be reused by the next caller, whose request was then cancelled for the end of the earlier one. A gateway that stops closes each connection after its response, and its callers open new ones, so that descriptors are reused most then; a stream is exposed for as long as it lasts, and a cancelled plain request still gets a whole 502. That fits the record of the incident, which has only streams of the longest kind; that it was the cause there is suspected.

Change: an event counts only if the descriptor has an end when it is handled, checked under the lock that guards the registrations.

--- a/src/apricotcart/gateway/watcher.py
+++ b/src/apricotcart/gateway/watcher.py
@@ -11,6 +11,7 @@
 
 _LOG = logging.getLogger(__name__)
 _CLOSED_EVENTS: Final = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+_WATCHED_EVENTS: Final = _CLOSED_EVENTS | select.EPOLLONESHOT
 # Also the maximum time from a call of ``stop`` to the end of the thread.
 _POLL_TIMEOUT_S: Final = 1.0
 
@@ -39,7 +40,7 @@
         fileno = int(sock.fileno())
         with self._lock:
             self._callbacks[fileno] = on_closed
-            self._poll.register(fileno, _CLOSED_EVENTS | select.EPOLLONESHOT)
+            self._poll.register(fileno, _WATCHED_EVENTS)
         return fileno
 
     def unwatch(self, fileno: int) -> None:
@@ -55,11 +56,33 @@
                 self._notify(fileno)
 
     def _notify(self, fileno: int) -> None:
-        with self._lock:
-            on_closed = self._callbacks.get(fileno)
+        on_closed = self._take_callback(fileno)
         if on_closed is None:
             return
         try:
             on_closed()
         except Exception:
             _LOG.exception('cannot cancel the request of a disconnected caller')
+
+    def _take_callback(self, fileno: int) -> Callable[[], None] | None:
+        """Return the callback of a descriptor whose connection has ended.
+
+        The event may belong to an earlier connection: between the poll and
+        this call it can be closed and its descriptor be reused.
+        """
+        with self._lock:
+            on_closed = self._callbacks.get(fileno)
+            if on_closed is None:
+                return None
+            if not _is_closed_by_peer(fileno):
+                self._poll.modify(fileno, _WATCHED_EVENTS)
+                return None
+            self._callbacks.pop(fileno)
+            self._poll.unregister(fileno)
+            return on_closed
+
+
+def _is_closed_by_peer(fileno: int) -> bool:
+    poller = select.poll()
+    poller.register(fileno, select.POLLRDHUP)
+    return bool(poller.poll(0))
