Answer the requests of operators before a coordinator ends

What callers saw: the connection of an operator, or of a caller that looks hosts up, closes without an answer when the coordinator gets SIGTERM. A change may be committed by then, and its acknowledgement is lost.

Cause: the stop only ended the replicated log, and the process exited beside the threads that read or answer requests.

Change: the servers are drained as those of a gateway are, while the log goes on; both roles share the end of the stop in ServerGroup.finish.

--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -58,6 +58,7 @@
     add_server,
     configure_engine,
 )
+from apricotcart.web.server_group import KILL_MARGIN_S
 
 _LOG = logging.getLogger(__name__)
 # Time between two ticks of the consensus node.
@@ -94,8 +95,12 @@
         self._build_services()
 
     def _stop(self) -> str:
+        # The log goes on meanwhile, so that changes are acknowledged.
+        reason = self._servers.finish(
+            boot_clock_s() + self._cfg.bounds.stop_s - KILL_MARGIN_S
+        )
         self._loop.stop()
-        return 'idle'
+        return reason
 
     def _build_consensus(self) -> None:
         cfg = self._cfg
--- a/src/apricotcart/gateway/stopping.py
+++ b/src/apricotcart/gateway/stopping.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from typing import Final
 
 from apricotcart.gateway.active_requests import ActiveRequests, Phase
 from apricotcart.timers.clock import boot_clock_s
-from apricotcart.web.server_group import ServerGroup
+from apricotcart.web.server_group import (
+    KILL_MARGIN_S,
+    LAST_ANSWERS_S,
+    ServerGroup,
+)
 
-_LOG = logging.getLogger(__name__)
 # Callers cache a directory answer for its time to live, some for three times
 # that.
 _TTL_MULTIPLE: Final = 3
@@ -20,10 +22,6 @@
 # Time from the start of the shutdown until the directory no longer lists this
 # host.
 _DIRECTORY_LAG_S: Final = 1.0
-# How long before the kill the process ends by itself.
-_KILL_MARGIN_S: Final = 0.4
-# Time for the responses to requests that did not finish.
-_LAST_RESPONSES_S: Final = 0.25
 
 
 def stop_calls(
@@ -52,30 +50,14 @@
         The condition that ended the stop: ``idle`` if no request was left,
         ``ended`` if the last ones were ended, or ``bound``.
     """
-    deadline = boot_clock_s() + stop_s - _KILL_MARGIN_S
+    deadline = boot_clock_s() + stop_s - KILL_MARGIN_S
     leaving_s = min(answer_ttl_s * _TTL_MULTIPLE + _DIRECTORY_LAG_S, stop_s / 2)
     accept_s = min(_ACCEPT_S, leaving_s)
-    active_requests.ends_at = deadline - _LAST_RESPONSES_S
+    active_requests.ends_at = deadline - LAST_ANSWERS_S
     active_requests.phase = Phase.LEAVING
     servers.leave()
     time.sleep(accept_s)
     active_requests.phase = Phase.CLOSING
     time.sleep(leaving_s - accept_s)
     active_requests.phase = Phase.FINISHING
-    reason = _finish(active_requests, servers, deadline)
-    servers.wait_closed(deadline)
-    return reason
-
-
-def _finish(
-    active_requests: ActiveRequests,
-    servers: ServerGroup,
-    deadline: float,
-) -> str:
-    if servers.drain(active_requests.ends_at):
-        _LOG.info('all requests finished before the shutdown')
-        return 'idle'
-    _LOG.warning('ending the requests that are still in progress')
-    active_requests.end_all()
-    servers.end_reads()
-    return 'ended' if servers.wait_answered(deadline) else 'bound'
+    return servers.finish(deadline, active_requests.end_all)
--- a/src/apricotcart/web/server_group.py
+++ b/src/apricotcart/web/server_group.py
@@ -2,28 +2,38 @@
 
 from __future__ import annotations
 
+import logging
 import socket
 import struct
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, Final
 
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.open_connections import Activity
 
+_LOG = logging.getLogger(__name__)
 # How long a new connection may take to send its first byte once the listener
 # is closed. Its request may still be under way.
 _FIRST_BYTE_S: Final = 0.2
+# How long before the kill a process ends by itself.
+KILL_MARGIN_S: Final = 0.4
+# Time for the last answers, to requests that did not finish.
+LAST_ANSWERS_S: Final = 0.25
 # Position of the length of the accept queue in the kernel's information on a
 # listening socket: after eight fields of one byte and four of four bytes.
 _QUEUE_LENGTH: Final = struct.Struct('=24xI')
 
 
+def _end_nothing() -> None:
+    """Let the requests in progress go on."""
+
+
 class ServerGroup:
     """The HTTP servers of a process, which are drained together.
 
-    The order of a planned stop is: `leave`, so that answers close their
-    connections; `drain`, which answers what was sent up to the close of the
-    listeners; and `wait_closed`, so that callers have the answers.
+    A planned stop calls `leave`, so that answers close their connections, and
+    then `finish`, which answers what was sent up to the close of the listeners.
     """
 
     __slots__ = ('_servers',)
@@ -63,6 +73,35 @@
             draining.end_unstarted()
         return self.wait_answered(ends_at)
 
+    def finish(
+        self,
+        deadline: float,
+        end_requests: Callable[[], None] = _end_nothing,
+    ) -> str:
+        """Drain, and wait until the callers have the last answers.
+
+        Parameters
+        ----------
+        deadline : float
+            When to return in any case, in seconds of the boot clock.
+        end_requests : callable
+            Ends the requests that are in progress shortly before that.
+
+        Returns
+        -------
+        str
+            The condition that ended the wait: ``idle`` if no request was
+            left, ``ended`` if the last ones were ended, or ``bound``.
+        """
+        reason = 'idle'
+        if not self.drain(deadline - LAST_ANSWERS_S):
+            _LOG.warning('ending the requests that are still in progress')
+            end_requests()
+            self.end_reads()
+            reason = 'ended' if self.wait_answered(deadline) else 'bound'
+        self.wait_closed(deadline)
+        return reason
+
     def end_reads(self) -> None:
         """Give requests up that are not read yet."""
         for server in self._servers:
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -48,6 +48,26 @@
     assert stopped[0]['connections'] == 0
 
 
+def test_coordinator_answers_what_was_sent_before_its_stop(
+    tmp_path: Path,
+) -> None:
+    """Guards against a change that is committed and not acknowledged.
+
+    A coordinator ended with the requests of operators that it was reading or
+    answering.
+    """
+    with StartedProcess(tmp_path, 'coordinator', _STOP_S) as started:
+        with started.connect() as conn:
+            conn.sendall(_HEAD)
+            started.signal(signal.SIGTERM)
+            time.sleep(_MARGIN_S)
+            conn.sendall(_END_OF_HEAD)
+            assert read_to_end(conn).startswith(b'HTTP/1.1 404')
+        lines = started.wait(_STOP_S)
+    assert started.process.returncode == 0
+    assert lines[-1]['message'] == 'coordinator a stopped'
+
+
 @pytest.fixture
 def gateway(tmp_path: Path) -> Iterator[StartedProcess]:
     """Return a running gateway."""
