Answer the requests of other processes before a coordinator ends

What callers would have seen: a change that one coordinator passed on to the leader is committed, and no acknowledgement comes, when the leader gets SIGTERM; it is asked again elsewhere, or counts as unknown.

Cause: a stop did not wait for the threads that answer requests over pynng, and the exit also ends what pynng has not written yet.

Change: NngRequestServer.finish waits for the requests that are being answered when it is called, and a short time for the write. The syncs that arrive meanwhile do not hold it up.

Evidence: test_finish_waits_for_answers, which has no counterpart before.

--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -96,9 +96,9 @@
 
     def _stop(self) -> str:
         # The log goes on meanwhile, so that changes are acknowledged.
-        reason = self._servers.finish(
-            boot_clock_s() + self._cfg.bounds.stop_s - KILL_MARGIN_S
-        )
+        deadline = boot_clock_s() + self._cfg.bounds.stop_s - KILL_MARGIN_S
+        reason = self._servers.finish(deadline)
+        self._rpc.finish(max(0, deadline - boot_clock_s()))
         self._loop.stop()
         return reason
 
@@ -189,7 +189,7 @@
         self._loop.start()
         self._receiver.start()
         self._joiner.start()
-        NngRequestServer(
+        self._rpc = NngRequestServer(
             self._ports.request_address(self._cfg.host.address),
             self._requests,
             self._sealer,
--- a/src/apricotcart/transport/requests.py
+++ b/src/apricotcart/transport/requests.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import threading
+import time
 from contextlib import closing, suppress
 from typing import TYPE_CHECKING, Any, Self
 
@@ -32,6 +33,8 @@
 _NO_RESEND_MS = -1
 _RECONNECT_MIN_MS = 20
 _RECONNECT_MAX_MS = 500
+# pynng writes an answer after the call that sends it has returned.
+_WRITE_S = 0.05
 
 
 class NngRequestClient(RequestClient):
@@ -109,7 +112,14 @@
         Certificate files if the address is a TLS address.
     """
 
-    __slots__ = ('_handler', '_sealer', '_socket', '_threads')
+    __slots__ = (
+        '_ended',
+        '_handler',
+        '_running',
+        '_sealer',
+        '_socket',
+        '_threads',
+    )
 
     def __init__(
         self,
@@ -121,6 +131,8 @@
     ) -> None:
         """Listen on the address."""
         self._handler = handler
+        self._running: set[object] = set()
+        self._ended = threading.Condition()
         self._sealer = sealer
         self._socket = pynng.Rep0(
             tls_config=tls.server_config() if tls else None,
@@ -140,6 +152,24 @@
             thread.start()
         return self
 
+    def finish(self, timeout_s: float) -> bool:
+        """Wait until what is being answered now has its answers.
+
+        Requests that arrive meanwhile are answered but not waited for.
+
+        Returns
+        -------
+        bool
+            False if that took longer than ``timeout_s`` seconds.
+        """
+        with self._ended:
+            running = self._running.copy()
+            has_ended = self._ended.wait_for(
+                lambda: running.isdisjoint(self._running), timeout_s
+            )
+        time.sleep(_WRITE_S)
+        return has_ended
+
     def close(self) -> None:
         """Close the socket, which stops the threads."""
         self._socket.close()
@@ -151,10 +181,19 @@
                 request = context.recv()
             except pynng.NNGException:
                 break
-            self._answer_request(context, request)
+            self._answer_counted(context, request)
         with suppress(pynng.NNGException):
             context.close()
 
+    def _answer_counted(self, context: pynng.Context, request: bytes) -> None:
+        token = object()
+        with self._ended:
+            self._running.add(token)
+        self._answer_request(context, request)
+        with self._ended:
+            self._running.discard(token)
+            self._ended.notify_all()
+
     def _answer_request(self, context: pynng.Context, request: bytes) -> None:
         try:
             nonce, message = self._sealer.open(request)
--- a/tests/transport/test_requests.py
+++ b/tests/transport/test_requests.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +18,8 @@
 from apricotcart.transport.requests import NngRequestClient, NngRequestServer
 from apricotcart.transport.tls import TlsFiles
 
+_TIMEOUT_S = 10
+
 
 class EchoHandler(RequestHandler):
     """Echoes a request, or raises an error if the request has ``fail``."""
@@ -53,6 +57,41 @@
     client.close()
 
 
+class HeldHandler(RequestHandler):
+    """Answers once it is released."""
+
+    def __init__(self) -> None:
+        self.has_begun = threading.Event()
+        self.release = threading.Event()
+
+    def answer(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Wait, then answer."""
+        self.has_begun.set()
+        self.release.wait(_TIMEOUT_S)
+        return {'ok': True}
+
+
+def test_finish_waits_for_answers(sealer: Sealer, unused_tcp_port: int) -> None:
+    """Guards against a change that is committed and not acknowledged.
+
+    A coordinator that stopped did not wait for the requests of others.
+    """
+    address = f'tcp://127.0.0.1:{unused_tcp_port}'
+    handler = HeldHandler()
+    server = NngRequestServer(address, handler, sealer, 2).start()
+    client = NngRequestClient(address, sealer)
+    with ThreadPoolExecutor() as executor:
+        reply = executor.submit(client.call, {'kind': 'x'}, _TIMEOUT_S)
+        assert handler.has_begun.wait(_TIMEOUT_S)
+        assert not server.finish(0.1)
+        finishing = executor.submit(server.finish, _TIMEOUT_S)
+        handler.release.set()
+        assert finishing.result()
+        server.close()
+        assert reply.result() == {'ok': True}
+    client.close()
+
+
 def test_requests_return_typed_error(sealer: Sealer, echo_address: str) -> None:
     """Guards against an error that loses its type in transit."""
     client = NngRequestClient(echo_address, sealer)
