Let gateways learn that they are cut off from the endpoints

A gateway that reaches no endpoint found out anew with each request, and nothing told its failures from those of the endpoints. Each gateway now observes its connections, probes endpoints while it has a reason, and joins that with what the leader says of the other gateways. The leader does not list a gateway that is cut off, and ignores what it reports of endpoints.

--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import threading
 from collections import defaultdict
 from collections.abc import Iterable
 from typing import Any, Final
 
 from apricotcart.coordinator.endpoint_totals import EndpointTotals
+from apricotcart.coordinator.gateway_reach import GatewayReach, GatewayRecord
 from apricotcart.coordinator.sync_messages import SyncRequest
 from apricotcart.endpoints.crash_reports import CrashReport, MergedReports
 from apricotcart.membership.answers import ServingHost
@@ -31,27 +33,6 @@
 _RECORD_TTL_S: Final = 60.0
 
 
-class GatewayRecord:
-    """Last sync of one incarnation of a gateway.
-
-    Attributes
-    ----------
-    last_sync : SyncRequest
-        The last sync.
-    received_at : float
-        Monotonic time at which it was received, in seconds.
-    is_counted : bool
-        Whether its figures are included in the sums.
-    """
-
-    __slots__ = ('is_counted', 'last_sync', 'received_at')
-
-    def __init__(self, last_sync: SyncRequest, received_at: float) -> None:
-        self.last_sync = last_sync
-        self.received_at = received_at
-        self.is_counted = False
-
-
 class GatewayTable:
     """Gateways by incarnation, and the sums of what they report."""
 
@@ -63,6 +44,7 @@
         '_records',
         '_ranks',
         '_ranked_at',
+        '_reach',
         '_suspects',
         '_suspects_merged_at',
     )
@@ -77,25 +59,44 @@
         self._suspects_merged_at: float = 0
         self._ranks: dict[str, int] = {}
         self._ranked_at: float = 0
+        self._reach = GatewayReach(random.Random())
 
     def on_sync(self, sync: SyncRequest, now: float) -> None:
         """Update the record and the totals from a sync."""
-        record = GatewayRecord(sync, now)
         with self._lock:
-            self._remove_figures(self._records.get(sync.incarnation))
+            previous = self._records.get(sync.incarnation)
+            record = GatewayRecord(sync, now, previous)
+            self._remove_figures(previous)
             self._records[sync.incarnation] = record
             self._add_figures(record)
 
     def serving(self, now: float) -> list[ServingHost]:
-        """Return the hosts that callers may be sent to."""
+        """Return the hosts that callers may be sent to.
+
+        Those that are or were just cut off from the endpoints are left out,
+        unless all are.
+        """
+        serving = [
+            record
+            for record in self._recent(now, _SERVING_TIMEOUT_S)
+            if record.last_sync.is_serving
+        ]
+        listed = [record for record in serving if record.cut_off_at is None]
         return [
             ServingHost(
                 address=record.last_sync.address, zone=record.last_sync.zone
             )
-            for record in self._recent(now, _SERVING_TIMEOUT_S)
-            if record.last_sync.is_serving
+            for record in listed or serving
         ]
 
+    def reach_reply(self, incarnation: str, now: float) -> dict[str, Any]:
+        """Return what a gateway learns of the others, in wire form."""
+        if self._reach.is_due(now):
+            self._reach.sum_up(self._recent(now, _SERVING_TIMEOUT_S), now)
+        with self._lock:
+            record = self._records.get(incarnation)
+        return self._reach.reply(record, now) if record else {}
+
     def loads_excluding(
         self,
         incarnation: str,
@@ -104,8 +105,8 @@
         """Return the load on each endpoint from all gateways but one."""
         with self._lock:
             self._expire(now)
-            own = self._counted_sync(incarnation)
-            return self._loads.excluding(own.loads if own else {})
+            own = self._records.get(incarnation)
+            return self._loads.excluding(own.counted_loads if own else {})
 
     def failing_excluding(
         self, incarnation: str, now: float
@@ -116,15 +117,21 @@
         """
         with self._lock:
             self._expire(now)
-            own = self._counted_sync(incarnation)
+            own = self._records.get(incarnation)
             return self._outcomes.positive(
-                _FAILURES, own.outcomes if own else {}
+                _FAILURES, own.counted_outcomes if own else {}
             )
 
     def queued_loads(self, now: float) -> dict[str, list[int]]:
-        """Return the load queued on all gateways by service."""
+        """Return the load queued on all gateways by service.
+
+        Requests that wait at a gateway without a path to the endpoints do not
+        need more of them, unless no gateway has one.
+        """
         totals = EndpointTotals(_LOAD_FIGURES)
-        for record in self._recent(now, _LOAD_TTL_S):
+        records = list(self._recent(now, _LOAD_TTL_S))
+        sound = [record for record in records if not record.reach.is_suspect]
+        for record in sound or records:
             totals.add(record.last_sync.waiting)
         return totals.excluding({})
 
@@ -177,20 +184,16 @@
             sync.incarnation: rank for rank, sync in enumerate(syncs)
         }
 
-    def _counted_sync(self, incarnation: str) -> SyncRequest | None:
-        record = self._records.get(incarnation)
-        return record.last_sync if record and record.is_counted else None
-
     def _add_figures(self, record: GatewayRecord) -> None:
         record.is_counted = True
         self._loads.add(record.last_sync.loads)
-        self._outcomes.add(record.last_sync.outcomes)
+        self._outcomes.add(record.outcomes)
 
     def _remove_figures(self, record: GatewayRecord | None) -> None:
         if record is not None and record.is_counted:
             record.is_counted = False
             self._loads.subtract(record.last_sync.loads)
-            self._outcomes.subtract(record.last_sync.outcomes)
+            self._outcomes.subtract(record.outcomes)
 
     def _expire(self, now: float) -> None:
         """Expire the load and the records of gateways without recent syncs."""
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -128,6 +128,7 @@
             software_versions=self._committed_versions(),
             rank=self._gateways.rank(sync.incarnation, now),
             ranked_hosts=self._gateways.ranked_hosts(now),
+            reachability=self._gateways.reach_reply(sync.incarnation, now),
         )
         return {'ok': True, TERM: self._term(), 'sync': reply.to_wire()}
 
--- a/src/apricotcart/coordinator/sync_messages.py
+++ b/src/apricotcart/coordinator/sync_messages.py
@@ -39,6 +39,8 @@
         Number of requests started, by window and customer.
     suspects : list
         What may crash endpoints, as known to the gateway.
+    reachability : dict
+        Whether it reaches endpoints, as a ReachReport in wire form.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         'loads',
         'address',
         'outcomes',
+        'reachability',
         'suspects',
         'usage',
         'version',
@@ -71,8 +74,10 @@
         usage: Mapping[int, Mapping[str, int]],
         suspects: Sequence[Mapping[str, Any]] = (),
         outcomes: Mapping[str, Sequence[int]] | None = None,
+        reachability: Mapping[str, Any] | None = None,
     ) -> None:
         self.outcomes = outcomes or {}
+        self.reachability = reachability or {}
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -116,6 +121,8 @@
         Number of gateways before this one among those that share limits.
     ranked_hosts : int
         Number of these gateways.
+    reachability : dict
+        Whether others reach endpoints, as a ReachReply in wire form.
     """
 
     __slots__ = (
@@ -128,6 +135,7 @@
         'members',
         'rank',
         'ranked_hosts',
+        'reachability',
         'software_versions',
         'suspects',
         'unix_s',
@@ -148,8 +156,10 @@
         rank: int = 0,
         ranked_hosts: int = 1,
         failing: Mapping[str, Sequence[int]] | None = None,
+        reachability: Mapping[str, Any] | None = None,
     ) -> None:
         self.failing = failing or {}
+        self.reachability = reachability or {}
         self.rank = rank
         self.ranked_hosts = ranked_hosts
         self.software_versions = software_versions or {}
--- a/src/apricotcart/endpoints/recent_outcomes.py
+++ b/src/apricotcart/endpoints/recent_outcomes.py
@@ -73,6 +73,11 @@
         self._advance(now)
         return self._current + self._previous
 
+    def forget_failures(self) -> None:
+        """Forget the failures of this host, but not its successes."""
+        self._current.failures = 0
+        self._previous.failures = 0
+
     def failure_ratio(self, now: float) -> float:
         """Return the ratio of requests of all hosts that failed."""
         return (self.local(now) + self.remote).failure_ratio
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -214,6 +214,15 @@
                 endpoint.instance for endpoint in self._placement.endpoints()
             )
 
+    def listed_addresses(self) -> list[str]:
+        """Return the addresses of the endpoints that accept requests."""
+        with self._lock:
+            return [
+                endpoint.instance.address
+                for endpoint in self._placement.endpoints()
+                if endpoint.accepts_requests
+            ]
+
     def serves(
         self, requirements: Requirements, excluded: Collection[str]
     ) -> bool:
--- a/src/apricotcart/gateway/dispatching/endpoint_table.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_table.py
@@ -68,6 +68,12 @@
         for name, endpoint in self._endpoints.items():
             endpoint.outcomes.remote = outcomes.get(name) or OutcomeCounts()
 
+    def forget_failures(self) -> None:
+        """Forget the failures that this host has seen, and the penalties."""
+        for endpoint in self._endpoints.values():
+            endpoint.on_success()
+            endpoint.outcomes.forget_failures()
+
     def get(self, name: str) -> EndpointState | None:
         """Return the endpoint with an id."""
         return self._endpoints.get(name)
--- a/src/apricotcart/gateway/exchanges/connections.py
+++ b/src/apricotcart/gateway/exchanges/connections.py
@@ -24,9 +24,13 @@
     SilentEndpointError,
     UnreachableEndpointError,
 )
+from apricotcart.gateway.exchanges.observation import (
+    EndpointObservation,
+    ObservedReader,
+)
+from apricotcart.gateway.reachability.api import ReachObserver
 from apricotcart.responses.reader import ResponseReader
 from apricotcart.timers.clock import boot_clock_s
-from apricotcart.timers.deadline_reader import DeadlineReader
 
 # An endpoint accepts a connection within a round trip; a lost packet delays
 # this by one second, since TCP retransmits after that time.
@@ -45,14 +49,24 @@
 class EndpointConnection(HTTPConnection):
     """A connection that can carry several requests and responses.
 
+    Parameters
+    ----------
+    address : str
+        Address of the endpoint, as ``IP:PORT``.
+    observer : ReachObserver or None
+        Learns whether the endpoint is reached, by its address.
+
     Attributes
     ----------
     is_aborted : bool
         Whether another thread has shut the connection down.
     """
 
-    def __init__(self, address: str) -> None:
-        """Initialize a connection to ``IP:PORT``."""
+    def __init__(
+        self, address: str, observer: ReachObserver | None = None
+    ) -> None:
+        """Initialize a connection without opening it."""
+        self._observation = EndpointObservation(address, observer)
         host, _, port = address.rpartition(':')
         super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_S)
         self.response_class = self._create_response  # type: ignore[assignment]
@@ -60,7 +74,7 @@
         self.usable_until: float = 0
         self.is_reused = False
         self._socket: socket.socket | None = None
-        self._deadline_reader: DeadlineReader | None = None
+        self._deadline_reader: ObservedReader | None = None
         self._reader: Any = None
         self._sent_method = ''
 
@@ -72,12 +86,15 @@
         UnreachableEndpointError
             If the connection cannot be established.
         """
+        started_at = boot_clock_s()
         try:
             super().connect()
         except (HTTPError, OSError) as exc:
+            self._observation.on_connect_failed(started_at, CONNECT_TIMEOUT_S)
             raise UnreachableEndpointError(str(exc)) from exc
         self._socket = self.sock
-        self._deadline_reader = DeadlineReader(self.sock)
+        self._observation.on_connected()
+        self._deadline_reader = ObservedReader(self.sock, self._observation)
         self._reader = io.BufferedReader(self._deadline_reader)
 
     def send_request(
@@ -223,11 +240,18 @@
 
 
 class ConnectionPool:
-    """Idle connections by endpoint address."""
+    """Idle connections by endpoint address.
+
+    Parameters
+    ----------
+    observer : ReachObserver or None
+        Learns which endpoints are reached, by their addresses.
+    """
 
-    __slots__ = ('_idle', '_lock')
+    __slots__ = ('_idle', '_lock', '_observer')
 
-    def __init__(self) -> None:
+    def __init__(self, observer: ReachObserver | None = None) -> None:
+        self._observer = observer
         self._idle: dict[str, deque[EndpointConnection]] = {}
         self._lock = threading.Lock()
 
@@ -241,7 +265,7 @@
         """
         conn = self._take_idle(address)
         if conn is None:
-            conn = EndpointConnection(address)
+            conn = EndpointConnection(address, self._observer)
             conn.connect()
         return conn
 
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -26,6 +26,7 @@
 from apricotcart.gateway.dispatching.endpoint_updates import EndpointUpdater
 from apricotcart.gateway.dispatching.list_relay import parse_instances
 from apricotcart.gateway.dispatching.rate_share import RateShare
+from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.usage import UsageCounter
@@ -74,6 +75,8 @@
         Shares its evidence with the other hosts.
     origins : StreamOrigins
         Learns which software versions serve, and the control hosts.
+    reachability : SyncedReach
+        Shares with the other hosts whether endpoints are reached.
     """
 
     __slots__ = (
@@ -85,6 +88,7 @@
         '_leader',
         '_origins',
         '_quarantine',
+        '_reachability',
         '_retry_policy',
         '_active_requests',
         '_state',
@@ -105,7 +109,9 @@
         active_requests: ActiveRequests,
         quarantine: CrashQuarantine,
         origins: StreamOrigins,
+        reachability: SyncedReach,
     ) -> None:
+        self._reachability = reachability
         self._cfg = cfg
         self._leader = leader
         self._state = state
@@ -127,7 +133,9 @@
             fields = self._leader.call(
                 message, self._timeout_s(), HOST_TIMEOUT_S
             )
-            self._apply(SyncReply.from_wire(fields['sync']), requested_at)
+            reply = SyncReply.from_wire(fields['sync'])
+            self._reachability.apply(reply.reachability, requested_at)
+            self._apply(reply, requested_at)
         except ApricotcartError as exc:
             _LOG.info('sync with the leader failed: %s', exc.message)
 
@@ -164,6 +172,7 @@
             waiting=_wire_loads(report.waiting),
             usage=self._usage.counts(),
             suspects=self._quarantine.reports(),
+            reachability=self._reachability.report(boot_clock_s()),
         )
 
     def _apply(self, reply: SyncReply, requested_at: float) -> None:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import Any, Final
 
 import cherrypy
@@ -34,6 +35,10 @@
     CallerGateway,
     GrowingThreadPool,
 )
+from apricotcart.gateway.reachability.monitor import ReachMonitor
+from apricotcart.gateway.reachability.probe import PROBE_CHECK_S, ReachProbe
+from apricotcart.gateway.reachability.probe_plan import ProbePlan
+from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -42,6 +47,7 @@
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.membership.answers import ANSWER_TTL_S
+from apricotcart.membership.peers import PeerDirectory
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.process.fleet import FleetProcess
 from apricotcart.resumption.record_store import ControlHostStore
@@ -93,15 +99,31 @@
         )
         self._watcher = CallerWatcher()
         self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
+        self._build_reachability()
         self._build_sender()
 
     def _stop(self) -> None:
         stop_calls(self._active_requests, self._cfg.bounds.stop_s, ANSWER_TTL_S)
 
+    def _build_reachability(self) -> None:
+        address = self._cfg.host.address
+        relay_port = self._cfg.links.last_port
+        self._reach = ReachMonitor()
+        self._peers = PeerDirectory()
+        self._synced_reach = SyncedReach(
+            self._reach, self._peers, f'{address}:{relay_port}'
+        )
+        self._probe = ReachProbe(
+            self._reach,
+            ProbePlan(self._reach, random.Random()),
+            self._dispatcher.listed_addresses,
+            self._forget_failures,
+        )
+
     def _build_sender(self) -> None:
         cfg = self._cfg
         bounds = cfg.bounds
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(self._reach)
         self._retry_policy = RetryPolicy(
             bounds.budget_ratio, bounds.budget_extra
         )
@@ -144,6 +166,7 @@
             active_requests=self._active_requests,
             quarantine=self._quarantine,
             origins=self._origins,
+            reachability=self._synced_reach,
         )
 
     def _start(self) -> None:
@@ -155,6 +178,7 @@
         ).start()
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
+        RepeatingTimer('reach', PROBE_CHECK_S, self._probe.run_due).start()
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
@@ -168,6 +192,11 @@
     def _store_origins(self) -> None:
         self._origins.store_new(self._dispatcher.listed_versions())
 
+    def _forget_failures(self) -> None:
+        self._dispatcher.update_placement(
+            lambda placement: placement.table.forget_failures(),
+        )
+
     def _serve_callers(self) -> None:
         app = GatewayApplication(
             state=self._state,
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -151,6 +151,22 @@
     'retry_after_s',
     _DURATION,
 )
+# What decided whether the host believes that it reaches no endpoint while
+# other gateways do.
+ENDPOINTS_CUT_OFF: Final = Event(
+    'endpoints_cut_off',
+    'failed_endpoints',
+    'since_success_s',
+    'others_reach',
+    'view_age_s',
+)
+ENDPOINTS_REGAINED: Final = Event(
+    'endpoints_regained',
+    'failed_endpoints',
+    'since_success_s',
+    'others_reach',
+    'view_age_s',
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -200,6 +216,8 @@
     SUSPECT_QUARANTINED,
     SUSPECT_RELEASED,
     ENDPOINT_NOTICE,
+    ENDPOINTS_CUT_OFF,
+    ENDPOINTS_REGAINED,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -25,8 +25,11 @@
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.link import ControlLink
+from apricotcart.gateway.reachability.monitor import ReachMonitor
+from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.usage import UsageCounter
+from apricotcart.membership.peers import PeerDirectory
 from apricotcart.provisioning.fleet_api import PlatformUnavailableError
 from apricotcart.resumption.stream_origins import StreamOrigins
 from apricotcart.timers.clock import SteadyUnixClock
@@ -151,6 +154,9 @@
             active_requests=ActiveRequests(),
             quarantine=CrashQuarantine(),
             origins=StreamOrigins(MemoryStore(), Versions()),
+            reachability=SyncedReach(
+                ReachMonitor(), PeerDirectory(), '10.0.0.1:90'
+            ),
         )
 
 
