--- a/src/apricotcart/gateway/exchanges/connections.py
+++ b/src/apricotcart/gateway/exchanges/connections.py
@@ -87,6 +87,7 @@
             If the connection cannot be established.
         """
         started_at = boot_clock_s()
+        self._observation.on_connecting()
         try:
             super().connect()
         except (HTTPError, OSError) as exc:
--- a/src/apricotcart/gateway/exchanges/observation.py
+++ b/src/apricotcart/gateway/exchanges/observation.py
@@ -32,6 +32,10 @@
         self._address = address
         self._observer = observer or NULL_OBSERVER
 
+    def on_connecting(self) -> None:
+        """Report that a connection is being established."""
+        self._observer.on_connecting(self._address, boot_clock_s())
+
     def on_connected(self) -> None:
         """Report a new connection."""
         self._observer.on_connected(self._address, boot_clock_s())
--- a/src/apricotcart/gateway/reachability/api.py
+++ b/src/apricotcart/gateway/reachability/api.py
@@ -22,6 +22,9 @@
 class ReachObserver(ABC):
     """Records whether connections to endpoints succeed."""
 
+    def on_connecting(self, endpoint_id: str, now: float) -> None:
+        """Record that a new connection is being established."""
+
     @abstractmethod
     def on_connected(self, endpoint_id: str, now: float) -> None:
         """Record that a new connection was established."""
--- a/src/apricotcart/gateway/reachability/evidence.py
+++ b/src/apricotcart/gateway/reachability/evidence.py
@@ -5,12 +5,16 @@
 from collections.abc import Iterable
 from typing import Final
 
+from apricotcart.gateway.reachability.attempts import Attempts
+
 # Without any call for this long, the process or its machine stood still, and
 # connections failed for that reason. Calls come every 0.05 s.
 _GAP_S: Final = 1.0
 # How long a failed connection counts. An endpoint may be tried again only
 # after the others, which takes seconds.
 _FAILURE_TTL_S: Final = 4.0
+# Interval at which old attempts are removed.
+_EXPIRY_INTERVAL_S: Final = 0.2
 # Different endpoints at which connections must have failed, so that the crash
 # of a single endpoint or of a pair does not raise the suspicion.
 _SUSPECT_ENDPOINTS: Final = 3
@@ -33,6 +37,8 @@
     doubted_since : float or None
         Start of the first connection that failed since the last success of a
         new one; None without a failure.
+    attempts : Attempts
+        Last outcomes by endpoint, also across successes at others.
     last_success_at : float
         When an endpoint was last reached, in seconds.
     """
@@ -40,12 +46,14 @@
     __slots__ = (
         '_connected',
         '_connected_at',
+        '_expired_at',
         '_failed',
         '_failures',
         '_pending',
         '_received',
         '_seen_at',
         '_silent_at',
+        'attempts',
         'doubted_since',
         'last_success_at',
         'listed',
@@ -54,10 +62,12 @@
     def __init__(self) -> None:
         self.listed: frozenset[str] = frozenset()
         self.doubted_since: float | None = None
+        self.attempts = Attempts()
         self.last_success_at: float = 0
         self._connected_at: float = 0
         self._silent_at: float = 0
         self._seen_at: float = 0
+        self._expired_at: float = 0
         self._failures = 0
         self._failed: dict[str, float] = {}
         self._connected: dict[str, float] = {}
@@ -71,7 +81,7 @@
 
     @property
     def pending(self) -> frozenset[str]:
-        """Endpoints to which a probe is in progress."""
+        """Endpoints to which a connection is being established."""
         return frozenset(self._pending)
 
     @property
@@ -90,9 +100,12 @@
         if has_stood_still:
             self._forget_failures()
             self._pending.clear()
+            self.attempts.clear()
             self.last_success_at = now
-        if self._failed:
+        if now >= self._expired_at + _EXPIRY_INTERVAL_S:
+            self._expired_at = now
             self._expire(now - _FAILURE_TTL_S)
+            self.attempts.retain(self.listed, now)
         return has_stood_still
 
     def replace_listed(self, addresses: Iterable[str]) -> None:
@@ -104,13 +117,14 @@
         if not self._failed:
             self._forget_failures()
 
-    def on_started(self, address: str, now: float) -> None:
-        """Record the start of a probe."""
-        self._pending[address] = now
+    def on_connecting(self, address: str, now: float) -> None:
+        """Record that a connection is being established."""
+        self._pending.setdefault(address, now)
 
     def on_connected(self, address: str, now: float) -> None:
         """Record a new connection, which refutes the failures before it."""
         self._pending.pop(address, None)
+        self.attempts.on_connected(address, now)
         self._connected[address] = now
         self._connected_at = now
         self.last_success_at = now
@@ -123,7 +137,10 @@
         path to the endpoints.
         """
         self._pending.pop(address, None)
-        if address not in self.listed or started_at < self._connected_at:
+        if address not in self.listed:
+            return
+        self.attempts.on_failed(address, started_at, now)
+        if started_at < self._connected_at:
             return
         self._failed[address] = now
         self._failures += 1
@@ -149,9 +166,10 @@
         last_failed_at = max(self._failed.values(), default=0)
         return (
             bool(self._failed and last_failed_at >= now - _DOUBT_S)
+            or len(self.attempts.failing) >= _SUSPECT_ENDPOINTS
             or self._silent_at > self.last_success_at
             or any(
-                self.last_success_at < started_at <= now - _LATE_S
+                self._connected_at < started_at <= now - _LATE_S
                 for started_at in self._pending.values()
             )
         )
--- a/src/apricotcart/gateway/reachability/monitor.py
+++ b/src/apricotcart/gateway/reachability/monitor.py
@@ -23,8 +23,12 @@
 _CONFIRMED_S: Final = 1.0
 _CONFIRMED_ENDPOINTS: Final = 2
 # Time and different endpoints that are required without such endpoints.
-_ALONE_S: Final = 1.4
+_ALONE_S: Final = 1.3
 _ALONE_ENDPOINTS: Final = 6
+# Ratio of the endpoints tried that must have failed for a cut that spares a
+# few, and those of them that other gateways have just reached.
+_NEARLY_ALL: Final = 0.8
+_NEARLY_CONFIRMED_ENDPOINTS: Final = 3
 # How recently a host must have reached endpoints to report that it does; hosts
 # without traffic probe once a second.
 _REACHED_AGE_S: Final = 1.1
@@ -107,6 +111,12 @@
             self._update(now)
             return self._reach
 
+    def on_connecting(self, endpoint_id: str, now: float) -> None:
+        """Record that a new connection is being established."""
+        with self._lock:
+            self._update(now)
+            self._evidence.on_connecting(endpoint_id, now)
+
     def on_connected(self, endpoint_id: str, now: float) -> None:
         """Record that a new connection was established."""
         with self._lock:
@@ -132,9 +142,11 @@
             self._update(now)
 
     def on_received(self, endpoint_id: str, now: float) -> None:
-        """Record that an endpoint has sent bytes on any connection."""
+        """Record that an endpoint has sent bytes on any connection.
+
+        This is called for each event of each stream, and so decides nothing.
+        """
         with self._lock:
-            self._update(now)
             self._evidence.on_received(endpoint_id, now)
 
     def on_silent(self, endpoint_id: str, now: float) -> None:
@@ -143,11 +155,6 @@
             self._update(now)
             self._evidence.on_silent(now)
 
-    def on_probe_started(self, endpoint_id: str, now: float) -> None:
-        """Record that a probe has started to connect."""
-        with self._lock:
-            self._evidence.on_started(endpoint_id, now)
-
     def on_view(self, view: OthersView) -> None:
         """Apply what the leader says about the other gateways."""
         with self._lock:
@@ -202,6 +209,8 @@
                 return Reach.REACHED
             is_outage = self._others.are_cut_off_too(now)
             return Reach.SUSPECT if is_outage else Reach.CUT_OFF
+        if _is_nearly_cut_off(self._evidence, self._others, now):
+            return Reach.CUT_OFF
         if not self._evidence.is_suspect:
             return Reach.REACHED
         is_cut_off = _is_cut_off(self._evidence, self._others, now)
@@ -238,3 +247,20 @@
             return True
     required = min(_ALONE_ENDPOINTS, len(evidence.listed))
     return doubted_s >= _ALONE_S and len(evidence.failed) >= required
+
+
+def _is_nearly_cut_off(
+    evidence: Evidence, others: OtherGateways, now: float
+) -> bool:
+    """Return whether a cut spares only a few endpoints.
+
+    The connections to these few do not refute it, since other gateways have
+    just reached those that this host does not reach.
+    """
+    failing = evidence.attempts.failing_for(_ALONE_S, now)
+    if len(failing) < _NEARLY_ALL * evidence.attempts.tried:
+        return False
+    if not others.reach_steadily(now):
+        return False
+    confirmed = failing & others.reached(now)
+    return len(confirmed) >= _NEARLY_CONFIRMED_ENDPOINTS
--- a/src/apricotcart/gateway/reachability/probe_plan.py
+++ b/src/apricotcart/gateway/reachability/probe_plan.py
@@ -52,7 +52,7 @@
         )
         for address in chosen:
             self._probed_at = now
-            self._monitor.on_probe_started(address, now)
+            self._monitor.on_connecting(address, now)
         return chosen
 
     def _count(
@@ -72,14 +72,15 @@
     ) -> list[str]:
         if not count:
             return []
-        free = sorted(evidence.listed - evidence.pending)
-        self._rng.shuffle(free)
-        # Endpoints that other gateways have just reached tell most, and those
-        # that have failed already least.
-        free.sort(
+        addresses = sorted(evidence.listed)
+        self._rng.shuffle(addresses)
+        # Endpoints that other gateways have just reached tell most. Those that
+        # are being tried or have failed already tell least.
+        addresses.sort(
             key=lambda address: (
+                address in evidence.pending,
                 address in evidence.failed,
                 address not in reached,
             )
         )
-        return free[:count]
+        return addresses[:count]
