--- a/src/apricotcart/coordinator/gateway_reach.py
+++ b/src/apricotcart/coordinator/gateway_reach.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Iterable, Mapping, Sequence
+from heapq import nlargest
 from typing import Any, Final
 
 from apricotcart.coordinator.sync_messages import SyncRequest
@@ -69,7 +70,13 @@
     @property
     def reaches_endpoints(self) -> bool:
         """Whether it has reached an endpoint lately."""
-        return self.reach.has_reached and not self.reach.is_suspect
+        has_reached = self.reach.reached_s is not None
+        return has_reached and not self.reach.is_suspect
+
+    @property
+    def reached_at(self) -> float:
+        """When it last reached an endpoint, in seconds."""
+        return self.received_at - (self.reach.reached_s or 0)
 
     @property
     def may_take_requests(self) -> bool:
@@ -131,8 +138,8 @@
     __slots__ = (
         '_candidates',
         '_first_at',
+        '_latest',
         '_reached',
-        '_reaching',
         '_rng',
         '_summed_at',
     )
@@ -141,7 +148,8 @@
         self._rng = rng
         self._first_at: float = 0
         self._summed_at: float = -_WARMUP_S
-        self._reaching: set[str] = set()
+        # The two gateways that reached endpoints last.
+        self._latest: list[GatewayRecord] = []
         self._reached: list[str] = []
         self._candidates: list[GatewayRecord] = []
 
@@ -156,7 +164,7 @@
         """Sum up the reports of the gateways that are in touch."""
         self._summed_at = now
         sound = [record for record in records if record.reaches_endpoints]
-        self._reaching = {known.last_sync.incarnation for known in sound}
+        self._latest = nlargest(2, sound, key=lambda known: known.reached_at)
         self._candidates = [known for known in sound if known.may_take_requests]
         self._reached = sorted(
             {
@@ -170,10 +178,11 @@
     def reply(self, record: GatewayRecord, now: float) -> dict[str, Any]:
         """Return what to tell a gateway, in wire form."""
         sync = record.last_sync
-        others_reach = bool(self._reaching - {sync.incarnation})
-        reply = ReachReply(
-            others_reach=others_reach or self._unknown_if_new(now)
-        )
+        reply = ReachReply(others_reach=self._unknown_if_new(now))
+        for latest in reversed(self._latest):
+            if latest.last_sync.incarnation != sync.incarnation:
+                reply.others_reach = True
+                reply.reached_s = now - latest.reached_at
         if record.reach.wants_peers:
             reply.reached = self._sample(self._reached, _MAX_REACHED)
             reply.peers = [
--- a/src/apricotcart/gateway/reachability/monitor.py
+++ b/src/apricotcart/gateway/reachability/monitor.py
@@ -22,6 +22,9 @@
 # of what the leader says about them, so that a crash of these endpoints shows.
 _CONFIRMED_S: Final = 1.0
 _CONFIRMED_ENDPOINTS: Final = 2
+# Others must have reached an endpoint this long after the first connection
+# failed here: at the crash of all endpoints, bytes may still be on their way.
+_OVERLAP_S: Final = 0.1
 # Time and different endpoints that are required without such endpoints.
 _ALONE_S: Final = 1.3
 _ALONE_ENDPOINTS: Final = 6
@@ -173,20 +176,21 @@
             self._changes = []
         return changes
 
-    def reached(self, now: float) -> Sequence[str] | None:
-        """Return a few endpoints that were reached just now.
+    def reached(self, now: float) -> tuple[float | None, Sequence[str]]:
+        """Return the time since an endpoint was reached, and a few of them.
 
-        Return None if no endpoint was reached lately.
+        The time is None if that is too long ago or in doubt.
         """
         with self._lock:
             self._update(now)
             evidence = self._evidence
-            is_doubted = (
-                self._reach is not Reach.REACHED or evidence.is_doubtful(now)
-            )
-            if is_doubted or evidence.last_success_at < now - _REACHED_AGE_S:
-                return None
-            return evidence.reached_since(now - _NAMED_AGE_S)[:_MAX_NAMED]
+            elapsed_s = now - evidence.last_success_at
+            is_reached = self._reach is Reach.REACHED
+            is_doubted = not is_reached or evidence.is_doubtful(now)
+            if is_doubted or elapsed_s > _REACHED_AGE_S:
+                return None, ()
+            recent = evidence.reached_since(now - _NAMED_AGE_S)
+        return elapsed_s, recent[:_MAX_NAMED]
 
     def examine(
         self, now: float, read: Callable[[Evidence, OtherGateways], _Read]
@@ -237,9 +241,13 @@
     """Return whether a suspect host is cut off while others are not."""
     if others.are_cut_off_too(now):
         return False
-    if others.is_known(now) and not others.reach_steadily(now):
+    doubted_since = evidence.doubted_since or now
+    if others.is_known(now) and not (
+        others.reach_steadily(now)
+        and others.have_reached_since(doubted_since + _OVERLAP_S)
+    ):
         return False
-    doubted_s = now - (evidence.doubted_since or now)
+    doubted_s = now - doubted_since
     reached = others.reached(now) & evidence.listed
     if reached and doubted_s >= _CONFIRMED_S:
         required = min(_CONFIRMED_ENDPOINTS, len(reached))
--- a/src/apricotcart/gateway/reachability/others.py
+++ b/src/apricotcart/gateway/reachability/others.py
@@ -27,19 +27,24 @@
         Endpoints that other gateways have just reached.
     asked_at : float
         When the sync was sent, in seconds.
+    reached_s : float
+        Time since another gateway reached an endpoint, in seconds.
     """
 
-    __slots__ = ('asked_at', 'others_reach', 'reached')
+    __slots__ = ('asked_at', 'others_reach', 'reached', 'reached_at')
 
     def __init__(
         self,
         others_reach: bool | None,
         reached: Iterable[str],
         asked_at: float,
+        reached_s: float = 0,
     ) -> None:
         self.others_reach = others_reach
         self.reached = frozenset(reached)
         self.asked_at = asked_at
+        # The leader replied after that, so this is the earliest time.
+        self.reached_at = asked_at - reached_s
 
 
 class OtherGateways:
@@ -76,6 +81,11 @@
         since = self._reach_since
         return since is not None and since <= now - _STEADY_S
 
+    def have_reached_since(self, since: float) -> bool:
+        """Return whether others have reached endpoints since a time."""
+        view = self.last_view
+        return bool(view.others_reach) and view.reached_at >= since
+
     def reached(self, now: float) -> frozenset[str]:
         """Return endpoints that others have just reached, if known."""
         return self.last_view.reached if self.is_known(now) else frozenset()
--- a/src/apricotcart/gateway/reachability/probe_plan.py
+++ b/src/apricotcart/gateway/reachability/probe_plan.py
@@ -13,8 +13,10 @@
 # While endpoints have been reached this recently and nothing failed, there is
 # no probe.
 _QUIET_S: Final = 0.5
-# Interval of the probes of a host without traffic. Connections are priced.
-_IDLE_INTERVAL_S: Final = 1.0
+# Interval of the probes of a host without traffic, which shall connect about
+# once a second at most, since connections are priced. A cut that begins just
+# after a probe must be known within 2.5 s.
+_IDLE_INTERVAL_S: Final = 0.9
 # Interval and number of probes while something failed.
 _DOUBT_INTERVAL_S: Final = 0.3
 _DOUBT_PROBES: Final = 2
--- a/src/apricotcart/gateway/reachability/sync.py
+++ b/src/apricotcart/gateway/reachability/sync.py
@@ -42,13 +42,13 @@
     def report(self, now: float) -> dict[str, Any]:
         """Return the report in wire form."""
         reach = self._monitor.reach(now)
-        reached = self._monitor.reached(now)
-        is_doubted = reach is not Reach.REACHED or reached is None
+        reached_s, reached = self._monitor.reached(now)
+        is_doubted = reach is not Reach.REACHED or reached_s is None
         report = ReachReport(
             is_suspect=reach is not Reach.REACHED,
             is_cut_off=reach is Reach.CUT_OFF,
-            has_reached=reached is not None,
-            reached=reached or (),
+            reached_s=reached_s,
+            reached=reached,
             relay_address=self._relay_address,
             wants_peers=is_doubted or now >= self._peers_until,
         )
@@ -58,7 +58,12 @@
         """Apply the reply to a report, in wire form."""
         reply = ReachReply.from_wire(fields)
         self._monitor.on_view(
-            OthersView(reply.others_reach, reply.reached, asked_at)
+            OthersView(
+                reply.others_reach,
+                reply.reached,
+                asked_at,
+                reply.reached_s or 0,
+            )
         )
         if reply.peers is not None:
             self._peers.replace(
--- a/src/apricotcart/membership/reach_reports.py
+++ b/src/apricotcart/membership/reach_reports.py
@@ -18,8 +18,9 @@
         may be its own fault; also true while it is cut off.
     is_cut_off : bool
         Whether it believes that it reaches no endpoint while others do.
-    has_reached : bool
-        Whether it has reached an endpoint within about a second.
+    reached_s : float or None
+        Time since it has reached an endpoint, in seconds; None if that is
+        more than about a second.
     reached : list of str
         Addresses of a few endpoints that it has reached just now.
     relay_address : str
@@ -30,10 +31,10 @@
     """
 
     __slots__ = (
-        'has_reached',
         'is_cut_off',
         'is_suspect',
         'reached',
+        'reached_s',
         'relay_address',
         'wants_peers',
     )
@@ -43,14 +44,14 @@
         *,
         is_suspect: bool = False,
         is_cut_off: bool = False,
-        has_reached: bool = False,
+        reached_s: float | None = None,
         reached: Sequence[str] = (),
         relay_address: str = '',
         wants_peers: bool = False,
     ) -> None:
         self.is_suspect = is_suspect
         self.is_cut_off = is_cut_off
-        self.has_reached = has_reached
+        self.reached_s = reached_s
         self.reached = reached
         self.relay_address = relay_address
         self.wants_peers = wants_peers
@@ -64,21 +65,25 @@
     others_reach : bool or None
         Whether another gateway has reached an endpoint lately; None if the
         leader does not know yet.
+    reached_s : float or None
+        Time since then in seconds.
     reached : list of str
         Addresses of a few endpoints that other gateways have just reached.
     peers : list or None
         Gateways that take requests, in wire form; None if not asked for.
     """
 
-    __slots__ = ('others_reach', 'peers', 'reached')
+    __slots__ = ('others_reach', 'peers', 'reached', 'reached_s')
 
     def __init__(
         self,
         *,
         others_reach: bool | None = None,
+        reached_s: float | None = None,
         reached: Sequence[str] = (),
         peers: Sequence[Mapping[str, Any]] | None = None,
     ) -> None:
         self.others_reach = others_reach
+        self.reached_s = reached_s
         self.reached = reached
         self.peers = peers
