Pass requests on to another gateway while this one is cut off

A gateway that reaches no endpoint keeps its callers for up to three times the time to live of the directory.

Such a gateway now passes a request on over HTTP to one that the leader has named, with a ticket that is sealed with the cluster secret, and forwards its response event by event. The receiving gateway places the request like those of its own callers and keeps account of it (usage, retry budget, crash evidence, origin of the stream). A request takes one hop at most. Refusals keep their run state; a hop that breaks after the request was written counts as may have run.

For this, Sender keeps only what holds for any destination. EndpointUpstream (the former content of Sender) and PeerUpstream keep account of exchanges with endpoints and with gateways, and EndpointExchange and RelayExchange share the machinery of Exchange, so that Forwarder and EventStream need no special cases.

Until the belief is wired, AlwaysReached keeps all gateways from passing anything on. Measured: tests/gateway, tests/observability and tests/web pass (707); each proof fails without the mechanism.

--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -274,6 +274,21 @@
     ) -> list[tuple[str, str]]:
         """Return the headers of a request to an endpoint."""
 
+    @abstractmethod
+    def build_relayed_headers(
+        self, headers: Headers, last_event_id: str
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request that another gateway takes over.
+
+        Parameters
+        ----------
+        headers : list of (str, str)
+            Headers of the caller.
+        last_event_id : str
+            Id of the event after which the stream resumes; if empty, the
+            caller's own header is kept.
+        """
+
     @abstractmethod
     def parse_response_headers(
         self, headers: Headers, status: int
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
-from urllib.parse import urlsplit
 
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.active_requests import ActiveRequests
@@ -32,11 +31,11 @@
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.watcher import CallerWatcher
+from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.request import CONNECTION_KEY, Environ, WebRequest
 from apricotcart.web.response import WebResponse
 
-_HTTP: Final = 'http'
 # Assumed timeout of a caller that does not state one.
 _DEFAULT_WAIT_S: Final = 3.0
 StartResponse = Callable[..., Any]
@@ -143,6 +142,11 @@
         started_at = boot_clock_s()
         self._state.wait_until_known(metadata.wait_s or _DEFAULT_WAIT_S)
         call = self._call(WebRequest(environ), headers, metadata, started_at)
+        return self._start(call, environ, guard)
+
+    def _start(
+        self, call: Call, environ: Environ, guard: GuardedResponse
+    ) -> WebResponse:
         if self._active_requests.refuses(call.remaining_s()):
             raise LeavingError('this host is shutting down', retry_after_s=0.1)
         self._active_requests.add_end_callback(call.on_host_ending)
@@ -155,14 +159,16 @@
         headers: Headers,
         metadata: RequestMetadata,
         started_at: float,
+        origin: StreamOrigin | None = None,
     ) -> Call:
         state = self._state
-        target = _target(req.environ)
+        target = req.target()
         path = target.partition('?')[0]
         route = state.route(req.header('Host'), path)
         customer = state.customer(route, metadata.key)
         table = state.table()
-        origin = self._resumption.origin(route, metadata)
+        if origin is None:
+            origin = self._resumption.origin(route, metadata)
         service = origin.service if origin else state.choose_service(route)
         return Call(
             dispatcher=self._dispatcher,
@@ -236,11 +242,3 @@
         # would complete the response.
         if not self._req.chunked_write:
             self._req.conn.reset_on_close()
-
-
-def _target(environ: Environ) -> str:
-    target = str(environ['REQUEST_URI'])
-    if not target.startswith(_HTTP):
-        return target
-    parts = urlsplit(target)
-    return f'{parts.path}?{parts.query}' if parts.query else parts.path
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -15,6 +15,7 @@
 )
 from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.fingerprint import fingerprint_of
+from apricotcart.gateway.passing import Passing
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
@@ -34,8 +35,6 @@
         Id that is unique within this process; ids of callers may repeat.
     fingerprint : str
         Digest that the request has in every attempt of its caller.
-    deadline_at : float
-        When the timeout of the caller or of the route expires, in seconds.
     send_count : int
         How many times the request was written to an endpoint.
     may_have_run : bool
@@ -47,13 +46,14 @@
     origin : StreamOrigin or None
         Where the stream began, once it has events or if the caller resumes
         it; only endpoints of the same origin may go on with it.
+    passing : Passing
+        What is known about passing the request on to another gateway.
     failure_response : WebResponse or None
         The last endpoint's own response, returned if no retry succeeds.
     """
 
     __slots__ = (
         'conn',
-        'deadline_at',
         'dispatcher',
         'excluded_endpoints',
         'failure_response',
@@ -63,6 +63,7 @@
         'is_host_ending',
         'message',
         'origin',
+        'passing',
         'request_id',
         'routing',
         'send_count',
@@ -87,10 +88,7 @@
         self.routing = routing
         self.origin = origin
         self.started_at = started_at
-        wait_s = routing.route.timeout_s
-        if metadata.wait_s is not None:
-            wait_s = min(wait_s, metadata.wait_s)
-        self.deadline_at = started_at + wait_s
+        self.passing = Passing()
         self.fingerprint = fingerprint_of(self.customer_name, message)
         self.conn: EndpointConnection | None = None
         self.excluded_endpoints: set[str] = set()
@@ -126,6 +124,14 @@
         customer = self.routing.customer
         return '' if customer is None else customer.name
 
+    @property
+    def deadline_at(self) -> float:
+        """When the timeout of the caller or of the route expires."""
+        wait_s = self.route.timeout_s
+        if self.metadata.wait_s is not None:
+            wait_s = min(wait_s, self.metadata.wait_s)
+        return self.started_at + wait_s
+
     def remaining_s(self) -> float:
         """Return the time to the deadline in seconds."""
         return self.deadline_at - boot_clock_s()
@@ -169,6 +175,11 @@
         self.is_host_ending = True
         self._cancel()
 
+    def withdraw(self) -> None:
+        """Take the request out of the queue, to pass it on."""
+        self.passing.is_withdrawn = True
+        self.dispatcher.cancel(self.request_id)
+
     def _cancel(self) -> None:
         self.dispatcher.cancel(self.request_id)
         conn: Any = self.conn
--- a/src/apricotcart/gateway/crash_quarantine.py
+++ b/src/apricotcart/gateway/crash_quarantine.py
@@ -17,7 +17,7 @@
     QuarantinedRequestError,
 )
 from apricotcart.gateway.exchanges.end_check import EndCheck
-from apricotcart.gateway.exchanges.exchange import Exchange
+from apricotcart.gateway.exchanges.endpoint_exchange import EndpointExchange
 from apricotcart.observability.decisions import (
     CRASH_SUSPECTED,
     SUSPECT_QUARANTINED,
@@ -75,7 +75,7 @@
         )
 
     def on_failure(
-        self, call: Call, exchange: Exchange, exc: BaseException
+        self, call: Call, exchange: EndpointExchange, exc: BaseException
     ) -> None:
         """Record a crash if the request may have caused it.
 
@@ -108,7 +108,7 @@
             self._suspects.on_crash(crash, instance.run_id, _suspects_of(call))
             self._log_changes(before)
 
-    def on_event(self, call: Call, exchange: Exchange) -> None:
+    def on_event(self, call: Call, exchange: EndpointExchange) -> None:
         """Record that an endpoint has sent an event of the response."""
         now = boot_clock_s()
         if not exchange.began_at:
@@ -116,7 +116,7 @@
         elif now > exchange.began_at + _BEGIN_S and not exchange.is_proven:
             self.on_success(call, exchange)
 
-    def on_success(self, call: Call, exchange: Exchange) -> None:
+    def on_success(self, call: Call, exchange: EndpointExchange) -> None:
         """Record that an endpoint has survived the request."""
         if exchange.is_proven:
             return
@@ -164,7 +164,7 @@
             )
 
 
-def _has_survived(exchange: Exchange, now: float) -> bool:
+def _has_survived(exchange: EndpointExchange, now: float) -> bool:
     """Return whether the endpoint crashed too late for the request."""
     if exchange.is_stream:
         return 0 < exchange.began_at < now - _BEGIN_S
--- a/src/apricotcart/gateway/errors.py
+++ b/src/apricotcart/gateway/errors.py
@@ -36,6 +36,12 @@
     code = 'leaving'
 
 
+class WithdrawnError(NotRunError):
+    """The request was taken out of the queue of a host that is cut off."""
+
+    code = 'cut_off'
+
+
 class CallerLeftError(MayHaveRunError):
     """The caller closed its connection before the response was complete."""
 
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -1,25 +1,22 @@
-"""One request to one endpoint and its response."""
+"""One request to an endpoint or another gateway, and its response."""
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from http import HTTPStatus
+from abc import ABC, abstractmethod
+from collections.abc import Iterator, Mapping
 from http.client import HTTPResponse
-from typing import Final
+from typing import Any, Final, Generic, TypeVar
 
 from apricotcart.gateway.api import (
-    EndpointRequestMetadata,
     HeaderCodec,
     Headers,
     ResponseMetadata,
 )
 from apricotcart.gateway.call import Call
-from apricotcart.gateway.dispatching.endpoint_state import EndpointState
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     CallerLeftError,
     ConnectionEndedError,
-    NotExecutedError,
     UnreachableEndpointError,
 )
 from apricotcart.gateway.exchanges.bodies import (
@@ -47,11 +44,36 @@
 _EVENT_STREAM: Final = 'text/event-stream'
 
 
-class Exchange:
-    """A request to an endpoint.
+class Destination:
+    """The endpoint or gateway that a request is sent to.
 
     Attributes
     ----------
+    name : str
+        Id of the endpoint, or name of the gateway.
+    address : str
+        Its address as ``IP:PORT``.
+    log_fields : mapping
+        Fields of log lines that name it.
+    """
+
+    __slots__ = ('address', 'log_fields', 'name')
+
+    def __init__(
+        self, name: str, address: str, log_fields: Mapping[str, Any]
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.log_fields = log_fields
+
+
+class Exchange(ABC):
+    """A request and its response.
+
+    Attributes
+    ----------
+    destination : Destination
+        Where the request is sent.
     status : int
         HTTP status of the response.
     headers : list of (str, str)
@@ -70,40 +92,26 @@
         What says where the body ends; None before the headers.
     held : HeldBytes
         What the response holds in memory.
+    upstream : Upstream
+        Keeps account of the exchange.
     """
 
-    __slots__ = (
-        '_call',
-        '_conn',
-        '_header_codec',
-        '_pool',
-        '_response',
-        'began_at',
-        'framing',
-        'has_response',
-        'headers',
-        'held',
-        'is_proven',
-        'endpoint',
-        'sent_at',
-        'status',
-        'metadata',
-    )
+    # Time after the deadline during which the time-out response of the other
+    # side may still arrive.
+    grace_s = _DEADLINE_GRACE_S
 
     def __init__(
         self,
         call: Call,
-        endpoint: EndpointState,
+        destination: Destination,
+        upstream: Upstream[Any],
         pool: ConnectionPool,
         header_codec: HeaderCodec,
         memory: ResponseMemory,
     ) -> None:
-        self._call = call
-        self._pool = pool
+        self.destination = destination
+        self.upstream = upstream
         self.held = memory.hold()
-        self._header_codec = header_codec
-        self._conn: EndpointConnection | None = None
-        self.endpoint = endpoint
         self.sent_at: float = 0
         self.began_at: float = 0
         self.is_proven = False
@@ -111,6 +119,10 @@
         self.status = 0
         self.framing: Framing | None = None
         self.headers: list[tuple[str, str]] = []
+        self._call = call
+        self._pool = pool
+        self._header_codec = header_codec
+        self._conn: EndpointConnection | None = None
 
     @property
     def is_stream(self) -> bool:
@@ -127,11 +139,6 @@
         is_framed = self.framing is not Framing.CLOSE
         return self._call.is_stream and not (content_type and is_framed)
 
-    @property
-    def is_misdirected(self) -> bool:
-        """Whether another endpoint has answered at the address."""
-        return self.status == HTTPStatus.MISDIRECTED_REQUEST
-
     def age_s(self) -> float | None:
         """Return the time since the request was written, None if it was not."""
         return boot_clock_s() - self.sent_at if self.sent_at else None
@@ -149,7 +156,7 @@
             If the request may have run.
         """
         call = self._call
-        conn = self._pool.acquire(self.endpoint.instance.address)
+        conn = self._pool.acquire(self.destination.address)
         self._conn = conn
         call.conn = conn
         self._require_sendable()
@@ -158,6 +165,10 @@
         self.has_response = True
         self._check_response()
 
+    def caller_headers(self) -> list[tuple[str, str]]:
+        """Return the headers of the response for the caller."""
+        return self._header_codec.build_caller_headers(self.headers)
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
@@ -168,8 +179,8 @@
         SilentEndpointError
             If the body is not complete before the deadline.
         """
-        conn = self._connected()
-        conn.set_read_timeout(self._call.remaining_s() + _DEADLINE_GRACE_S)
+        conn = _require_open(self._conn)
+        conn.set_read_timeout(self._call.remaining_s() + self.grace_s)
         size = 0
         while True:
             chunk = read_available(self._response)
@@ -205,7 +216,7 @@
 
     def finish(self) -> None:
         """Release the connection after a complete response."""
-        conn = self._connected()
+        conn = _require_open(self._conn)
         will_close = self._response.will_close
         self._response.close()
         self._call.conn = None
@@ -214,7 +225,7 @@
             conn.discard()
             return
         self._pool.release(
-            self.endpoint.instance.address,
+            self.destination.address,
             conn,
             self.metadata.keeps_s,
         )
@@ -241,26 +252,26 @@
             )
         if self._call.is_host_ending:
             raise UnreachableEndpointError('this host is shutting down')
-        endpoint = self.endpoint
-        is_paused = endpoint.notices.pause_left_s(boot_clock_s()) > 0
-        if is_paused or not endpoint.accepts_requests:
-            raise UnreachableEndpointError(
-                'the endpoint is draining or asked for a pause'
-            )
 
+    @abstractmethod
+    def _build_headers(
+        self, last_event_id: str, remaining_s: float
+    ) -> list[tuple[str, str]]:
+        """Return the headers of the request."""
+
+    @abstractmethod
     def _check_response(self) -> None:
-        if self.metadata.is_not_run:
-            raise NotExecutedError(
-                f'the endpoint did not run the request: status {self.status}'
-            )
-        if not self.metadata.is_genuine:
-            raise BrokenEndpointError(
-                'the response lacks the stamp header of the endpoint'
-            )
-        if self.metadata.is_encoded:
-            raise BrokenEndpointError(
-                'the response body has an unrequested content encoding'
-            )
+        """Raise if the headers of the response show that it is a failure."""
+
+    @abstractmethod
+    def _matches_attempt(self, *, is_first: bool) -> bool:
+        """Return whether the response belongs to this request.
+
+        Raises
+        ------
+        BrokenEndpointError
+            If that is not known.
+        """
 
     def _write(self, conn: EndpointConnection, last_event_id: str) -> None:
         call = self._call
@@ -269,25 +280,12 @@
             raise UnreachableEndpointError(
                 'the deadline of the request has passed'
             )
-        headers = self._header_codec.build_endpoint_headers(
-            call.message.headers,
-            EndpointRequestMetadata(
-                endpoint_id=self.endpoint.instance.instance_id,
-                wait_s=remaining_s,
-                customer=call.customer_name,
-                urgency=call.urgency.levels_above,
-                last_event_id=last_event_id,
-                cache_source=self.endpoint.cache_source_of(call.request_id),
-            ),
-        )
-        call.send_count += 1
+        headers = self._build_headers(last_event_id, remaining_s)
         self.sent_at = boot_clock_s()
         conn.send_request(call.message, headers, remaining_s)
 
     def _read_head(self, conn: EndpointConnection) -> None:
-        response = conn.read_response(
-            self._call.remaining_s() + _DEADLINE_GRACE_S
-        )
+        response = conn.read_response(self._call.remaining_s() + self.grace_s)
         is_first = not conn.is_reused
         for _ in range(_MAX_SKIPPED_RESPONSES):
             self._store_head(response)
@@ -312,20 +310,67 @@
             )
         )
 
-    def _matches_attempt(self, *, is_first: bool) -> bool:
-        attempt_id = self.metadata.attempt_id
-        if attempt_id:
-            return attempt_id == self._call.metadata.attempt_id
-        # Without an id, only the first response on a connection is known to
-        # belong to this request.
-        if self.metadata.is_genuine or not is_first:
-            raise BrokenEndpointError('the response has no attempt id')
-        return True
-
-    def _connected(self) -> EndpointConnection:
-        if self._conn is None:
-            raise BrokenEndpointError('the connection is already closed')
-        return self._conn
+
+SomeExchange = TypeVar('SomeExchange', bound=Exchange)
+
+
+class Upstream(ABC, Generic[SomeExchange]):
+    """Where requests are sent: endpoints, or other gateways.
+
+    Keeps account of each exchange.
+    """
+
+    # Whether an exchange that ends with an error status may be repeated. False
+    # where the other side repeats requests itself.
+    repeats_errors: bool
+
+    @abstractmethod
+    def acquire(self, call: Call) -> SomeExchange | None:
+        """Return an exchange for a request, None if this upstream has none.
+
+        Raises
+        ------
+        ApricotcartError
+            If the request must not be sent.
+        """
+
+    @abstractmethod
+    def on_response(self, exchange: SomeExchange) -> None:
+        """Record what the headers of a response say, or that none came."""
+
+    @abstractmethod
+    def on_run(
+        self, call: Call, exchange: SomeExchange, began_at: float
+    ) -> None:
+        """Record that the request was run, from a time in seconds."""
+
+    @abstractmethod
+    def on_stream_begun(self, call: Call, exchange: SomeExchange) -> None:
+        """Record the first event of a stream."""
+
+    @abstractmethod
+    def on_stream_resumed(self, call: Call, exchange: SomeExchange) -> None:
+        """Record that a stream goes on in this exchange."""
+
+    @abstractmethod
+    def on_event(self, call: Call, exchange: SomeExchange) -> None:
+        """Record a later event of a stream."""
+
+    @abstractmethod
+    def on_complete(self, call: Call, exchange: SomeExchange) -> None:
+        """Release what a complete exchange occupies."""
+
+    @abstractmethod
+    def on_failure(
+        self, call: Call, exchange: SomeExchange, exc: BaseException
+    ) -> None:
+        """Release what a failed exchange occupies, and record the failure."""
+
+
+def _require_open(conn: EndpointConnection | None) -> EndpointConnection:
+    if conn is None:
+        raise BrokenEndpointError('the connection is already closed')
+    return conn
 
 
 def _content_type_of(headers: Headers) -> str:
--- a/src/apricotcart/gateway/exchanges/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -65,17 +65,12 @@
         self._exchange: Exchange | None = exchange
         self._splitter = EventBuffer()
         self._source = exchange.chunks()
-        self.headers = sender.header_codec.build_caller_headers(
-            exchange.headers
-        )
+        self.headers = exchange.caller_headers()
         self._first_events = self._read_first_events()
         self._last_event_at = boot_clock_s()
         self._first_event_s = self._last_event_at - call.started_at
         self._max_event_gap_s: float = 0
-        sender.dispatcher.mark_prefilled(call.request_id, exchange.endpoint)
-        sender.record_run(call, boot_clock_s())
-        sender.record_stream(call, exchange.endpoint)
-        sender.quarantine.on_event(call, exchange)
+        exchange.upstream.on_stream_begun(call, exchange)
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the events as they arrive; raise if the stream breaks."""
@@ -102,8 +97,7 @@
             request_id=self._call.metadata.attempt_id,
             route=self._call.route.name,
             kind=str(self._call.route.kind),
-            endpoint=exchange.endpoint.instance.instance_id,
-            zone=exchange.endpoint.instance.zone,
+            **exchange.destination.log_fields,
             attempt=self._call.send_count,
             status=exchange.status,
             framing=exchange.framing,
@@ -158,7 +152,7 @@
 
     def _record_event(self) -> None:
         if self._exchange is not None:
-            self._sender.quarantine.on_event(self._call, self._exchange)
+            self._exchange.upstream.on_event(self._call, self._exchange)
 
     def _resume(self, exc: ApricotcartError) -> None:
         """Resume the stream at another endpoint.
@@ -183,8 +177,8 @@
             log_decision(
                 STREAM_RESUMED,
                 request_id=self._call.metadata.attempt_id,
-                endpoint=exchange.endpoint.instance.instance_id,
-                software=exchange.endpoint.instance.software_version,
+                **exchange.destination.log_fields,
+                software=_version_of(self._call),
                 attempt=self._call.send_count,
                 reason=cause.code,
             )
@@ -228,12 +222,14 @@
             raise BrokenEndpointError(
                 f'stream not resumed: status {exchange.status}'
             )
-        self._sender.dispatcher.mark_prefilled(
-            self._call.request_id, exchange.endpoint
-        )
+        exchange.upstream.on_stream_resumed(self._call, exchange)
         self._source = exchange.chunks()
 
     def _release_exchange(self, exc: ApricotcartError) -> None:
         if self._exchange is not None:
             self._sender.fail(self._call, self._exchange, exc)
             self._exchange = None
+
+
+def _version_of(call: Call) -> str | None:
+    return None if call.origin is None else call.origin.software_version
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -67,7 +67,6 @@
             If no endpoint responded. Its class states whether the request
             may have run.
         """
-        self._sender.retry_policy.on_request(call.service, boot_clock_s())
         while True:
             exchange = self._sender.acquire(call)
             try:
@@ -99,11 +98,9 @@
             raise BrokenEndpointError(
                 f'the endpoint responded with status {status}'
             )
-        headers = self._sender.header_codec.build_caller_headers(
-            exchange.headers
-        )
+        headers = exchange.caller_headers()
         headers.append(('Content-Length', str(body.size)))
-        self._sender.record_run(call, exchange.sent_at)
+        exchange.upstream.on_run(call, exchange, exchange.sent_at)
         self._sender.complete(call, exchange)
         is_failure = status >= HTTPStatus.INTERNAL_SERVER_ERROR
         call.failure_response = WebResponse(status, headers, body)
@@ -112,15 +109,16 @@
             request_id=call.metadata.attempt_id,
             route=call.route.name,
             kind=str(call.route.kind),
-            endpoint=exchange.endpoint.instance.instance_id,
+            **exchange.destination.log_fields,
             attempt=call.send_count,
             status=status,
             framing=exchange.framing,
             duration_s=boot_clock_s() - call.started_at,
             bytes_out=body.size,
         )
-        if is_failure and self._sender.may_retry(call):
-            call.excluded_endpoints.add(exchange.endpoint.instance.instance_id)
+        is_repeated = is_failure and exchange.upstream.repeats_errors
+        if is_repeated and self._sender.may_retry(call):
+            call.excluded_endpoints.add(exchange.destination.name)
             return None
         return call.failure_response
 
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -26,6 +26,7 @@
 )
 from apricotcart.gateway.dispatching.list_relay import ControlHostRelay
 from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
@@ -34,6 +35,13 @@
     CallerGateway,
     GrowingThreadPool,
 )
+from apricotcart.gateway.reachability.api import ReachView
+from apricotcart.gateway.relay.always_reached import AlwaysReached
+from apricotcart.gateway.relay.choice import PeerChoice
+from apricotcart.gateway.relay.door import DoorApplication
+from apricotcart.gateway.relay.pool import PeerPool
+from apricotcart.gateway.relay.tickets import TicketOffice
+from apricotcart.gateway.relay.upstream import RELAY_INTERVAL_S, PeerUpstream
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -42,6 +50,7 @@
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.membership.answers import ANSWER_TTL_S
+from apricotcart.membership.peers import PeerDirectory
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.process.fleet import FleetProcess
 from apricotcart.resumption.record_store import ControlHostStore
@@ -66,6 +75,10 @@
 _THREADS: Final = 24
 # Maximum number of requests in progress and connections being read.
 _THREADS_MAX: Final = 800
+# The same for requests that other gateways pass on, which are rare.
+_DOOR_THREADS: Final = 2
+# Maximum size of a ticket, on top of the headers of a caller.
+_MAX_TICKET_BYTES: Final = 4096
 _READINESS_THREADS: Final = 2
 _MAX_HEADER_BYTES: Final = 65_536
 _HEADER_TIMEOUT_S: Final = 3.0
@@ -117,7 +130,7 @@
         self._origins = StreamOrigins(
             ControlHostStore(any_host), LeaderVersionSource(leader)
         )
-        self._sender = Sender(
+        self._upstream = EndpointUpstream(
             dispatcher=self._dispatcher,
             pool=self._pool,
             header_codec=self._adapter.header_codec(),
@@ -126,6 +139,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
         )
+        self._build_relay()
         self._endpoints = EndpointUpdater(
             self._adapter.platform_client(cfg.platform.address),
             ControlHostRelay(any_host),
@@ -146,6 +160,23 @@
             origins=self._origins,
         )
 
+    def _build_relay(self) -> None:
+        cfg = self._cfg
+        self._peers = PeerDirectory()
+        self._reach: ReachView = AlwaysReached()
+        self._tickets = TicketOffice(
+            Sealer(CLUSTER_SECRET), cfg.host.name, self._clock
+        )
+        self._relay = PeerUpstream(
+            view=self._reach,
+            choice=PeerChoice(self._peers, cfg.host.zone),
+            tickets=self._tickets,
+            pool=PeerPool(),
+            header_codec=self._adapter.header_codec(),
+            memory=self._upstream.response_memory,
+        )
+        self._sender = Sender(self._upstream, self._relay)
+
     def _start(self) -> None:
         self._watcher.start()
         link = self._link
@@ -155,6 +186,7 @@
         ).start()
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
+        RepeatingTimer('relay', RELAY_INTERVAL_S, self._relay.tick).start()
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
@@ -169,37 +201,49 @@
         self._origins.store_new(self._dispatcher.listed_versions())
 
     def _serve_callers(self) -> None:
-        app = GatewayApplication(
-            state=self._state,
-            header_codec=self._adapter.header_codec(),
-            dispatcher=self._dispatcher,
-            forwarder=Forwarder(self._sender),
-            watcher=self._watcher,
-            active_requests=self._active_requests,
-            resumption=StreamResumption(self._origins, self._dispatcher),
-        )
-        server = add_server(
-            HttpAddress.from_host_port(self._cfg.listen.callers),
+        parts: dict[str, Any] = {
+            'state': self._state,
+            'header_codec': self._adapter.header_codec(),
+            'dispatcher': self._dispatcher,
+            'forwarder': Forwarder(self._sender),
+            'watcher': self._watcher,
+            'active_requests': self._active_requests,
+            'resumption': StreamResumption(self._origins, self._dispatcher),
+        }
+        cfg = self._cfg
+        _add_caller_server(
+            HttpAddress.from_host_port(cfg.listen.callers),
             _limits(_THREADS),
-            app,
+            GatewayApplication(**parts),
         )
-        http: Any = server.httpserver
-        http.ConnectionClass = CallerConnection
-        http.gateway = CallerGateway
-        http.timeout = _IDLE_TIMEOUT_S
-        http.keep_alive_conn_limit = _KEEP_ALIVE_MAX
-        http.requests = GrowingThreadPool(
-            http,
-            min=_THREADS,
-            max=_THREADS_MAX,
+        _add_caller_server(
+            HttpAddress(host=cfg.host.address, port=cfg.links.last_port),
+            _limits(_DOOR_THREADS, _MAX_TICKET_BYTES),
+            DoorApplication(tickets=self._tickets, view=self._reach, **parts),
         )
-        http.error_log = _log_server_error
 
 
-def _limits(threads: int) -> ServerLimits:
+def _add_caller_server(
+    address: HttpAddress, limits: ServerLimits, app: GatewayApplication
+) -> None:
+    server = add_server(address, limits, app)
+    http: Any = server.httpserver
+    http.ConnectionClass = CallerConnection
+    http.gateway = CallerGateway
+    http.timeout = _IDLE_TIMEOUT_S
+    http.keep_alive_conn_limit = _KEEP_ALIVE_MAX
+    http.requests = GrowingThreadPool(
+        http,
+        min=limits.threads,
+        max=_THREADS_MAX,
+    )
+    http.error_log = _log_server_error
+
+
+def _limits(threads: int, extra_header_bytes: int = 0) -> ServerLimits:
     return ServerLimits(
         threads=threads,
-        max_header_bytes=_MAX_HEADER_BYTES,
+        max_header_bytes=_MAX_HEADER_BYTES + extra_header_bytes,
         header_timeout_s=_HEADER_TIMEOUT_S,
         body_timeout_s=_BODY_TIMEOUT_S,
     )
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -20,6 +20,7 @@
 _REASON: Final = 'reason'
 _REQUEST_ID: Final = 'request_id'
 _FINGERPRINT: Final = 'fingerprint'
+_KIND: Final = 'kind'
 _DURATION: Final = 'duration_s'
 # Limit on the log lines per event and second; further decisions are counted
 # but not logged.
@@ -49,7 +50,7 @@
     _REQUEST_ID,
     _FINGERPRINT,
     'route',
-    'kind',
+    _KIND,
     'customer',
     'endpoint',
     'zone',
@@ -81,8 +82,9 @@
     'request_answered',
     _REQUEST_ID,
     'route',
-    'kind',
+    _KIND,
     'endpoint',
+    'peer',
     'zone',
     'attempt',
     'status',
@@ -110,6 +112,8 @@
     'stream_resumed',
     _REQUEST_ID,
     'endpoint',
+    'peer',
+    'zone',
     'software',
     'attempt',
     _REASON,
@@ -140,9 +144,9 @@
     _DURATION,
 )
 SUSPECT_QUARANTINED: Final = Event(
-    'suspect_quarantined', 'kind', 'suspect', 'endpoints'
+    'suspect_quarantined', _KIND, 'suspect', 'endpoints'
 )
-SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'suspect')
+SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
 ENDPOINT_NOTICE: Final = Event(
     'endpoint_notice',
     'endpoint',
@@ -151,6 +155,44 @@
     'retry_after_s',
     _DURATION,
 )
+# This host reaches no endpoint, or may not, and passes the request on.
+REQUEST_PASSED_ON: Final = Event(
+    'request_passed_on',
+    _REQUEST_ID,
+    'route',
+    _KIND,
+    'customer',
+    'peer',
+    'zone',
+    _REASON,
+    'reach',
+    'attempt',
+    'deadline_s',
+)
+# The duration ends with the headers of the response.
+PASSED_ON_ANSWERED: Final = Event(
+    'passed_on_answered', _REQUEST_ID, 'peer', 'status', _REASON, _DURATION
+)
+PASS_ON_FAILED: Final = Event(
+    'pass_on_failed',
+    _REQUEST_ID,
+    'peer',
+    'attempt',
+    _REASON,
+    'detail',
+    'run_state',
+    _DURATION,
+)
+REQUEST_TAKEN_OVER: Final = Event(
+    'request_taken_over',
+    _REQUEST_ID,
+    'route',
+    _KIND,
+    'customer',
+    'sender',
+    'attempt',
+    'deadline_s',
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -165,7 +207,7 @@
 LEADER_FOUND: Final = Event('leader_found', 'leader')
 CONTROL_CALL_FAILED: Final = Event(
     'control_call_failed',
-    'kind',
+    _KIND,
     'asked',
     _REASON,
     'detail',
@@ -179,7 +221,7 @@
     'endpoints_ordered',
     'pool',
     'zone',
-    'kind',
+    _KIND,
     'count',
     'outcome',
 )
@@ -200,6 +242,10 @@
     SUSPECT_QUARANTINED,
     SUSPECT_RELEASED,
     ENDPOINT_NOTICE,
+    REQUEST_PASSED_ON,
+    PASSED_ON_ANSWERED,
+    PASS_ON_FAILED,
+    REQUEST_TAKEN_OVER,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
@@ -266,7 +312,7 @@
         """Count a decision and record the durations among its fields."""
         if self._metrics is None:
             return
-        labels = {'event': event.name, 'kind': str(fields.get('kind', ''))}
+        labels = {'event': event.name, _KIND: str(fields.get(_KIND, ''))}
         reason = str(fields.get(_REASON) or fields.get('status') or '')
         self._metrics.count(DECISIONS, {**labels, _REASON: reason})
         for name in _DURATION_FIELDS:
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -121,6 +121,17 @@
             forwarded.append(('Last-Event-Id', metadata.last_event_id))
         return forwarded
 
+    def build_relayed_headers(
+        self, headers: Headers, last_event_id: str
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request that another gateway takes over."""
+        dropped_names = _hop_by_hop_names(headers)
+        if not last_event_id:
+            return _without_names(headers, dropped_names)
+        relayed = _without_names(headers, dropped_names | {_LAST_EVENT})
+        relayed.append(('Last-Event-Id', last_event_id))
+        return relayed
+
     def parse_response_headers(
         self, headers: Headers, status: int
     ) -> ResponseMetadata:
--- a/src/apricotcart/web/request.py
+++ b/src/apricotcart/web/request.py
@@ -22,6 +22,7 @@
 # A rejected body is read and discarded up to this size, so that a caller that
 # sends its whole body first still receives the error response.
 _MAX_DISCARD_BYTES = 1_048_576
+_HTTP = 'http'
 _BEARER_PREFIX = 'bearer '
 
 
@@ -66,6 +67,14 @@
         uri = str(self.environ.get('REQUEST_URI') or quote(self.path))
         return urlsplit(uri).path
 
+    def target(self) -> str:
+        """Return path and query as received, without scheme and host."""
+        target = str(self.environ['REQUEST_URI'])
+        if not target.startswith(_HTTP):
+            return target
+        parts = urlsplit(target)
+        return f'{parts.path}?{parts.query}' if parts.query else parts.path
+
     def query(self, name: str, default: str = '') -> str:
         """Return the first value of a query parameter."""
         fields = parse_qs(str(self.environ.get('QUERY_STRING', '')))
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -24,6 +24,7 @@
     Dispatcher,
 )
 from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.retry_policy import RetryPolicy
@@ -77,7 +78,7 @@
 class Bench:
     """Forwards calls to scripted endpoints."""
 
-    def __init__(self) -> None:
+    def __init__(self, pool: ConnectionPool | None = None) -> None:
         self.endpoints: list[RawEndpoint] = []
         # Software versions of the endpoints; the same for all if empty.
         self.software_versions: Sequence[str] = ()
@@ -87,22 +88,27 @@
         self.versions = Versions()
         self.origins = StreamOrigins(self.records, self.versions)
         self.usage = UsageCounter(SteadyUnixClock.from_host(), 5)
-        self.sender = Sender(
+        self.upstream = EndpointUpstream(
             dispatcher=self.dispatcher,
-            pool=ConnectionPool(),
+            pool=pool or ConnectionPool(),
             header_codec=PlatformHeaderCodec(),
             retry_policy=RetryPolicy(1, 100),
             usage=self.usage,
             quarantine=CrashQuarantine(),
             origins=self.origins,
         )
+        self.sender = Sender(self.upstream)
         self.forwarder = Forwarder(self.sender)
 
     def serve(self, *scripts: Script) -> list[RawEndpoint]:
-        self.endpoints = [RawEndpoint(script) for script in scripts]
-        self.drain('')
+        self.share([RawEndpoint(script) for script in scripts])
         return self.endpoints
 
+    def share(self, endpoints: list[RawEndpoint]) -> None:
+        """Send requests to endpoints that other gateways may use too."""
+        self.endpoints = endpoints
+        self.drain('')
+
     def drain(self, address: str) -> None:
         self.placement.update_instances(
             Instance(
--- a/tests/gateway/exchanges/test_responses_without_end.py
+++ b/tests/gateway/exchanges/test_responses_without_end.py
@@ -169,7 +169,7 @@
 
     Sound responses are still delivered while large ones hold the limit.
     """
-    bench.sender.response_memory = ResponseMemory(_MEMORY_BYTES)
+    bench.upstream.response_memory = ResponseMemory(_MEMORY_BYTES)
     holding = _Holding()
     bench.serve(holding)
     received: list[Received] = []
@@ -199,7 +199,7 @@
 def test_body_is_held_until_it_is_delivered(bench: Bench) -> None:
     """Guards against callers that read large responses slowly."""
     memory = ResponseMemory(_MEMORY_BYTES)
-    bench.sender.response_memory = memory
+    bench.upstream.response_memory = memory
     bench.serve(respond_with(body=b'a' * _LARGE_BYTES))
     response: WebResponse | None = bench.forwarder.forward(bench.call())
     assert response is not None
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -105,16 +105,17 @@
         self.active_requests = ActiveRequests()
         self._watcher = CallerWatcher()
         self._watcher.start()
-        app = GatewayApplication(
-            state=_state(),
-            header_codec=PlatformHeaderCodec(),
-            dispatcher=bench.dispatcher,
-            forwarder=bench.forwarder,
-            watcher=self._watcher,
-            active_requests=self.active_requests,
-            resumption=StreamResumption(bench.origins, bench.dispatcher),
-        )
-        self._server = start_listener(app)
+        # What the application consists of.
+        self.parts: dict[str, Any] = {
+            'state': _state(),
+            'header_codec': PlatformHeaderCodec(),
+            'dispatcher': bench.dispatcher,
+            'forwarder': bench.forwarder,
+            'watcher': self._watcher,
+            'active_requests': self.active_requests,
+            'resumption': StreamResumption(bench.origins, bench.dispatcher),
+        }
+        self._server = start_listener(GatewayApplication(**self.parts))
 
     def ask(
         self,
@@ -122,19 +123,33 @@
         *extra: str,
         http: str = '1.1',
         wait_ms: int = 2000,
+        body: bytes = b'',
     ) -> Received:
         """Send a request and read until the connection ends."""
+        raw = self.request_bytes(
+            route, *extra, http=http, wait_ms=wait_ms, body=body
+        )
+        return _read_to_end(self.address, raw)
+
+    def request_bytes(
+        self,
+        route: str,
+        *extra: str,
+        http: str = '1.1',
+        wait_ms: int = 2000,
+        body: bytes = b'',
+    ) -> bytes:
+        """Return the bytes of a request."""
         lines = [
             f'POST /{route}/x HTTP/{http}',
             'Host: h',
             f'Attempt-Id: t{next(_attempts)}',
             f'Deadline-Ms: {wait_ms}',
             'Connection: close',
-            'Content-Length: 0',
+            f'Content-Length: {len(body)}',
             *extra,
         ]
-        raw = '\r\n'.join([*lines, '', '']).encode()
-        return _read_to_end(self.address, raw)
+        return '\r\n'.join([*lines, '', '']).encode() + body
 
     @property
     def address(self) -> tuple[str, int]:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -387,7 +387,7 @@
     endpoints = bench.serve(respond_with(), respond_with(), respond_with())
     for endpoint in endpoints[:2]:
         endpoint.close()
-    bench.sender.retry_policy = RetryPolicy(0, 0)
+    bench.upstream.retry_policy = RetryPolicy(0, 0)
     for _ in range(6):
         assert _body(bench.forwarder.forward(bench.call())) == b'ok'
 
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -101,5 +101,5 @@
     bench: Bench,
 ) -> None:
     """The load of the test above exceeds the bound by itself."""
-    bench.sender.quarantine = NoQuarantine()
+    bench.upstream.quarantine = NoQuarantine()
     assert _count_arrivals(bench) > _CRASHES + _LATE_REQUESTS
