--- a/src/apricotcart/gateway/relay/upstream.py
+++ b/src/apricotcart/gateway/relay/upstream.py
@@ -34,15 +34,21 @@
 RELAY_INTERVAL_S: Final = 0.1
 # Gateways that one request is passed on to, or could not be.
 _MAX_PEERS: Final = 3
-# Endpoints that one request tries while this host may be cut off. One of them
-# may have ended by itself.
+# Endpoints that a request tries while this host may be cut off, before it is
+# passed on. Connections to several others have failed before, and a silent one
+# takes 1.2 s to fail.
+_TRIES_BEFORE: Final = 1
+# Endpoints that it tries if no gateway can take it over. One endpoint may have
+# ended by itself.
 _SUSPECT_TRIES: Final = 2
-# The same while this host is cut off and no other gateway is known, or for a
-# request that another gateway has passed on and could pass on elsewhere.
+# The same while this host is cut off, or for a request that another gateway has
+# passed on and could pass on elsewhere.
 _CUT_OFF_TRIES: Final = 1
 # The list of gateways that reach endpoints is renewed with each sync, every
 # 0.3 s.
 _RETRY_AFTER_S: Final = 0.5
+# Failures after which other requests avoid the gateway for a while.
+_PEER_FAULTS: Final = (ConnectionEndedError, UnreachableEndpointError)
 
 
 class PeerUpstream(Upstream[RelayExchange]):
@@ -185,7 +191,8 @@
         self._choice.release(exchange.destination.name)
         call.passing.tried_peers.add(exchange.destination.name)
         if exchange.sent_at and exchange.receipt is None:
-            # The other gateway may have sent it once at least.
+            # The other gateway may have counted it, and sent it once at least.
+            call.passing.is_counted = True
             call.send_count += 1
         if not isinstance(exc, ApricotcartError):
             return
@@ -193,7 +200,8 @@
             call.may_have_run = call.may_have_run or bool(exchange.sent_at)
         if call.is_caller_gone:
             return
-        if isinstance(exc, (ConnectionEndedError, UnreachableEndpointError)):
+        has_ended = call.is_host_ending or call.remaining_s() <= 0
+        if isinstance(exc, _PEER_FAULTS) and not has_ended:
             self._choice.avoid(exchange.destination.name, boot_clock_s())
         log_decision(
             PASS_ON_FAILED,
@@ -242,9 +250,7 @@
 def _tries_endpoint_first(call: Call, reach: Reach) -> bool:
     if reach is Reach.CUT_OFF or call.passing.is_withdrawn:
         return False
-    if call.passing.is_taken_over:
-        return not call.excluded_endpoints
-    return len(call.excluded_endpoints) < _SUSPECT_TRIES
+    return len(call.excluded_endpoints) < _TRIES_BEFORE
 
 
 def _require_try_left(call: Call, reach: Reach) -> None:
