--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -27,6 +27,7 @@
 )
 from apricotcart.gateway.dispatching.list_relay import ControlHostRelay
 from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
@@ -39,6 +40,11 @@
 from apricotcart.gateway.reachability.probe import PROBE_CHECK_S, ReachProbe
 from apricotcart.gateway.reachability.probe_plan import ProbePlan
 from apricotcart.gateway.reachability.sync import SyncedReach
+from apricotcart.gateway.relay.choice import PeerChoice
+from apricotcart.gateway.relay.door import DoorApplication
+from apricotcart.gateway.relay.pool import PeerPool
+from apricotcart.gateway.relay.tickets import TicketOffice
+from apricotcart.gateway.relay.upstream import RELAY_INTERVAL_S, PeerUpstream
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -72,6 +78,10 @@
 _THREADS: Final = 24
 # Maximum number of requests in progress and connections being read.
 _THREADS_MAX: Final = 800
+# The same for requests that other gateways pass on, which are rare.
+_DOOR_THREADS: Final = 2
+# Maximum size of a ticket, on top of the headers of a caller.
+_MAX_TICKET_BYTES: Final = 4096
 _READINESS_THREADS: Final = 2
 _MAX_HEADER_BYTES: Final = 65_536
 _HEADER_TIMEOUT_S: Final = 3.0
@@ -144,7 +154,7 @@
         self._origins = StreamOrigins(
             ControlHostStore(any_host), LeaderVersionSource(leader)
         )
-        self._sender = Sender(
+        self._upstream = EndpointUpstream(
             dispatcher=self._dispatcher,
             pool=self._pool,
             header_codec=self._adapter.header_codec(),
@@ -153,6 +163,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
         )
+        self._build_relay()
         self._endpoints = EndpointUpdater(
             self._adapter.platform_client(cfg.platform.address),
             ControlHostRelay(any_host),
@@ -174,6 +185,21 @@
             reachability=self._synced_reach,
         )
 
+    def _build_relay(self) -> None:
+        cfg = self._cfg
+        self._tickets = TicketOffice(
+            Sealer(CLUSTER_SECRET), cfg.host.name, self._clock
+        )
+        self._relay = PeerUpstream(
+            view=self._reach,
+            choice=PeerChoice(self._peers, cfg.host.zone),
+            tickets=self._tickets,
+            pool=PeerPool(),
+            header_codec=self._adapter.header_codec(),
+            memory=self._upstream.response_memory,
+        )
+        self._sender = Sender(self._upstream, self._relay)
+
     def _start(self) -> None:
         self._watcher.start()
         link = self._link
@@ -184,6 +210,7 @@
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
         RepeatingTimer('reach', PROBE_CHECK_S, self._probe.run_due).start()
+        RepeatingTimer('relay', RELAY_INTERVAL_S, self._relay.tick).start()
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
@@ -204,20 +231,32 @@
         )
 
     def _serve_callers(self) -> None:
-        app = GatewayApplication(
-            state=self._state,
-            header_codec=self._adapter.header_codec(),
-            dispatcher=self._dispatcher,
-            forwarder=Forwarder(self._sender),
-            watcher=self._watcher,
-            active_requests=self._active_requests,
-            resumption=StreamResumption(self._origins, self._dispatcher),
-        )
-        server = add_server(
-            HttpAddress.from_host_port(self._cfg.listen.callers),
+        parts: dict[str, Any] = {
+            'state': self._state,
+            'header_codec': self._adapter.header_codec(),
+            'dispatcher': self._dispatcher,
+            'forwarder': Forwarder(self._sender),
+            'watcher': self._watcher,
+            'active_requests': self._active_requests,
+            'resumption': StreamResumption(self._origins, self._dispatcher),
+        }
+        cfg = self._cfg
+        self._add_server(
+            HttpAddress.from_host_port(cfg.listen.callers),
             _limits(_THREADS),
-            app,
+            GatewayApplication(**parts),
+        )
+        self._add_server(
+            HttpAddress(host=cfg.host.address, port=cfg.links.last_port),
+            _limits(_DOOR_THREADS, _MAX_TICKET_BYTES),
+            DoorApplication(tickets=self._tickets, view=self._reach, **parts),
         )
+
+    def _add_server(
+        self, address: HttpAddress, limits: ServerLimits, app: Any
+    ) -> None:
+        """Serve callers, or gateways that pass their requests on."""
+        server = add_server(address, limits, app)
         http: Any = server.httpserver
         http.ConnectionClass = CallerConnection
         http.gateway = CallerGateway
@@ -225,17 +264,17 @@
         http.keep_alive_conn_limit = _KEEP_ALIVE_MAX
         http.requests = GrowingThreadPool(
             http,
-            min=_THREADS,
+            min=limits.threads,
             max=_THREADS_MAX,
         )
         http.error_log = _log_server_error
         self._servers.add(http)
 
 
-def _limits(threads: int) -> ServerLimits:
+def _limits(threads: int, extra_header_bytes: int = 0) -> ServerLimits:
     return ServerLimits(
         threads=threads,
-        max_header_bytes=_MAX_HEADER_BYTES,
+        max_header_bytes=_MAX_HEADER_BYTES + extra_header_bytes,
         header_timeout_s=_HEADER_TIMEOUT_S,
         body_timeout_s=_BODY_TIMEOUT_S,
     )
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -107,16 +107,17 @@
         self.active_requests = ActiveRequests()
         self._watcher = CallerWatcher()
         self._watcher.start()
-        app = GatewayApplication(
-            state=_state(),
-            header_codec=PlatformHeaderCodec(),
-            dispatcher=bench.dispatcher,
-            forwarder=bench.forwarder,
-            watcher=self._watcher,
-            active_requests=self.active_requests,
-            resumption=StreamResumption(bench.origins, bench.dispatcher),
-        )
-        self.server = start_listener(app)
+        # What the application consists of.
+        self.parts: dict[str, Any] = {
+            'state': _state(),
+            'header_codec': PlatformHeaderCodec(),
+            'dispatcher': bench.dispatcher,
+            'forwarder': bench.forwarder,
+            'watcher': self._watcher,
+            'active_requests': self.active_requests,
+            'resumption': StreamResumption(bench.origins, bench.dispatcher),
+        }
+        self.server = start_listener(GatewayApplication(**self.parts))
 
     def ask(
         self,
@@ -124,9 +125,12 @@
         *extra: str,
         http: str = '1.1',
         wait_ms: int = 2000,
+        body: bytes = b'',
     ) -> Received:
         """Send a request and read until the connection ends."""
-        raw = self.request_bytes(route, *extra, http=http, wait_ms=wait_ms)
+        raw = self.request_bytes(
+            route, *extra, http=http, wait_ms=wait_ms, body=body
+        )
         with socket.create_connection(self.address, _READ_TIMEOUT_S) as conn:
             conn.sendall(raw)
             return read_to_end(conn)
@@ -137,6 +141,7 @@
         *extra: str,
         http: str = '1.1',
         wait_ms: int = 2000,
+        body: bytes = b'',
     ) -> bytes:
         """Return a request whose connection ends after the response."""
         lines = [
@@ -145,10 +150,10 @@
             f'Attempt-Id: t{next(_attempts)}',
             f'Deadline-Ms: {wait_ms}',
             'Connection: close',
-            'Content-Length: 0',
+            f'Content-Length: {len(body)}',
             *extra,
         ]
-        return '\r\n'.join([*lines, '', '']).encode()
+        return '\r\n'.join([*lines, '', '']).encode() + body
 
     @property
     def address(self) -> tuple[str, int]:
