Test what gateways believe of cuts, crashes and standstills

A cut that spares a few endpoints counted failures from an outage that had just ended; others must now have reached endpoints for 1.3 s since then.

--- a/src/apricotcart/gateway/exchanges/observation.py
+++ b/src/apricotcart/gateway/exchanges/observation.py
@@ -44,7 +44,7 @@
         """Report a connection that failed, unless this host stood still."""
         now = boot_clock_s()
         if now < started_at + timeout_s + _LATE_FAILURE_S:
-            self._observer.on_connect_failed(self._address, now)
+            self._observer.on_attempt_failed(self._address, started_at, now)
 
     def on_received(self) -> None:
         """Report received bytes."""
--- a/src/apricotcart/gateway/reachability/api.py
+++ b/src/apricotcart/gateway/reachability/api.py
@@ -33,6 +33,12 @@
     def on_connect_failed(self, endpoint_id: str, now: float) -> None:
         """Record that a new connection failed or timed out."""
 
+    def on_attempt_failed(
+        self, endpoint_id: str, started_at: float, now: float
+    ) -> None:
+        """Record that a new connection that began at a time has failed."""
+        self.on_connect_failed(endpoint_id, now)
+
     @abstractmethod
     def on_received(self, endpoint_id: str, now: float) -> None:
         """Record that an endpoint has sent bytes on any connection."""
--- a/src/apricotcart/gateway/reachability/attempts.py
+++ b/src/apricotcart/gateway/reachability/attempts.py
@@ -23,7 +23,13 @@
         self._failing_since.pop(address, None)
 
     def on_failed(self, address: str, started_at: float, now: float) -> None:
-        """Record a failed connection that began at a time."""
+        """Record a failed connection that began at a time.
+
+        It does not refute a later one that has succeeded meanwhile.
+        """
+        is_failing = address in self._failing_since
+        if not is_failing and started_at < self._tried_at.get(address, 0):
+            return
         self._tried_at[address] = now
         self._failing_since.setdefault(address, started_at)
 
@@ -56,7 +62,7 @@
         """Endpoints at which the last attempt failed."""
         return frozenset(self._failing_since)
 
-    def failing_for(self, duration_s: float, now: float) -> frozenset[str]:
-        """Return the failing endpoints if the first fails for long enough."""
-        first = min(self._failing_since.values(), default=now)
-        return self.failing if first <= now - duration_s else frozenset()
+    @property
+    def failing_since(self) -> float | None:
+        """When the first of the failing endpoints began to fail."""
+        return min(self._failing_since.values(), default=None)
--- a/src/apricotcart/gateway/reachability/evidence.py
+++ b/src/apricotcart/gateway/reachability/evidence.py
@@ -166,7 +166,6 @@
         last_failed_at = max(self._failed.values(), default=0)
         return (
             bool(self._failed and last_failed_at >= now - _DOUBT_S)
-            or len(self.attempts.failing) >= _SUSPECT_ENDPOINTS
             or self._silent_at > self.last_success_at
             or any(
                 self._connected_at < started_at <= now - _LATE_S
@@ -174,6 +173,11 @@
             )
         )
 
+    def needs_probes(self, now: float) -> bool:
+        """Return whether to find out by probes what is reached."""
+        is_failing = len(self.attempts.failing) >= _SUSPECT_ENDPOINTS
+        return is_failing or self.is_doubtful(now)
+
     def reached_since(self, since: float) -> list[str]:
         """Return the endpoints that were reached since a time, last first."""
         latest = dict(self._connected)
--- a/src/apricotcart/gateway/reachability/monitor.py
+++ b/src/apricotcart/gateway/reachability/monitor.py
@@ -233,6 +233,9 @@
                 view_age_s=now - view.asked_at if is_known else None,
             )
         )
+        if self._reach is Reach.CUT_OFF:
+            # What failed during the cut says nothing about the endpoints.
+            self._evidence.attempts.clear()
         self._reach = reach
         self._recovery.restart()
 
@@ -242,10 +245,8 @@
     if others.are_cut_off_too(now):
         return False
     doubted_since = evidence.doubted_since or now
-    if others.is_known(now) and not (
-        others.reach_steadily(now)
-        and others.have_reached_since(doubted_since + _OVERLAP_S)
-    ):
+    is_known = others.is_known(now)
+    if is_known and not _do_others_reach(others, doubted_since, now):
         return False
     doubted_s = now - doubted_since
     reached = others.reached(now) & evidence.listed
@@ -265,10 +266,19 @@
     The connections to these few do not refute it, since other gateways have
     just reached those that this host does not reach.
     """
-    failing = evidence.attempts.failing_for(_ALONE_S, now)
-    if len(failing) < _NEARLY_ALL * evidence.attempts.tried:
+    attempts = evidence.attempts
+    failing = attempts.failing
+    confirmed = failing & others.reached(now)
+    if len(confirmed) < _NEARLY_CONFIRMED_ENDPOINTS:
         return False
-    if not others.reach_steadily(now):
+    if len(failing) < _NEARLY_ALL * attempts.tried:
         return False
-    confirmed = failing & others.reached(now)
-    return len(confirmed) >= _NEARLY_CONFIRMED_ENDPOINTS
+    # While others return from an outage, what failed in it does not count.
+    since = max(attempts.failing_since or now, others.reach_since or now)
+    return now - since >= _ALONE_S and _do_others_reach(others, since, now)
+
+
+def _do_others_reach(others: OtherGateways, since: float, now: float) -> bool:
+    """Return whether others have reached endpoints after a first failure."""
+    has_reached = others.have_reached_since(since + _OVERLAP_S)
+    return has_reached and others.reach_steadily(now)
--- a/src/apricotcart/gateway/reachability/others.py
+++ b/src/apricotcart/gateway/reachability/others.py
@@ -54,21 +54,23 @@
     ----------
     last_view : OthersView
         The last view, of any age.
+    reach_since : float or None
+        Since when other gateways reach endpoints; None while none does.
     """
 
-    __slots__ = ('_reach_since', 'last_view')
+    __slots__ = ('last_view', 'reach_since')
 
     def __init__(self) -> None:
         self.last_view = OthersView(None, (), 0)
-        self._reach_since: float | None = None
+        self.reach_since: float | None = None
 
     def apply(self, view: OthersView) -> None:
         """Replace the view."""
         self.last_view = view
         if not view.others_reach:
-            self._reach_since = None
-        elif self._reach_since is None:
-            self._reach_since = view.asked_at
+            self.reach_since = None
+        elif self.reach_since is None:
+            self.reach_since = view.asked_at
 
     def is_known(self, now: float) -> bool:
         """Return whether a recent view says if other gateways reach any."""
@@ -78,7 +80,7 @@
 
     def reach_steadily(self, now: float) -> bool:
         """Return whether others have reached endpoints for a while."""
-        since = self._reach_since
+        since = self.reach_since
         return since is not None and since <= now - _STEADY_S
 
     def have_reached_since(self, since: float) -> bool:
--- a/src/apricotcart/gateway/reachability/probe_plan.py
+++ b/src/apricotcart/gateway/reachability/probe_plan.py
@@ -60,7 +60,7 @@
     def _count(
         self, evidence: Evidence, now: float, *, is_reached: bool
     ) -> int:
-        if not is_reached or evidence.is_doubtful(now):
+        if not is_reached or evidence.needs_probes(now):
             if now < self._round_at + _DOUBT_INTERVAL_S:
                 return 0
             self._round_at = now
--- a/tests/gateway/reachability/simulated_fleet.py
+++ b/tests/gateway/reachability/simulated_fleet.py
@@ -82,6 +82,10 @@
         if self.rate:
             self._fleet.after(rng.uniform(0, 1 / self.rate), self.request)
 
+    def forget_connections(self) -> None:
+        """Make each endpoint need a new connection."""
+        self._open.clear()
+
     def reach(self) -> Reach:
         return self.monitor.reach(self._fleet.now)
 
@@ -171,7 +175,7 @@
             self.monitor.on_connected(address, self._fleet.now)
             self._respond(address)
         else:
-            self.monitor.on_connect_failed(address, self._fleet.now)
+            self.monitor.on_attempt_failed(address, started_at, self._fleet.now)
 
     def _respond(self, address: str) -> None:
         self._receive_until(address, self._fleet.now + _RESPONSE_S)
@@ -212,6 +216,7 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.now = _START_S
+        self.started_at = _START_S
         self.network = Network()
         self.table = GatewayTable()
         self.has_leader = True
