--- a/tests/endpoints/test_recent_outcomes.py
+++ b/tests/endpoints/test_recent_outcomes.py
@@ -31,3 +31,12 @@
     assert window.local(116).to_wire() == [0, 0]
     window.add(300, is_success=True)
     assert window.local(300).to_wire() == [1, 0]
+
+
+def test_forgotten_failures_leave_the_successes() -> None:
+    window = RecentOutcomes()
+    window.add(104, is_success=True)
+    window.add(104, is_success=False)
+    window.add(106, is_success=False)
+    window.forget_failures()
+    assert window.local(106).to_wire() == [1, 0]
--- a/tests/gateway/dispatching/test_placement.py
+++ b/tests/gateway/dispatching/test_placement.py
@@ -407,3 +407,18 @@
         {f'i-{number}': OutcomeCounts(6, 5) for number in range(4)}
     )
     assert _id_of(placement, _long_request()) == first
+
+
+def test_endpoint_that_failed_during_a_cut_is_chosen_again() -> None:
+    """Guards against penalties that outlive a cut of this host's own path."""
+    placement = _placement(4)
+    first = _id_of(placement, _long_request())
+    endpoint = placement.endpoint(first)
+    assert endpoint is not None
+    for _ in range(4):
+        endpoint.on_failure(0)
+        endpoint.outcomes.add(0, is_success=False)
+    assert _id_of(placement, _long_request()) != first
+    placement.table.forget_failures()
+    assert _id_of(placement, _long_request()) == first
+    assert not endpoint.has_failed
