--- a/src/apricotcart/gateway/relay/upstream.py
+++ b/src/apricotcart/gateway/relay/upstream.py
@@ -12,6 +12,7 @@
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
     ConnectionEndedError,
+    SilentEndpointError,
     UnreachableEndpointError,
 )
 from apricotcart.gateway.exchanges.connections import ConnectionPool
@@ -48,7 +49,13 @@
 # 0.3 s.
 _RETRY_AFTER_S: Final = 0.5
 # Failures after which other requests avoid the gateway for a while.
-_PEER_FAULTS: Final = (ConnectionEndedError, UnreachableEndpointError)
+# One that is reached reports the time-out of its endpoint before its silence is
+# noticed here.
+_PEER_FAULTS: Final = (
+    ConnectionEndedError,
+    SilentEndpointError,
+    UnreachableEndpointError,
+)
 
 
 class PeerUpstream(Upstream[RelayExchange]):
@@ -200,8 +207,10 @@
             call.may_have_run = call.may_have_run or bool(exchange.sent_at)
         if call.is_caller_gone:
             return
-        has_ended = call.is_host_ending or call.remaining_s() <= 0
-        if isinstance(exc, _PEER_FAULTS) and not has_ended:
+        # Without a write, the deadline or a stop may be the cause.
+        is_late = not exchange.sent_at and call.remaining_s() <= 0
+        is_own = call.is_host_ending or is_late
+        if isinstance(exc, _PEER_FAULTS) and not is_own:
             self._choice.avoid(exchange.destination.name, boot_clock_s())
         log_decision(
             PASS_ON_FAILED,
