--- a/src/apricotcart/gateway/relay/upstream.py
+++ b/src/apricotcart/gateway/relay/upstream.py
@@ -31,8 +31,6 @@
 from apricotcart.responses.memory import ResponseMemory
 from apricotcart.timers.clock import boot_clock_s
 
-# Interval of `PeerUpstream.tick`.
-RELAY_INTERVAL_S: Final = 0.1
 # Gateways that one request is passed on to, or could not be.
 _MAX_PEERS: Final = 3
 # Endpoints that a request tries while this host may be cut off, before it is
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -37,11 +37,7 @@
 )
 from apricotcart.gateway.reachability.api import ReachView
 from apricotcart.gateway.relay.always_reached import AlwaysReached
-from apricotcart.gateway.relay.choice import PeerChoice
-from apricotcart.gateway.relay.door import DoorApplication
-from apricotcart.gateway.relay.pool import PeerPool
-from apricotcart.gateway.relay.tickets import TicketOffice
-from apricotcart.gateway.relay.upstream import RELAY_INTERVAL_S, PeerUpstream
+from apricotcart.gateway.relay.assembly import Relay
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -161,21 +157,17 @@
         )
 
     def _build_relay(self) -> None:
-        cfg = self._cfg
         self._peers = PeerDirectory()
         self._reach: ReachView = AlwaysReached()
-        self._tickets = TicketOffice(
-            Sealer(CLUSTER_SECRET), cfg.host.name, self._clock
-        )
-        self._relay = PeerUpstream(
+        self._relay = Relay(
+            host=self._cfg.host,
             view=self._reach,
-            choice=PeerChoice(self._peers, cfg.host.zone),
-            tickets=self._tickets,
-            pool=PeerPool(),
+            source=self._peers,
+            clock=self._clock,
             header_codec=self._adapter.header_codec(),
             memory=self._upstream.response_memory,
         )
-        self._sender = Sender(self._upstream, self._relay)
+        self._sender = Sender(self._upstream, self._relay.upstream)
 
     def _start(self) -> None:
         self._watcher.start()
@@ -186,7 +178,7 @@
         ).start()
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
-        RepeatingTimer('relay', RELAY_INTERVAL_S, self._relay.tick).start()
+        self._relay.start()
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
@@ -219,7 +211,7 @@
         self._add_server(
             HttpAddress(host=cfg.host.address, port=cfg.links.last_port),
             _limits(_DOOR_THREADS, _MAX_TICKET_BYTES),
-            DoorApplication(tickets=self._tickets, view=self._reach, **parts),
+            self._relay.door(**parts),
         )
 
     def _add_server(
