--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import enum
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from typing import Final
 
 from soak.endpoints import COMPLETE_STREAM
@@ -16,6 +17,23 @@
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
+class Rule(enum.StrEnum):
+    """Promises to callers, named after how they are broken."""
+
+    ONCE = 'not idempotent, but ran more than once'
+    NOT_RUN = 'refused, but passed on to an endpoint'
+    NO_RUN = 'status 200, but no endpoint received it'
+    EVENTS = 'looks complete, but events are missing or repeated'
+    CUT = 'the response began, but is not whole'
+    LOST = 'passed on to an endpoint, but no response'
+    UNREAD = 'sent long before the connection ended, but no response'
+
+
+ALL_RULES: Final = frozenset(Rule)
+# Promises that no fault excuses.
+ALWAYS: Final = frozenset((Rule.ONCE, Rule.NOT_RUN, Rule.NO_RUN, Rule.EVENTS))
+
+
 class PlannedStop:
     """A stop by SIGTERM, in seconds of the monotonic clock."""
 
@@ -38,7 +56,7 @@
 
     __slots__ = ('attempt', 'rule', 'runs')
 
-    def __init__(self, rule: str, attempt: Attempt, runs: int) -> None:
+    def __init__(self, rule: Rule, attempt: Attempt, runs: int) -> None:
         self.rule = rule
         self.attempt = attempt
         self.runs = runs
@@ -66,24 +84,27 @@
 
 
 def find_violations(
-    records: Records, stops: Sequence[PlannedStop]
+    records: Records,
+    stops: Sequence[PlannedStop],
+    rules: Collection[Rule] = ALL_RULES,
 ) -> list[Violation]:
-    """Return all attempts that break a promise."""
+    """Return all attempts that break one of some promises."""
     return [
         Violation(rule, attempt, len(records.runs[attempt.attempt_id]))
         for attempt in records.attempts
         for rule in _broken_rules(attempt, records, stops)
+        if rule in rules
     ]
 
 
 def _broken_rules(
     attempt: Attempt, records: Records, stops: Sequence[PlannedStop]
-) -> Iterator[str]:
+) -> Iterator[Rule]:
     runs = len(records.runs[attempt.attempt_id])
     if attempt.route is RouteName.ONCE and runs > 1:
-        yield 'not idempotent, but ran more than once'
+        yield Rule.ONCE
     if attempt.outcome is Outcome.CUT:
-        yield 'the response began, but is not whole'
+        yield Rule.CUT
     if attempt.outcome is Outcome.NO_RESPONSE:
         yield from _rules_without_response(attempt, runs, stops)
     if attempt.outcome is Outcome.WHOLE:
@@ -92,21 +113,21 @@
 
 def _rules_without_response(
     attempt: Attempt, runs: int, stops: Sequence[PlannedStop]
-) -> Iterator[str]:
+) -> Iterator[Rule]:
     if runs:
-        yield 'passed on to an endpoint, but no response'
+        yield Rule.LOST
     elif _waited_s(attempt, stops) > UNREAD_SLACK_S:
-        yield 'sent long before the connection ended, but no response'
+        yield Rule.UNREAD
 
 
-def _rules_of_whole_response(attempt: Attempt, runs: int) -> Iterator[str]:
+def _rules_of_whole_response(attempt: Attempt, runs: int) -> Iterator[Rule]:
     if runs and attempt.status in _NOT_RUN_STATUSES:
-        yield 'refused, but passed on to an endpoint'
+        yield Rule.NOT_RUN
     if attempt.is_served and not runs:
-        yield 'status 200, but no endpoint received it'
+        yield Rule.NO_RUN
     is_stream = attempt.route is RouteName.STREAM
     if attempt.is_served and is_stream and attempt.body != COMPLETE_STREAM:
-        yield 'looks complete, but events are missing or repeated'
+        yield Rule.EVENTS
 
 
 def _waited_s(attempt: Attempt, stops: Sequence[PlannedStop]) -> float:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -17,10 +17,13 @@
 )
 from soak.records import Records, Run
 
+ENDPOINT_PORT: Final = 8080
 EVENT_COUNT: Final = 8
 EVENT_INTERVAL_S: Final = 0.05
 SLOTS: Final = 64
 HEALTH_PATH: Final = '/healthz'
+# An endpoint closes a connection after so many responses.
+_MAX_RESPONSES: Final = 10
 _PLAIN_S: Final = 0.02
 _OK: Final = 'HTTP/1.1 200 OK'
 
@@ -46,15 +49,28 @@
         Receives the requests that arrive.
     """
 
-    def __init__(self, ip: str, port: int, records: Records) -> None:
-        self.address = f'{ip}:{port}'
+    __slots__ = (
+        '_connections',
+        '_ip',
+        '_not_silent',
+        '_records',
+        '_silent_source',
+        'address',
+        'instance_id',
+    )
+
+    def __init__(self, ip: str, records: Records) -> None:
+        self.address = f'{ip}:{ENDPOINT_PORT}'
         self.instance_id = f'i-{ip}'
+        self._ip = ip
         self._records = records
+        self._connections: set[EndpointConnection] = set()
+        self._silent_source = ''
+        self._not_silent = asyncio.Event()
 
     async def start(self) -> None:
         """Listen for connections."""
-        ip, _, port = self.address.rpartition(':')
-        await asyncio.start_server(self._serve, ip, int(port))
+        await asyncio.start_server(self._serve, self._ip, ENDPOINT_PORT)
 
     def listed(self) -> dict[str, Any]:
         """Return the entry of this endpoint in the platform's list."""
@@ -69,53 +85,111 @@
             'warmup_left_ms': 0,
         }
 
+    async def reset_connections(self, source: str) -> None:
+        """Reset the open connections from an address."""
+        for conn in self._connections:
+            if conn.source == source:
+                conn.reset()
+
+    async def silence(self, source: str) -> None:
+        """Neither read nor write on connections from an address.
+
+        An empty address ends this.
+        """
+        self._silent_source = source
+        self._not_silent.set()
+        self._not_silent = asyncio.Event()
+
+    async def await_heard(self, source: str) -> None:
+        """Wait while connections from an address are silent."""
+        while source == self._silent_source:
+            await self._not_silent.wait()
+
+    def add_run(self, attempt_id: str, source: str) -> Run:
+        """Record a request that arrived."""
+        run = Run(attempt_id, self.address, source)
+        self._records.add_run(run)
+        return run
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        conn = EndpointConnection(self, reader, writer)
+        self._connections.add(conn)
         with (
             closing(writer),
             suppress(ConnectionError, asyncio.IncompleteReadError),
         ):
-            while True:
-                head = await read_head(reader)
-                await skip_body(reader, head)
-                await self._respond(head, writer)
+            for number in range(1, _MAX_RESPONSES + 1):
+                await conn.serve_one(  # noqa: WPS476 (one after another)
+                    is_last=number == _MAX_RESPONSES
+                )
+        self._connections.discard(conn)
+
+
+class EndpointConnection:
+    """A connection that carries one request after another.
+
+    Attributes
+    ----------
+    source : str
+        Address from which it was opened.
+    """
+
+    __slots__ = ('_endpoint', '_reader', '_writer', 'source')
 
-    async def _respond(self, head: Head, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self,
+        endpoint: StandInEndpoint,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._endpoint = endpoint
+        self._reader = reader
+        self._writer = writer
+        self.source: str = writer.get_extra_info('peername')[0]
+
+    def reset(self) -> None:
+        """End the connection at once."""
+        transport: Any = self._writer.transport
+        transport.abort()
+
+    async def serve_one(self, *, is_last: bool) -> None:
+        """Read a request and respond to it."""
+        head = await read_head(self._reader)
+        await skip_body(self._reader, head)
+        await self._endpoint.await_heard(self.source)
+        headers = {
+            'Attempt-Id': head.headers.get('attempt-id', ''),
+            'Server-Stamp': 's',
+            'Instance-Id': self._endpoint.instance_id,
+        }
+        if is_last:
+            headers['Connection'] = 'close'
         if head.path == HEALTH_PATH:
-            await _write(writer, self._plain_response(head))
+            await self._send(encode_with_length(_OK, headers, b''))
             return
-        source, _ = writer.get_extra_info('peername')
-        run = Run(head.headers['attempt-id'], self.address, source)
-        self._records.add_run(run)
-        if head.path.startswith('/stream/'):
-            await self._stream(head, writer)
-        else:
-            await asyncio.sleep(_PLAIN_S)
-            await _write(writer, self._plain_response(head))
+        run = self._endpoint.add_run(head.headers['attempt-id'], self.source)
+        await self._respond(head, headers)
         run.ended = True
 
-    async def _stream(self, head: Head, writer: asyncio.StreamWriter) -> None:
-        headers = self._headers(head)
+    async def _respond(self, head: Head, headers: dict[str, str]) -> None:
+        if head.path.startswith('/stream/'):
+            await self._stream(headers)
+            return
+        await asyncio.sleep(_PLAIN_S)
+        await self._send(encode_with_length(_OK, headers, b'done'))
+
+    async def _stream(self, headers: dict[str, str]) -> None:
         headers['Content-Type'] = 'text/event-stream'
         headers['Transfer-Encoding'] = 'chunked'
-        await _write(writer, encode(_OK, headers))
+        await self._send(encode(_OK, headers))
         for number in range(1, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)  # noqa: WPS476 (paced)
-            writer.write(encode_chunk(event(number)))
-        await _write(writer, LAST_CHUNK)
-
-    def _plain_response(self, head: Head) -> bytes:
-        return encode_with_length(_OK, self._headers(head), b'done')
-
-    def _headers(self, head: Head) -> dict[str, str]:
-        return {
-            'Attempt-Id': head.headers.get('attempt-id', ''),
-            'Server-Stamp': 's',
-            'Instance-Id': self.instance_id,
-        }
-
+            await self._send(encode_chunk(event(number)))  # noqa: WPS476
+        await self._send(LAST_CHUNK)
 
-async def _write(writer: asyncio.StreamWriter, blob: bytes) -> None:
-    writer.write(blob)
-    await writer.drain()
+    async def _send(self, blob: bytes) -> None:
+        await self._endpoint.await_heard(self.source)
+        self._writer.write(blob)
+        await self._writer.drain()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,6 +21,7 @@
 DIRECTORY_PORT: Final = 7003
 FIRST_LINK_PORT: Final = 7010
 LAST_LINK_PORT: Final = 7015
+_PYTHON_PATH: Final = f'{ROOT / "src"}{os.pathsep}{ROOT / "tests"}'
 # Arguments of the interpreter that run the program unchanged.
 _PROGRAM: Final = ('-m', 'apricotcart')
 # Time in seconds from SIGTERM until the platform kills a process.
@@ -111,7 +112,7 @@
                     '--settings',
                     str(self._settings),
                 ],
-                env={**os.environ, 'PYTHONPATH': str(ROOT / 'src')},
+                env={**os.environ, 'PYTHONPATH': _PYTHON_PATH},
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -39,9 +39,9 @@
 
     Attributes
     ----------
-    sent_at, ended_at : float
-        When its last byte was sent and when it ended, in seconds of the
-        monotonic clock; 0 if that did not happen.
+    started_at, sent_at, ended_at : float
+        When the caller wanted to send it, when its last byte was sent and when
+        it ended, in seconds of the monotonic clock; 0 if that did not happen.
     """
 
     __slots__ = (
@@ -53,6 +53,7 @@
         'reason',
         'route',
         'sent_at',
+        'started_at',
         'status',
     )
 
@@ -60,6 +61,7 @@
         self.attempt_id = attempt_id
         self.route = route
         self.gateway = gateway
+        self.started_at = time.monotonic()
         self.sent_at: float = 0
         self.ended_at: float = 0
         self.outcome = Outcome.OPEN
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,14 +8,16 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, Final
 
+from soak import cut_off
 from soak.background import BackgroundLoop
 from soak.callers import Caller
-from soak.checks import PlannedStop, find_violations, summarize
+from soak.checks import ALL_RULES, PlannedStop, Rule, find_violations, summarize
+from soak.cuts import CutControl, CutWay
 from soak.endpoints import StandInEndpoint
 from soak.fleet import (
     OPERATOR_PORT,
@@ -28,7 +30,6 @@
 from soak.platform_api import StandInPlatform
 from soak.records import Records
 
-_ENDPOINT_PORT: Final = 8080
 _PLATFORM_PORT: Final = 8081
 _READY_TIMEOUT_S: Final = 20.0
 _POLL_S: Final = 0.05
@@ -61,9 +62,7 @@
         self._callers: list[Caller] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.endpoints = [
-            StandInEndpoint(
-                network.ip(31 + number), _ENDPOINT_PORT, self.records
-            )
+            StandInEndpoint(network.ip(31 + number), self.records)
             for number in range(endpoints)
         ]
         platform = StandInPlatform(
@@ -129,20 +128,35 @@
             process.kill()
         stop.ended_at = time.monotonic()
 
+    def prepare_cuts(self, gateway: ManagedProcess) -> None:
+        """Let a gateway that has not started yet be cut off."""
+        control_file = self.folder / f'cut-{gateway.ip}'
+        CutControl(control_file).write(CutWay.NONE)
+        gateway.launcher = (cut_off.__file__, str(control_file), gateway.ip)
+
+    def cut(self, gateway: ManagedProcess, way: CutWay) -> None:
+        """Cut a gateway off from all endpoints, or end that."""
+        CutControl(self.folder / f'cut-{gateway.ip}').write(way)
+        for endpoint in self.endpoints:
+            silent = gateway.ip if way is CutWay.SILENT else ''
+            self._loop.call(endpoint.silence(silent))
+            if way is CutWay.RESET:
+                self._loop.call(endpoint.reset_connections(gateway.ip))
+
     def finish_callers(self) -> None:
         """Let callers finish their requests, and send nothing new."""
         for caller in self._callers:
             caller.stop()
         self._loop.call(asyncio.wait(self._tasks, timeout=_DRAIN_TIMEOUT_S))
 
-    def find_faults(self) -> list[str]:
+    def find_faults(self, rules: Collection[Rule] = ALL_RULES) -> list[str]:
         """Return a line for each broken promise, and print what happened."""
         faults = [
             f'exit code of {stop}' for stop in self.stops if stop.exit_code != 0
         ]
         faults.extend(
             violation.describe(self.stops)
-            for violation in find_violations(self.records, self.stops)
+            for violation in find_violations(self.records, self.stops, rules)
         )
         stops = [f'stop of {stop}' for stop in self.stops]
         lines = [summarize(self.records), *stops, *faults[:_MAX_PRINTED]]
@@ -161,9 +175,16 @@
 
 @contextmanager
 def running_world(folder: Path, **options: Any) -> Iterator[World]:
-    """Provide a world whose processes serve, and end them afterwards."""
+    """Provide a world whose processes serve, and end them afterwards.
+
+    The options are those of ``World``, and whether gateways can be cut off.
+    """
+    can_be_cut_off = options.pop('can_be_cut_off', False)
     world = World(folder, **options)
     try:
+        if can_be_cut_off:
+            for gateway in world.fleet.gateways:
+                world.prepare_cuts(gateway)
         world.start()
         yield world
     finally:
