Wait for an abort before its connection goes to the next request

What callers could see: a request that breaks off, or 502 for one that is not idempotent, because the caller of an earlier request left just when that was complete.

Cause: the watcher of callers (and the end of a stop) reads the connection of a request and then shuts it down. In between the request can complete and return the connection to the pool, from which the next request takes it.

Change: the request releases its connection under a lock that an abort holds too; an aborted connection does not go to the pool.

How often it came about in use was not measured.

--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import Any, Final
+from typing import Final
 
 from apricotcart.desired.records import Route, RouteKind
 from apricotcart.desired.urgency import Urgency
@@ -13,8 +13,8 @@
     EndpointState,
     Requirements,
 )
-from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.fingerprint import fingerprint_of
+from apricotcart.gateway.held_connection import HeldConnection
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
@@ -47,6 +47,8 @@
     origin : StreamOrigin or None
         Where the stream began, once it has events or if the caller resumes
         it; only endpoints of the same origin may go on with it.
+    conn : HeldConnection
+        The connection on which the request waits.
     failure_response : WebResponse or None
         The last endpoint's own response, returned if no retry succeeds.
     """
@@ -92,7 +94,7 @@
             wait_s = min(wait_s, metadata.wait_s)
         self.deadline_at = started_at + wait_s
         self.fingerprint = fingerprint_of(self.customer_name, message)
-        self.conn: EndpointConnection | None = None
+        self.conn = HeldConnection()
         self.excluded_endpoints: set[str] = set()
         self.send_count = 0
         self.may_have_run = False
@@ -171,6 +173,4 @@
 
     def _cancel(self) -> None:
         self.dispatcher.cancel(self.request_id)
-        conn: Any = self.conn
-        if conn is not None:
-            conn.abort()
+        self.conn.abort()
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -151,7 +151,7 @@
         call = self._call
         conn = self._pool.acquire(self.endpoint.instance.address)
         self._conn = conn
-        call.conn = conn
+        call.conn.hold(conn)
         self._require_sendable()
         self._write(conn, last_event_id)
         self._read_head(conn)
@@ -208,7 +208,7 @@
         conn = self._connected()
         will_close = self._response.will_close
         self._response.close()
-        self._call.conn = None
+        self._call.conn.release()
         self._conn = None
         if will_close:
             conn.discard()
@@ -225,7 +225,7 @@
         What was received of the response is discarded.
         """
         hold(self.held, 0)
-        self._call.conn = None
+        self._call.conn.release()
         if self._conn is not None:
             self._conn.discard()
             self._conn = None
