Close the listener before a drain starts threads

What callers saw: 8 or 16 of 40 connections in the accept queue were reset in 7 of some 60 stops of a gateway, at a load of 30 on 8 cores.

Cause: the thread that drains the accept queue also started the threads for it, eight at a time. process_stopped showed it: 24 or 32 connections were accepted, all answered, and the rest unaccepted, when the time was up.

Change: everything is accepted and the listener closed first; then the connections are queued, and the pool grows once.

--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -14,6 +14,7 @@
 from typing import Any, Final
 
 from cheroot.connections import ConnectionManager
+from cheroot.workers.threadpool import ThreadPool
 
 from apricotcart.web.open_connections import Activity
 
@@ -132,14 +133,22 @@
         # The shortest queue, so that nearly nothing is queued between the
         # last accept and the close, which resets what is.
         listener.listen(0)
+        accepted = []
         with suppress(OSError):
             while _is_readable(listener):
-                conn = self._from_server_socket(listener)
-                if conn is not None:
-                    self.server.process_conn(conn)
+                accepted.append(self._from_server_socket(listener))
         self.server.socket = None
         listener.close()
         self.listener_closed.set()
+        self._queue([conn for conn in accepted if conn is not None])
+
+    def _queue(self, conns: list[Any]) -> None:
+        # The pool grows once for all. To start a thread may take 0.1 s under
+        # load, and the others must not wait for that.
+        for conn in conns[:-1]:
+            ThreadPool.put(self.server.requests, conn)
+        for last in conns[-1:]:
+            self.server.process_conn(last)
 
     def _close_idle(self) -> None:
         """Close the kept connections; those with a request are served."""
