Pass signals to the main thread without a lock

What callers would have seen: a process that hangs, or is killed with their requests. A SIGHUP that came while the main thread was logging, as it does during a stop, waited for the lock of the log's queue, which the interrupted code held: the main thread never went on, and each thread that logs waited too. threading.Event has such a lock as well. A SIGTERM during a slow start was given its full time from the end of the start, and the kill came first.

Change: handlers put the signal and its time into a SimpleQueue, which may be filled from a handler; the main thread logs SIGHUP, and the time of a stop runs from the signal. A second SIGTERM changes nothing, as before.

Neither was seen in a run of the platform.

--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -94,9 +94,9 @@
         self._build_consensus()
         self._build_services()
 
-    def _stop(self) -> str:
+    def _stop(self, stop_at: float) -> str:
         # The log goes on meanwhile, so that changes are acknowledged.
-        deadline = boot_clock_s() + self._cfg.bounds.stop_s - KILL_MARGIN_S
+        deadline = stop_at + self._cfg.bounds.stop_s - KILL_MARGIN_S
         reason = self._servers.finish(deadline)
         self._rpc.finish(max(0, deadline - boot_clock_s()))
         self._loop.stop()
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -95,10 +95,11 @@
         self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
         self._build_sender()
 
-    def _stop(self) -> str:
+    def _stop(self, stop_at: float) -> str:
         return stop_calls(
             self._active_requests,
             self._servers,
+            stop_at,
             self._cfg.bounds.stop_s,
             ANSWER_TTL_S,
         )
--- a/src/apricotcart/gateway/stopping.py
+++ b/src/apricotcart/gateway/stopping.py
@@ -27,6 +27,7 @@
 def stop_calls(
     active_requests: ActiveRequests,
     servers: ServerGroup,
+    stop_at: float,
     stop_s: float,
     answer_ttl_s: float,
 ) -> str:
@@ -38,8 +39,10 @@
         Phase of the stop, and what ends the requests.
     servers : ServerGroup
         HTTP servers of the process.
+    stop_at : float
+        When the stop was asked for, in seconds of the boot clock.
     stop_s : float
-        Time until the process is killed, in seconds.
+        Time from then until the process is killed, in seconds.
     answer_ttl_s : float
         Time to live of the directory answers that list this host, in
         seconds.
@@ -50,14 +53,17 @@
         The condition that ended the stop: ``idle`` if no request was left,
         ``ended`` if the last ones were ended, or ``bound``.
     """
-    deadline = boot_clock_s() + stop_s - KILL_MARGIN_S
+    deadline = stop_at + stop_s - KILL_MARGIN_S
     leaving_s = min(answer_ttl_s * _TTL_MULTIPLE + _DIRECTORY_LAG_S, stop_s / 2)
-    accept_s = min(_ACCEPT_S, leaving_s)
     active_requests.ends_at = deadline - LAST_ANSWERS_S
     active_requests.phase = Phase.LEAVING
     servers.leave()
-    time.sleep(accept_s)
+    _sleep_until(stop_at + min(_ACCEPT_S, leaving_s))
     active_requests.phase = Phase.CLOSING
-    time.sleep(leaving_s - accept_s)
+    _sleep_until(stop_at + leaving_s)
     active_requests.phase = Phase.FINISHING
     return servers.finish(deadline, active_requests.end_all)
+
+
+def _sleep_until(ends_at: float) -> None:
+    time.sleep(max(0, ends_at - boot_clock_s()))
--- a/src/apricotcart/process/api.py
+++ b/src/apricotcart/process/api.py
@@ -4,9 +4,8 @@
 
 import logging
 import signal
-import threading
 from abc import ABC, abstractmethod
-from typing import Any, ClassVar
+from typing import ClassVar
 
 from apricotcart.observability.metrics import Metrics
 from apricotcart.observability.metrics_server import (
@@ -15,6 +14,7 @@
 )
 from apricotcart.observability.telemetry import Telemetry
 from apricotcart.observability.tracing import Tracer
+from apricotcart.process.stop_request import StopRequest
 from apricotcart.settings.control import ControlConfig
 from apricotcart.settings.entry import EntryConfig
 
@@ -37,7 +37,7 @@
     def __init__(self, cfg: ControlConfig | EntryConfig) -> None:
         """Create the tracer and the metrics."""
         self._settings = cfg
-        self._stopping = threading.Event()
+        self._stop_request = StopRequest()
         self._exit_code = EXIT_OK
         self._metrics_server: MetricsServer | None = None
         tracer = Tracer.from_config(cfg.tracing, self.service, cfg.host.name)
@@ -46,7 +46,7 @@
     def run(self) -> int:
         """Serve until a signal or a failure, and return the exit code."""
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(signal_number, self._on_signal)
+            signal.signal(signal_number, self._stop_request.on_signal)
         cfg = self._settings
         self._metrics_server = start_metrics_page(
             self._telemetry.metrics,
@@ -55,7 +55,7 @@
         )
         self._start()
         _LOG.info('%s host %s started', self.service, cfg.host.name)
-        self._stopping.wait()
+        self._stop_request.wait()
         self._stop()
         self._telemetry.tracer.close()
         if self._metrics_server is not None:
@@ -66,7 +66,7 @@
     def fail(self) -> None:
         """Stop the process and make it exit with a failure."""
         self._exit_code = EXIT_FAILED
-        self._stopping.set()
+        self._stop_request.stop()
 
     @abstractmethod
     def _start(self) -> None:
@@ -75,6 +75,3 @@
     @abstractmethod
     def _stop(self) -> None:
         """Finish running requests, then stop serving."""
-
-    def _on_signal(self, *_args: Any) -> None:
-        self._stopping.set()
--- a/src/apricotcart/process/fleet.py
+++ b/src/apricotcart/process/fleet.py
@@ -4,9 +4,8 @@
 
 import logging
 import signal
-import threading
 from abc import ABC, abstractmethod
-from typing import Any, ClassVar, Self
+from typing import ClassVar, Self
 
 from apricotcart.observability.catalogue import DROPPED_LOG_RECORDS
 from apricotcart.observability.decisions import (
@@ -18,6 +17,7 @@
 from apricotcart.observability.metrics import Metrics
 from apricotcart.observability.metrics_server import start_metrics_page
 from apricotcart.platform.adapter import PlatformAdapter
+from apricotcart.process.stop_request import StopRequest
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.server_group import ServerGroup
@@ -46,7 +46,7 @@
     def __init__(self, cfg: FleetConfig, adapter: PlatformAdapter) -> None:
         self._cfg = cfg
         self._adapter = adapter
-        self._stopping = threading.Event()
+        self._stop_request = StopRequest()
         self._exit_code = 0
         self._servers = ServerGroup()
 
@@ -57,40 +57,61 @@
 
     def run(self) -> int:
         """Serve until a signal or a failure, and return the exit code."""
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(signal_number, self._on_signal)
-        signal.signal(signal.SIGHUP, self._on_sighup)
+        for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(signal_number, self._stop_request.on_signal)
         name = self._cfg.host.name
         self._serve_metrics()
         self._start()
         _LOG.info('%s %s started', self.role, name)
-        self._stopping.wait()
+        stop_at = self._wait_for_stop()
         _LOG.info('%s %s is stopping', self.role, name)
-        self._stop_and_log()
+        self._stop_and_log(stop_at)
         _LOG.info('%s %s stopped', self.role, name)
         return self._exit_code
 
     def fail(self) -> None:
         """Stop the process and make it exit with a failure."""
         self._exit_code = 1
-        self._stopping.set()
+        self._stop_request.stop()
 
     @abstractmethod
     def _start(self) -> None:
         """Start serving, and return without waiting for the end."""
 
     @abstractmethod
-    def _stop(self) -> str:
-        """Finish running requests; return the condition that ended it."""
-
-    def _stop_and_log(self) -> None:
-        started_at = boot_clock_s()
-        reason = self._stop()
+    def _stop(self, stop_at: float) -> str:
+        """Finish running requests.
+
+        Parameters
+        ----------
+        stop_at : float
+            When the stop was asked for, in seconds of the boot clock.
+
+        Returns
+        -------
+        str
+            The condition that ended the stop.
+        """
+
+    def _wait_for_stop(self) -> float:
+        """Return when the stop was asked for, which may be long ago."""
+        while True:
+            signal_number, received_at = self._stop_request.wait()
+            if signal_number != signal.SIGHUP:
+                return received_at
+            _LOG.info(
+                '%s %s ignores SIGHUP: settings are read only at the start',
+                self.role,
+                self._cfg.host.name,
+            )
+
+    def _stop_and_log(self, stop_at: float) -> None:
+        reason = self._stop(stop_at)
         log_decision(
             PROCESS_STOPPED,
             role=self.role,
             reason=reason,
-            duration_s=boot_clock_s() - started_at,
+            duration_s=boot_clock_s() - stop_at,
             **self._servers.counts(),
         )
 
@@ -105,13 +126,3 @@
             self._cfg.host.address,
             self._cfg.metrics.port,
         )
-
-    def _on_signal(self, *_args: Any) -> None:
-        self._stopping.set()
-
-    def _on_sighup(self, *_args: Any) -> None:
-        _LOG.info(
-            '%s %s ignores SIGHUP: settings are read only at the start',
-            self.role,
-            self._cfg.host.name,
-        )
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -160,7 +160,13 @@
         """Stop as a process does that got SIGTERM, up to its exit."""
         servers = ServerGroup()
         servers.add(self.server)
-        return stop_calls(self.active_requests, servers, stop_s, answer_ttl_s)
+        return stop_calls(
+            self.active_requests,
+            servers,
+            boot_clock_s(),
+            stop_s,
+            answer_ttl_s,
+        )
 
     def stop(self) -> None:
         """Stop the listener and the watcher."""
