--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import Any, Final
+from typing import Final
 
 from apricotcart.desired.records import Route, RouteKind
 from apricotcart.desired.urgency import Urgency
@@ -13,8 +13,8 @@
     EndpointState,
     Requirements,
 )
-from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.fingerprint import fingerprint_of
+from apricotcart.gateway.held_connection import HeldConnection
 from apricotcart.gateway.passing import Passing
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.resumption.origins import StreamOrigin
@@ -46,6 +46,8 @@
     origin : StreamOrigin or None
         Where the stream began, once it has events or if the caller resumes
         it; only endpoints of the same origin may go on with it.
+    conn : HeldConnection
+        The connection on which the request waits.
     passing : Passing
         What is known about passing the request on to another gateway.
     failure_response : WebResponse or None
@@ -90,7 +92,7 @@
         self.started_at = started_at
         self.passing = Passing()
         self.fingerprint = fingerprint_of(self.customer_name, message)
-        self.conn: EndpointConnection | None = None
+        self.conn = HeldConnection()
         self.excluded_endpoints: set[str] = set()
         self.send_count = 0
         self.may_have_run = False
@@ -182,6 +184,4 @@
 
     def _cancel(self) -> None:
         self.dispatcher.cancel(self.request_id)
-        conn: Any = self.conn
-        if conn is not None:
-            conn.abort()
+        self.conn.abort()
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -158,7 +158,7 @@
         call = self._call
         conn = self._pool.acquire(self.destination.address)
         self._conn = conn
-        call.conn = conn
+        call.conn.hold(conn)
         self._require_sendable()
         self._write(conn, last_event_id)
         self._read_head(conn)
@@ -219,7 +219,7 @@
         conn = _require_open(self._conn)
         will_close = self._response.will_close
         self._response.close()
-        self._call.conn = None
+        self._call.conn.release()
         self._conn = None
         if will_close:
             conn.discard()
@@ -236,7 +236,7 @@
         What was received of the response is discarded.
         """
         hold(self.held, 0)
-        self._call.conn = None
+        self._call.conn.release()
         if self._conn is not None:
             self._conn.discard()
             self._conn = None
