--- a/tests/gateway/reachability/test_monitor.py
+++ b/tests/gateway/reachability/test_monitor.py
@@ -54,6 +54,11 @@
             self.monitor.on_connected(endpoint, self.now)
         return self.reach
 
+    def beliefs(self) -> list[Reach]:
+        """Return all beliefs since the last call, also short ones."""
+        changes = self.monitor.take_changes(self.now)
+        return [change.after for change in changes]
+
     def cut_off(self) -> None:
         self.fail(*self.listed)
         assert self.wait(1.4) is Reach.CUT_OFF
@@ -154,6 +159,7 @@
     for _ in range(10):
         scenario.fail(*_LISTED)
         assert scenario.wait(0.3) is Reach.SUSPECT
+    assert Reach.CUT_OFF not in scenario.beliefs()
 
 
 def test_own_evidence_decides_without_a_leader() -> None:
@@ -208,6 +214,20 @@
     assert scenario.connect(_LISTED[4]) is Reach.REACHED
 
 
+def test_failures_during_a_cut_are_forgotten_at_its_end() -> None:
+    """Guards against probes, or another cut, because of them."""
+    scenario = Scenario()
+    scenario.cut_off()
+    for number in range(5):
+        scenario.connect(_LISTED[number % 3])
+        scenario.wait(0.3)
+    assert scenario.reach is Reach.REACHED
+    assert not scenario.monitor.examine(
+        scenario.now,
+        lambda evidence, _: evidence.needs_probes(scenario.now),
+    )
+
+
 def test_one_endpoint_does_not_end_the_belief() -> None:
     scenario = Scenario()
     scenario.cut_off()
@@ -261,6 +281,19 @@
         assert scenario.wait(0.3) is Reach.REACHED
 
 
+def test_failures_of_an_outage_are_no_cut_after_it() -> None:
+    """Guards against old failures where others connect again."""
+    scenario = Scenario()
+    scenario.others_reach = False
+    scenario.fail(*_LISTED)
+    scenario.wait(2)
+    scenario.others_reach = True
+    scenario.witnesses = _LISTED[1:]
+    scenario.connect(_LISTED[0])
+    assert scenario.wait(1.2) is Reach.REACHED
+    assert Reach.CUT_OFF not in scenario.beliefs()
+
+
 def test_half_of_the_endpoints_is_no_cut() -> None:
     """Guards against passing on what half of the endpoints could run."""
     scenario = Scenario()
