--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -135,26 +135,6 @@
     _REASON,
     _DURATION,
 )
-CRASH_SUSPECTED: Final = Event(
-    'crash_suspected',
-    _REQUEST_ID,
-    _FINGERPRINT,
-    'endpoint',
-    'parts',
-    _DURATION,
-)
-SUSPECT_QUARANTINED: Final = Event(
-    'suspect_quarantined', _KIND, 'suspect', 'endpoints'
-)
-SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
-ENDPOINT_NOTICE: Final = Event(
-    'endpoint_notice',
-    'endpoint',
-    'is_leaving',
-    'limit_per_s',
-    'retry_after_s',
-    _DURATION,
-)
 # This host reaches no endpoint, or may not, and passes the request on.
 REQUEST_PASSED_ON: Final = Event(
     'request_passed_on',
@@ -193,6 +173,26 @@
     'attempt',
     'deadline_s',
 )
+CRASH_SUSPECTED: Final = Event(
+    'crash_suspected',
+    _REQUEST_ID,
+    _FINGERPRINT,
+    'endpoint',
+    'parts',
+    _DURATION,
+)
+SUSPECT_QUARANTINED: Final = Event(
+    'suspect_quarantined', _KIND, 'suspect', 'endpoints'
+)
+SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
+ENDPOINT_NOTICE: Final = Event(
+    'endpoint_notice',
+    'endpoint',
+    'is_leaving',
+    'limit_per_s',
+    'retry_after_s',
+    _DURATION,
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -238,14 +238,14 @@
     STREAM_ORIGIN_FOUND,
     VERSIONS_CHANGED,
     STREAM_BROKEN,
-    CRASH_SUSPECTED,
-    SUSPECT_QUARANTINED,
-    SUSPECT_RELEASED,
-    ENDPOINT_NOTICE,
     REQUEST_PASSED_ON,
     PASSED_ON_ANSWERED,
     PASS_ON_FAILED,
     REQUEST_TAKEN_OVER,
+    CRASH_SUSPECTED,
+    SUSPECT_QUARANTINED,
+    SUSPECT_RELEASED,
+    ENDPOINT_NOTICE,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
