--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -135,42 +135,6 @@
     _REASON,
     _DURATION,
 )
-CRASH_SUSPECTED: Final = Event(
-    'crash_suspected',
-    _REQUEST_ID,
-    _FINGERPRINT,
-    'endpoint',
-    'parts',
-    _DURATION,
-)
-SUSPECT_QUARANTINED: Final = Event(
-    'suspect_quarantined', _KIND, 'suspect', 'endpoints'
-)
-SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
-ENDPOINT_NOTICE: Final = Event(
-    'endpoint_notice',
-    'endpoint',
-    'is_leaving',
-    'limit_per_s',
-    'retry_after_s',
-    _DURATION,
-)
-# What decided whether the host believes that it reaches no endpoint while
-# other gateways do.
-ENDPOINTS_CUT_OFF: Final = Event(
-    'endpoints_cut_off',
-    'failed_endpoints',
-    'since_success_s',
-    'others_reach',
-    'view_age_s',
-)
-ENDPOINTS_REGAINED: Final = Event(
-    'endpoints_regained',
-    'failed_endpoints',
-    'since_success_s',
-    'others_reach',
-    'view_age_s',
-)
 # This host reaches no endpoint, or may not, and passes the request on.
 REQUEST_PASSED_ON: Final = Event(
     'request_passed_on',
@@ -209,6 +173,42 @@
     'attempt',
     'deadline_s',
 )
+CRASH_SUSPECTED: Final = Event(
+    'crash_suspected',
+    _REQUEST_ID,
+    _FINGERPRINT,
+    'endpoint',
+    'parts',
+    _DURATION,
+)
+SUSPECT_QUARANTINED: Final = Event(
+    'suspect_quarantined', _KIND, 'suspect', 'endpoints'
+)
+SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
+ENDPOINT_NOTICE: Final = Event(
+    'endpoint_notice',
+    'endpoint',
+    'is_leaving',
+    'limit_per_s',
+    'retry_after_s',
+    _DURATION,
+)
+# What decided whether the host believes that it reaches no endpoint while
+# other gateways do.
+ENDPOINTS_CUT_OFF: Final = Event(
+    'endpoints_cut_off',
+    'failed_endpoints',
+    'since_success_s',
+    'others_reach',
+    'view_age_s',
+)
+ENDPOINTS_REGAINED: Final = Event(
+    'endpoints_regained',
+    'failed_endpoints',
+    'since_success_s',
+    'others_reach',
+    'view_age_s',
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -268,16 +268,16 @@
     STREAM_ORIGIN_FOUND,
     VERSIONS_CHANGED,
     STREAM_BROKEN,
+    REQUEST_PASSED_ON,
+    PASSED_ON_ANSWERED,
+    PASS_ON_FAILED,
+    REQUEST_TAKEN_OVER,
     CRASH_SUSPECTED,
     SUSPECT_QUARANTINED,
     SUSPECT_RELEASED,
     ENDPOINT_NOTICE,
     ENDPOINTS_CUT_OFF,
     ENDPOINTS_REGAINED,
-    REQUEST_PASSED_ON,
-    PASSED_ON_ANSWERED,
-    PASS_ON_FAILED,
-    REQUEST_TAKEN_OVER,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
