--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -181,7 +181,7 @@
     server.gateway = CallerGateway
     server.header_timeout_s = _TIMEOUT_S
     server.body_timeout_s = _TIMEOUT_S
-    server.requests = GrowingThreadPool(server, min=1, max=16)
+    server.requests = GrowingThreadPool(server, min=1, max=64)
     server.error_log = lambda *args, **options: None
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Final
 
 import pytest
@@ -32,6 +34,11 @@
 _LONG_S: Final = 15.0
 _SHORT_S: Final = 1.0
 _LEFT_S: Final = 3.0
+# Streams that outlast the stop, and endpoints with four slots each.
+_STREAMS: Final = 32
+_ENDPOINTS: Final = 10
+_EVENTS: Final = 400
+_EVENT_INTERVAL_S: Final = 0.05
 _ROUTES: Final = ('once', 'idempotent', 'stream')
 
 
@@ -176,3 +183,39 @@
     gateway.stop()
     assert received.is_complete
     assert not stopped_early
+
+
+def _stream_without_end(conn: socket.socket, request: ReceivedRequest) -> bool:
+    conn.sendall(stream_head(request))
+    for number in range(_EVENTS):
+        conn.sendall(chunk(event(number)))
+        time.sleep(_EVENT_INTERVAL_S)
+    return False
+
+
+@pytest.mark.parametrize('route', ['stream', 'resumable'])
+def test_streams_that_outlast_the_stop_are_ended_before_the_exit(
+    bench: Bench, route: str
+) -> None:
+    """Guards against streams that are cut by the exit of the process.
+
+    All of them write their last bytes in the time between the end of the
+    requests and the exit, and none may look complete.
+    """
+    bench.serve(*itertools.repeat(_stream_without_end, _ENDPOINTS))
+    gateway = ServedGateway(bench)
+    with ThreadPoolExecutor(_STREAMS) as executor:
+        streams = [
+            executor.submit(gateway.ask, route, wait_ms=9500)
+            for _ in range(_STREAMS)
+        ]
+        time.sleep(_EARLY_S)
+        reason = gateway.finish_requests(_STOP_S / 2, _TTL_S)
+        still_open = gateway.server.open_connections.snapshot()
+        received = [stream.result() for stream in streams]
+    gateway.stop()
+    assert reason == 'ended'
+    assert not still_open
+    assert {stream.status for stream in received} == {200}
+    assert all(stream.body.endswith(b'\n\n') for stream in received)
+    assert not any(stream.is_complete for stream in received)
