--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -75,5 +75,5 @@
 
 def test_signal_stops_process_without_failure(server: LogOnlyServer) -> None:
     """Guards against a planned stop that is reported as a failure."""
-    server._on_signal()
+    server._stop_request.on_signal(signal.SIGTERM, None)
     assert server.run() == EXIT_OK
