Drain an HTTP server that cherrypy's engine stops

What callers saw: an entry host or a control host of the product that stops takes connections and resets them.

Cause: the thread that accepts ended, up to 0.5 s before the listener was closed. The kernel took connections meanwhile.

Change: DrainingServer.stop drains as a gateway does, and then ends the threads. Nothing lingers after the thread that selects has ended.

--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -124,8 +124,8 @@
 
     def close(self) -> None:
         """Close the socket; a server that leaves waits for the peer first."""
-        if self.server.is_leaving and self._send_end():
-            self.server.linger(self)
+        lingers = self.server.is_leaving and self._send_end()
+        if lingers and self.server.linger(self):
             return
         with ExitStack() as stack:
             stack.callback(self.server.open_connections.remove, self)
--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -103,10 +103,17 @@
             self._close_listener()
             self._close_idle()
 
-    def await_close(self, conn: Any) -> None:
-        """Wait until the peer closes a connection whose end was sent."""
+    def await_close(self, conn: Any) -> bool:
+        """Wait until the peer closes a connection whose end was sent.
+
+        Return False if the thread that selects has ended.
+        """
         conn.last_used = time.time()
-        self._register(conn.socket, conn)
+        try:
+            self._register(conn.socket, conn)
+        except (KeyError, OSError, ValueError):
+            return False
+        return True
 
     def on_closing_readable(self, conn: Any) -> None:
         """Close a connection if the peer did; discard what it sent else."""
--- a/src/apricotcart/web/http_server.py
+++ b/src/apricotcart/web/http_server.py
@@ -10,6 +10,7 @@
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.draining import DrainingConnections
 from apricotcart.web.open_connections import Activity, OpenConnections
+from apricotcart.web.server_group import ServerGroup
 
 
 class DrainingServer(Server):
@@ -56,11 +57,21 @@
         if self._is_draining:
             self._connections.wake_up.send()
 
-    def linger(self, conn: Any) -> None:
-        """Close a connection once its peer has read the end and closed."""
+    def linger(self, conn: Any) -> bool:
+        """Close a connection once its peer has read the end and closed.
+
+        Return False if no thread waits for that any more.
+        """
         conn.activity = Activity.CLOSING
         self.open_connections.start_closing(conn)
-        self._connections.await_close(conn)
+        return bool(self._connections.await_close(conn))
+
+    def stop(self) -> None:
+        """Answer what callers have sent, then end the threads."""
+        # A thread of this server that fails cannot wait for itself.
+        if self.ready and self.interrupt is None:
+            self._drain_alone()
+        super().stop()
 
     def read_timeout_s(self, timeout_s: float) -> float:
         """Return the time for a read that starts now.
@@ -102,3 +113,9 @@
         """Let all reads of requests time out."""
         for conn in self.open_connections.snapshot():
             conn.rfile.socket_reader.end()
+
+    def _drain_alone(self) -> None:
+        group = ServerGroup()
+        group.add(self)
+        group.drain(boot_clock_s() + self.shutdown_timeout)
+        group.wait_closed(math.inf)
--- a/src/apricotcart/web/open_connections.py
+++ b/src/apricotcart/web/open_connections.py
@@ -80,7 +80,13 @@
             )
 
     def wait_closed(self, timeout_s: float) -> None:
-        """Wait until the peers close, for a limited time each."""
+        """Wait until the peers close, for a limited time each.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Limit for all of them in seconds.
+        """
         ends_at = boot_clock_s() + timeout_s
         with self._changed:
             while self._closing:
