Let the log of a control host go on until its answers are sent

Cause: the stop ended the replicated log before the servers of operators and entry hosts, so that what they were answering failed with an unknown outcome, though it may be committed.

Change: the HTTP server and the request server finish first.

The tests of control and entry hosts pass.

--- a/src/apricotcart/control/server.py
+++ b/src/apricotcart/control/server.py
@@ -187,12 +187,14 @@
         if self._duties is not None:
             self._duties.stop()
         self._divider.stop()
+        # The log goes on until operators and entry hosts have their answers.
+        cherrypy.engine.exit()
+        self._rpc.finish(_REQUEST_TIMEOUT_S)
         self._joiner.stop()
         self._receiver.stop()
         self._rpc.close()
         self._loop.stop()
         self._links.close()
-        cherrypy.engine.exit()
 
     def _on_failed(self) -> None:
         _LOG.error('the replicated log has failed; stopping the process')
