Run no request of other processes once a coordinator finishes

What callers would see: a change that another coordinator passed on is committed while the leader exits, and has no acknowledgement.

Cause: the stop waited for the requests that were running when it began, and later ones were still run.

Change: later ones are refused as not run, so that their client asks another process, and the stop waits until none is running. A reply that cannot be sealed no longer keeps it waiting.

Evidence: test_requests_that_go_on_are_not_run_after_finish failed before: the requests that were run grew after the stop had ended. It passes now.

--- a/src/apricotcart/transport/requests.py
+++ b/src/apricotcart/transport/requests.py
@@ -6,7 +6,8 @@
 import os
 import threading
 import time
-from contextlib import closing, suppress
+from collections.abc import Callable
+from contextlib import ExitStack, closing, suppress
 from typing import TYPE_CHECKING, Any, Self
 
 import pynng
@@ -15,6 +16,7 @@
 from apricotcart.errors.tree import (
     ApricotcartError,
     CodecError,
+    NotLeaderError,
     UnavailableError,
 )
 from apricotcart.transport.api import (
@@ -115,6 +117,7 @@
     __slots__ = (
         '_ended',
         '_handler',
+        '_is_finishing',
         '_running',
         '_sealer',
         '_socket',
@@ -131,7 +134,8 @@
     ) -> None:
         """Listen on the address."""
         self._handler = handler
-        self._running: set[object] = set()
+        self._running = 0
+        self._is_finishing = False
         self._ended = threading.Condition()
         self._sealer = sealer
         self._socket = pynng.Rep0(
@@ -153,9 +157,10 @@
         return self
 
     def finish(self, timeout_s: float) -> bool:
-        """Wait until what is being answered now has its answers.
+        """Wait until what is being answered has its answers.
 
-        Requests that arrive meanwhile are answered but not waited for.
+        Requests that arrive from now on are not run: the client is told to
+        ask another process.
 
         Returns
         -------
@@ -163,9 +168,9 @@
             False if that took longer than ``timeout_s`` seconds.
         """
         with self._ended:
-            running = self._running.copy()
+            self._is_finishing = True
             has_ended = self._ended.wait_for(
-                lambda: running.isdisjoint(self._running), timeout_s
+                lambda: not self._running, timeout_s
             )
         time.sleep(_WRITE_S)
         return has_ended
@@ -186,23 +191,34 @@
             context.close()
 
     def _answer_counted(self, context: pynng.Context, request: bytes) -> None:
-        token = object()
         with self._ended:
-            self._running.add(token)
-        self._answer_request(context, request)
+            is_run = not self._is_finishing
+            self._running += is_run
+        with ExitStack() as stack:
+            stack.callback(self._count_end, is_run=is_run)
+            self._answer_request(
+                context, request, self._call_handler if is_run else _refuse
+            )
+
+    def _count_end(self, *, is_run: bool) -> None:
         with self._ended:
-            self._running.discard(token)
+            self._running -= is_run
             self._ended.notify_all()
 
-    def _answer_request(self, context: pynng.Context, request: bytes) -> None:
+    def _answer_request(
+        self,
+        context: pynng.Context,
+        request: bytes,
+        answer: Callable[[WireMessage], WireMessage],
+    ) -> None:
         try:
             nonce, message = self._sealer.open(request)
         except (CodecError, ValueError, TypeError) as exc:
             _LOG.warning('rejected an invalid request: %s', exc)
             return
-        answer = self._call_handler(message)
+        sealed = self._sealer.seal([nonce, answer(message)])
         try:
-            context.send(self._sealer.seal([nonce, answer]))
+            context.send(sealed)
         except pynng.NNGException as exc:
             _LOG.warning('failed to send an answer: %s', exc)
 
@@ -216,6 +232,10 @@
             return error_reply(ApricotcartError('internal failure'))
 
 
+def _refuse(message: WireMessage) -> WireMessage:
+    return error_reply(NotLeaderError('this host is stopping'))
+
+
 def error_reply(exc: ApricotcartError) -> WireMessage:
     """Return the wire form of an error."""
     return {
--- a/tests/transport/test_requests.py
+++ b/tests/transport/test_requests.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from itertools import takewhile
+from operator import itemgetter
 from pathlib import Path
 from typing import Any
 
@@ -13,12 +16,14 @@
 
 from apricotcart.codec.envelope import Sealer
 from apricotcart.errors.tree import NotLeaderError, UnavailableError
-from apricotcart.transport.api import RequestHandler
+from apricotcart.transport.api import RequestHandler, WireMessage
 from apricotcart.transport.peers import NngPeerLinks
 from apricotcart.transport.requests import NngRequestClient, NngRequestServer
 from apricotcart.transport.tls import TlsFiles
 
 _TIMEOUT_S = 10
+_RUN_S = 0.01
+_MAX_CALLS = 200
 
 
 class EchoHandler(RequestHandler):
@@ -92,6 +97,55 @@
     client.close()
 
 
+class CountingHandler(RequestHandler):
+    """Counts the requests that it has run."""
+
+    def __init__(self) -> None:
+        self._messages: list[WireMessage] = []
+
+    @property
+    def runs(self) -> int:
+        return len(self._messages)
+
+    def answer(self, message: WireMessage) -> WireMessage:
+        self._messages.append(message)
+        time.sleep(_RUN_S)
+        return {'ok': True}
+
+
+def _call_until_refused(address: str, sealer: Sealer) -> int:
+    client = NngRequestClient(address, sealer)
+    replies = (
+        client.call({'kind': 'x'}, _TIMEOUT_S) for _ in range(_MAX_CALLS)
+    )
+    answered = sum(1 for _ in takewhile(itemgetter('ok'), replies))
+    client.close()
+    return answered
+
+
+def test_requests_that_go_on_are_not_run_after_finish(
+    sealer: Sealer, unused_tcp_port: int
+) -> None:
+    """Guards against changes that are committed while the process exits.
+
+    Only what was running when the stop began was waited for.
+    """
+    address = f'tcp://127.0.0.1:{unused_tcp_port}'
+    handler = CountingHandler()
+    server = NngRequestServer(address, handler, sealer, 8).start()
+    with ThreadPoolExecutor() as executor:
+        callers = [
+            executor.submit(_call_until_refused, address, sealer)
+            for _ in range(6)
+        ]
+        time.sleep(10 * _RUN_S)
+        assert server.finish(_TIMEOUT_S)
+        runs = handler.runs
+        answered = sum(caller.result() for caller in callers)
+    server.close()
+    assert answered == runs == handler.runs
+
+
 def test_requests_return_typed_error(sealer: Sealer, echo_address: str) -> None:
     """Guards against an error that loses its type in transit."""
     client = NngRequestClient(echo_address, sealer)
