Test the drain with a slow reader and with TLS

A caller that does not read its answer keeps the process no longer than the bound, and a TLS connection with unread requests gets its whole answer.

--- a/tests/web/test_draining.py
+++ b/tests/web/test_draining.py
@@ -4,12 +4,16 @@
 
 import math
 import socket
+import ssl
 import threading
 import time
 from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import Any, Final
 
 import pytest
+import trustme
+from cheroot.ssl.builtin import BuiltinSSLAdapter
 from gateway.started_process import read_response, read_to_end
 
 from apricotcart.timers.clock import boot_clock_s
@@ -213,6 +217,44 @@
     assert drained.duration_s < LINGER_S
 
 
+def test_caller_that_does_not_read_is_given_up(drained: DrainedServer) -> None:
+    """Guards against a slow reader that keeps a process until it is killed."""
+    drained.body = b'x' * _LARGE_BYTES
+    with drained.connect() as conn:
+        conn.sendall(_REQUEST)
+        time.sleep(_SHORT_S)
+        drained.start_drain()
+        drained.wait_drained()
+    assert not drained.is_answered
+    assert drained.duration_s < _DRAIN_S + LINGER_S
+
+
+def test_tls_answer_survives_the_drain(
+    drained: DrainedServer, tmp_path: Path
+) -> None:
+    """Guards against closing a TLS connection below its encryption."""
+    authority = trustme.CA()
+    issued = authority.issue_cert('localhost')
+    cert = tmp_path / 'cert.pem'
+    issued.private_key_and_cert_chain_pem.write_to_path(cert)
+    drained.server.ssl_adapter = BuiltinSSLAdapter(str(cert), str(cert))
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    drained.release.clear()
+    drained.group.leave()
+    with (
+        drained.connect() as plain,
+        context.wrap_socket(plain, server_hostname='localhost') as conn,
+    ):
+        conn.sendall(_REQUEST * _PIPELINED)
+        time.sleep(_SHORT_S)
+        drained.start_drain()
+        drained.release.set()
+        assert read_response(conn).endswith(b'ok')
+    drained.wait_drained()
+    assert drained.is_answered
+
+
 class _Connection:
     activity = Activity.ANSWERING
 
