Queue connections for the running threads if none can be started

What callers would see: at the limit of threads, a drain ends before it has closed the idle connections, so that the stop runs to its bound, and outside a stop a connection that a worker keeps ends its thread.

Cause: the pool grows after it has queued a connection, and the error of the thread that cannot be started went to whoever queued it.

Change: a pool that cannot grow logs that and goes on with its threads.

Evidence: test_connection_is_queued_if_no_thread_can_be_started failed before and passes now.

--- a/src/apricotcart/gateway/listener.py
+++ b/src/apricotcart/gateway/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 import socket
 import struct
@@ -16,6 +17,7 @@
     DeadlineRequest,
 )
 
+_LOG = logging.getLogger(__name__)
 HEADERS_KEY: Final = 'apricotcart.headers'
 REQUEST_KEY: Final = 'apricotcart.request'
 _CRLF: Final = b'\r\n'
@@ -139,10 +141,16 @@
             self.grow(_THREADS_PER_GROWTH)
 
     def grow(self, amount: int) -> None:
-        """Start threads, without waiting until they run."""
+        """Start threads, without waiting until they run.
+
+        Without more threads, the connections wait for those that run.
+        """
         available = max(self.max - len(self._threads), 0)
-        for _ in range(int(min(amount, available))):
-            self._threads.append(self._spawn_worker())
+        try:
+            for _ in range(int(min(amount, available))):
+                self._threads.append(self._spawn_worker())
+        except RuntimeError as exc:
+            _LOG.warning('the thread pool cannot grow: %s', exc)
 
 
 def _split_line(line: bytes) -> tuple[bytes, bytes]:
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -120,3 +121,27 @@
     for thread in threads:
         thread.join(_TIMEOUT_S)
     assert len(listener.targets) == 9
+
+
+def test_connection_is_queued_if_no_thread_can_be_started(
+    listener: Listener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an error that ends the thread which queued a connection.
+
+    A drain then did not get to close the idle connections.
+    """
+
+    def fail() -> None:
+        raise RuntimeError("can't start new thread")
+
+    pool = listener.server.requests
+    monkeypatch.setattr(pool, '_spawn_worker', fail)
+    served = threading.Event()
+    conn = SimpleNamespace(communicate=served.set, close=lambda: None)
+    listener.release.clear()
+    busy = threading.Thread(target=listener.send, args=(_request(),))
+    busy.start()
+    pool.put(conn)
+    listener.release.set()
+    assert served.wait(_TIMEOUT_S)
+    busy.join()
