Bound the time that the log takes at the end of a process

What operators would see: a process whose output nobody reads does not end after its stop, until it is killed.

Cause: the close put the end into the full queue without waiting, and then waited for the writer without a bound.

Change: both have 0.1 s; what is not written by then is lost, as it would be at the kill.

Evidence: test_close_does_not_wait_for_a_blocked_output failed before with queue.Full and passes now.

--- a/src/apricotcart/observability/logs.py
+++ b/src/apricotcart/observability/logs.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 import threading
+from contextlib import suppress
 from logging.handlers import QueueHandler, QueueListener, WatchedFileHandler
 from queue import Full, Queue
 from types import MappingProxyType
@@ -22,6 +23,9 @@
 # Capacity of the queue of records to write. Requests must not wait for a slow
 # log, so records beyond it are dropped and counted.
 _MAX_QUEUED_RECORDS: Final = 2000
+# Time for the last records once the log is closed: to queue the end, and then
+# to write.
+_CLOSE_TIMEOUT_S: Final = 0.1
 _JSON_FIELDS: Final = ('levelname', 'name', 'message')
 _RENAMED_FIELDS: Final = MappingProxyType(
     {
@@ -54,6 +58,27 @@
         return record
 
 
+class BoundedListener(QueueListener):
+    """Writes queued records on a thread, which `stop` does not wait for long.
+
+    A process that ends must not wait for an output that nobody reads.
+    """
+
+    queue: Any
+    _sentinel: Any
+    _thread: Any
+
+    def stop(self) -> None:
+        """Write what is queued, for a short time."""
+        thread = self._thread
+        if thread is None:
+            return
+        with suppress(Full):
+            self.queue.put(self._sentinel, timeout=_CLOSE_TIMEOUT_S)
+        thread.join(_CLOSE_TIMEOUT_S)
+        self._thread = None
+
+
 class HostJsonFormatter(JsonFormatter):
     """Formats a record as one JSON line with the host's name."""
 
@@ -93,7 +118,7 @@
         """Start the writer thread."""
         self._queue_handler = queue_handler
         self._target = target
-        self._listener = QueueListener(queue_handler.queue, target)
+        self._listener = BoundedListener(queue_handler.queue, target)
         self._listener.start()
 
     @classmethod
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -7,6 +7,7 @@
 import logging
 import sys
 import threading
+import time
 import warnings
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -23,6 +24,7 @@
 from apricotcart.observability.logs import DroppingQueueHandler, Log
 from apricotcart.observability.redaction import safe_text
 
+_BLOCKED_S = 4.0
 _PROMPT = 'Draft the seal for the Caledonian ceremony'
 _KEY = 'ack_q0w9e8r7t6y5u4i3o2p1'
 
@@ -174,3 +176,28 @@
     logging.getLogger('apricotcart').info('started')
     log.close()
     assert 'INFO apricotcart started' in stream.getvalue()
+
+
+class BlockedHandler(logging.Handler):
+    """Writes nothing until it is released, as if nobody read the output."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_read = threading.Event()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.is_read.wait(_BLOCKED_S)
+
+
+def test_close_does_not_wait_for_a_blocked_output() -> None:
+    """Guards against a process that its log keeps until it is killed."""
+    target = BlockedHandler()
+    handler = DroppingQueueHandler(Queue(2))
+    log = Log(handler, target)
+    for _ in range(10):
+        handler.emit(logging.makeLogRecord({'msg': 'x'}))
+    started_at = time.monotonic()
+    log.close()
+    duration_s = time.monotonic() - started_at
+    target.is_read.set()
+    assert duration_s < _BLOCKED_S / 2
