Add seeded schedules of overlapping faults to the soak

Faults overlap in series: SIGTERM once, twice and during the start, SIGKILL, SIGSTOP, SIGHUP, changes of the desired state, and a proxy that delays, resets, silences or holds one way of the connections to gateways and endpoints. Checked all the time: no second run of a request that is not idempotent, refused requests have not run, streams that look complete are, acknowledged states outlive a power failure of all coordinators, and planned stops end with code 0 in time. Cut and lost responses are excused only where an unplanned fault overlaps.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -76,6 +76,8 @@
     ----------
     gateway : str
         IP address of the gateway.
+    ip : str
+        IP address to connect to instead, that of a proxy.
     records : Records
         Receives the attempts.
     rng : random.Random
@@ -90,9 +92,11 @@
         records: Records,
         rng: random.Random,
         *,
+        ip: str = '',
         keeps_connections: bool = True,
     ) -> None:
         self._gateway = gateway
+        self._ip = ip or gateway
         self._records = records
         self._rng = rng
         self._connection = 'keep-alive' if keeps_connections else 'close'
@@ -131,7 +135,7 @@
     async def _connect(self, attempt: Attempt) -> _Connection | None:
         try:
             streams: Any = await asyncio.wait_for(
-                asyncio.open_connection(self._gateway, CALLER_PORT),
+                asyncio.open_connection(self._ip, CALLER_PORT),
                 _CONNECT_TIMEOUT_S,
             )
         except OSError as exc:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import Counter
 from collections.abc import Collection, Iterator, Sequence
 from typing import Final
@@ -37,10 +38,10 @@
 class PlannedStop:
     """A stop by SIGTERM, in seconds of the monotonic clock."""
 
-    __slots__ = ('ended_at', 'exit_code', 'gateway', 'signalled_at')
+    __slots__ = ('ended_at', 'exit_code', 'ip', 'signalled_at')
 
-    def __init__(self, gateway: str, signalled_at: float) -> None:
-        self.gateway = gateway
+    def __init__(self, ip: str, signalled_at: float) -> None:
+        self.ip = ip
         self.signalled_at = signalled_at
         self.ended_at: float = 0
         self.exit_code: int | None = None
@@ -48,7 +49,30 @@
     def __str__(self) -> str:
         """Return the duration and the exit code."""
         duration_s = self.ended_at - self.signalled_at
-        return f'{self.gateway}: {duration_s:.2f} s, exit code {self.exit_code}'
+        return f'{self.ip}: {duration_s:.2f} s, exit code {self.exit_code}'
+
+
+class Disturbance:
+    """A time in which an unplanned fault excuses responses.
+
+    Attributes
+    ----------
+    gateway : str or None
+        Address of the gateway that fails; None if all may notice it.
+    """
+
+    __slots__ = ('end', 'gateway', 'start')
+
+    def __init__(self, gateway: str | None, start: float) -> None:
+        self.gateway = gateway
+        self.start = start
+        self.end = math.inf
+
+    def excuses(self, attempt: Attempt) -> bool:
+        """Return whether an attempt may have met the fault."""
+        if self.gateway is not None and self.gateway != attempt.gateway:
+            return False
+        return self.start <= attempt.ended_at and attempt.sent_at <= self.end
 
 
 class Violation:
@@ -68,7 +92,7 @@
             (
                 stop.signalled_at
                 for stop in stops
-                if stop.gateway == attempt.gateway
+                if stop.ip == attempt.gateway
                 and stop.signalled_at <= attempt.ended_at
             ),
             default=attempt.sent_at,
@@ -101,7 +125,8 @@
     attempt: Attempt, records: Records, stops: Sequence[PlannedStop]
 ) -> Iterator[Rule]:
     runs = len(records.runs[attempt.attempt_id])
-    if attempt.route is RouteName.ONCE and runs > 1:
+    # The stream route is not resumable.
+    if attempt.route is not RouteName.IDEMPOTENT and runs > 1:
         yield Rule.ONCE
     if attempt.outcome is Outcome.CUT:
         yield Rule.CUT
@@ -137,12 +162,21 @@
     """
     ended_at = attempt.ended_at
     for stop in stops:
-        is_same = stop.gateway == attempt.gateway
+        is_same = stop.ip == attempt.gateway
         if is_same and stop.signalled_at < attempt.sent_at < stop.ended_at:
             ended_at = min(ended_at, stop.ended_at)
     return ended_at - attempt.sent_at
 
 
+def is_excused(
+    violation: Violation, disturbances: Sequence[Disturbance]
+) -> bool:
+    """Return whether an unplanned fault may be the cause."""
+    return violation.rule not in ALWAYS and any(
+        disturbance.excuses(violation.attempt) for disturbance in disturbances
+    )
+
+
 def summarize(records: Records) -> str:
     """Return how many attempts had each outcome and status."""
     counts = Counter(
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -57,10 +57,12 @@
         '_silent_source',
         'address',
         'instance_id',
+        'listed_address',
     )
 
     def __init__(self, ip: str, records: Records) -> None:
         self.address = f'{ip}:{ENDPOINT_PORT}'
+        self.listed_address = self.address
         self.instance_id = f'i-{ip}'
         self._ip = ip
         self._records = records
@@ -77,7 +79,7 @@
         return {
             'id': self.instance_id,
             'service': 'app',
-            'address': self.address,
+            'address': self.listed_address,
             'zone': 'z',
             'version': 'v1',
             'slots': SLOTS,
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -70,6 +70,34 @@
             time.sleep(_PAUSE_S)
         raise TimeoutError(f'version {version} was not acknowledged')
 
+    def fetch_version(self) -> int:
+        """Return the version of the newest desired state.
+
+        Raises
+        ------
+        TimeoutError
+            If no coordinator is sure of it.
+        """
+        deadline = time.monotonic() + _TIMEOUT_S
+        while time.monotonic() < deadline:
+            for address in self._addresses:
+                version = self._fetched_version(address)
+                if version:
+                    return version
+            time.sleep(_PAUSE_S)
+        raise TimeoutError('no coordinator returns the desired state')
+
+    def _fetched_version(self, address: str) -> int:
+        try:
+            response = self._pool.request(
+                'GET', f'http://{address}/v1/Config.Fetch', timeout=2
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0
+        if response.status != _OK:
+            return 0
+        return int(response.json()['version'])
+
     def _is_acknowledged(self, address: str, version: int) -> bool:
         try:
             response = self._pool.request(
--- /dev/null
+++ b/tests/soak/regressions.py
@@ -0,0 +1,13 @@
+"""Seeds that failed once, with the cause."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import Final
+
+REGRESSIONS: Final = MappingProxyType(
+    {
+        6: 'a gateway exits while requests wait to be accepted or read',
+        10: 'a gateway exits between the last event and the last chunk',
+    }
+)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,10 +16,19 @@
 from soak import cut_off
 from soak.background import BackgroundLoop
 from soak.callers import Caller
-from soak.checks import ALL_RULES, PlannedStop, Rule, find_violations, summarize
+from soak.checks import (
+    ALL_RULES,
+    Disturbance,
+    PlannedStop,
+    Rule,
+    find_violations,
+    is_excused,
+    summarize,
+)
 from soak.cuts import CutControl, CutWay
 from soak.endpoints import StandInEndpoint
 from soak.fleet import (
+    CALLER_PORT,
     OPERATOR_PORT,
     STOP_S,
     Fleet,
@@ -28,6 +37,7 @@
 )
 from soak.operators import Operator
 from soak.platform_api import StandInPlatform
+from soak.proxy import Proxy, ProxyMode
 from soak.records import Records
 
 _PLATFORM_PORT: Final = 8081
@@ -49,15 +59,32 @@
         Number of gateways.
     endpoints : int
         Number of stand-in endpoints.
+    has_proxies : bool
+        Whether a proxy stands before each endpoint, and one before each
+        gateway for some of its callers.
+
+    Attributes
+    ----------
+    failures : list of str
+        Broken promises, other than those to callers.
     """
 
     def __init__(
-        self, folder: Path, gateways: int = 1, endpoints: int = 2
+        self,
+        folder: Path,
+        *,
+        gateways: int = 1,
+        endpoints: int = 2,
+        has_proxies: bool = False,
     ) -> None:
         network = LoopbackNetwork()
         self.folder = folder
         self.records = Records()
         self.stops: list[PlannedStop] = []
+        self.failures: list[str] = []
+        self.proxies: list[Proxy] = []
+        self._disturbances: list[Disturbance] = []
+        self._proxy_ips: dict[str, str] = {}
         self._loop = BackgroundLoop()
         self._callers: list[Caller] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -72,6 +99,8 @@
         for endpoint in self.endpoints:
             self._loop.call(endpoint.start())
         self.fleet = Fleet(network, folder, platform.address, gateways)
+        if has_proxies:
+            self._add_proxies(network)
         self.operator = Operator(
             [
                 f'{process.ip}:{OPERATOR_PORT}'
@@ -85,12 +114,23 @@
         self.operator.replace(1)
 
     def add_callers(
-        self, gateway: str, count: int, rng: random.Random, **options: Any
+        self,
+        gateway: str,
+        count: int,
+        rng: random.Random,
+        *,
+        is_proxied: bool = False,
+        **options: Any,
     ) -> None:
         """Start callers of a gateway."""
+        ip = self._proxy_ips[gateway] if is_proxied else gateway
         callers = [
             Caller(
-                gateway, self.records, random.Random(rng.random()), **options
+                gateway,
+                self.records,
+                random.Random(rng.random()),
+                ip=ip,
+                **options,
             )
             for _ in range(count)
         ]
@@ -143,6 +183,20 @@
             if way is CutWay.RESET:
                 self._loop.call(endpoint.reset_connections(gateway.ip))
 
+    @contextmanager
+    def disturbance(self, gateway: str | None) -> Iterator[None]:
+        """Excuse what callers of a gateway, or all if None, see meanwhile."""
+        disturbance = Disturbance(gateway, time.monotonic())
+        self._disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.end = time.monotonic()
+
+    def change_proxy(self, index: int, mode: ProxyMode) -> None:
+        """Change how a proxy disturbs connections."""
+        self._loop.call(self.proxies[index].change_mode(mode))
+
     def finish_callers(self) -> None:
         """Let callers finish their requests, and send nothing new."""
         for caller in self._callers:
@@ -151,12 +205,14 @@
 
     def find_faults(self, rules: Collection[Rule] = ALL_RULES) -> list[str]:
         """Return a line for each broken promise, and print what happened."""
-        faults = [
+        faults = list(self.failures)
+        faults.extend(
             f'exit code of {stop}' for stop in self.stops if stop.exit_code != 0
-        ]
+        )
         faults.extend(
             violation.describe(self.stops)
             for violation in find_violations(self.records, self.stops, rules)
+            if not is_excused(violation, self._disturbances)
         )
         stops = [f'stop of {stop}' for stop in self.stops]
         lines = [summarize(self.records), *stops, *faults[:_MAX_PRINTED]]
@@ -168,6 +224,18 @@
         self.fleet.kill()
         self._loop.stop()
 
+    def _add_proxies(self, network: LoopbackNetwork) -> None:
+        for number, endpoint in enumerate(self.endpoints):
+            proxy = Proxy(network.ip(51 + number), endpoint.address)
+            endpoint.listed_address = proxy.address
+            self.proxies.append(proxy)
+        for number, gateway in enumerate(self.fleet.gateways):
+            ip = network.ip(71 + number)
+            self._proxy_ips[gateway.ip] = ip
+            self.proxies.append(Proxy(ip, f'{gateway.ip}:{CALLER_PORT}'))
+        for proxy in self.proxies:
+            self._loop.call(proxy.start())
+
     async def _run_callers(self, callers: Sequence[Caller]) -> None:
         for caller in callers:
             self._tasks.append(asyncio.create_task(caller.run()))
