--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -58,6 +58,7 @@
     add_server,
     configure_engine,
 )
+from apricotcart.web.server_group import KILL_MARGIN_S
 
 _LOG = logging.getLogger(__name__)
 # Time between two ticks of the consensus node.
@@ -93,8 +94,13 @@
         self._build_consensus()
         self._build_services()
 
-    def _stop(self) -> None:
+    def _stop(self) -> str:
+        # The log goes on meanwhile, so that changes are acknowledged.
+        deadline = boot_clock_s() + self._cfg.bounds.stop_s - KILL_MARGIN_S
+        reason = self._servers.finish(deadline)
+        self._rpc.finish(max(0, deadline - boot_clock_s()))
         self._loop.stop()
+        return reason
 
     def _build_consensus(self) -> None:
         cfg = self._cfg
@@ -183,7 +189,7 @@
         self._loop.start()
         self._receiver.start()
         self._joiner.start()
-        NngRequestServer(
+        self._rpc = NngRequestServer(
             self._ports.request_address(self._cfg.host.address),
             self._requests,
             self._sealer,
@@ -208,9 +214,10 @@
             (listen.operators, operators),
             (listen.directory, directory),
         ):
-            add_server(
+            server = add_server(
                 HttpAddress.from_host_port(address), _server_limits(), app
             )
+            self._servers.add(server.httpserver)
         cherrypy.engine.start()
 
     def _deliver(self, message: Message) -> None:
