--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import subprocess
 import sys
 import time
@@ -33,6 +34,7 @@
     folder: Path = args.folder or Path(f'soak-{int(time.time())}')
     folder.mkdir(parents=True, exist_ok=True)
     if args.one is not None:
+        signal.signal(signal.SIGTERM, _exit)
         return 1 if run_seed(args.one, folder, ALL_RULES) else 0
     seeds: Collection[int] = range(args.first, args.first + args.seeds)
     if args.regressions:
@@ -51,20 +53,31 @@
     report = seed_folder / _REPORT
     arguments = ['--one', str(seed), '--folder', str(seed_folder)]
     with report.open('wb') as output:
-        completed = subprocess.run(
+        run = subprocess.Popen(
             [sys.executable, '-m', 'soak', *arguments],
             stdout=output,
             stderr=subprocess.STDOUT,
-            timeout=_TIMEOUT_S,
-            check=False,
         )
-    is_passed = completed.returncode == 0
+    is_passed = _await_end(run) == 0
     _print_line(
         f'seed {seed}: {"passed" if is_passed else f"FAILED, {report}"}'
     )
     return is_passed
 
 
+def _await_end(run: subprocess.Popen[bytes]) -> int:
+    try:
+        return run.wait(_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        # It ends its processes before it exits.
+        run.terminate()
+        return run.wait()
+
+
+def _exit(*_args: object) -> None:
+    sys.exit('the run takes too long')
+
+
 def _print_line(text: str) -> None:
     sys.stdout.write(f'{text}\n')
     sys.stdout.flush()
