--- a/tests/soak/test_cut_off_gateways.py
+++ b/tests/soak/test_cut_off_gateways.py
@@ -13,7 +13,7 @@
 from soak.callers import DEADLINE_S
 from soak.checks import ALWAYS
 from soak.cuts import CutWay
-from soak.records import Outcome, Records
+from soak.records import Records
 from soak.world import running_world
 
 pytestmark = pytest.mark.xdist_group('soak')
@@ -27,28 +27,18 @@
 _SERVED_SHARE: Final = 2 / 3
 
 
-class Period:
-    """Served share of the requests that were sent in a period."""
-
-    __slots__ = ('_end', '_records', '_start')
-
-    def __init__(self, records: Records, start: float, end: float) -> None:
-        self._records = records
-        self._start = start
-        self._end = end
-
-    def served_share(self, gateways: set[str]) -> float:
-        """Return the share at some gateways."""
-        attempts = [
-            attempt
-            for attempt in self._records.attempts
-            if attempt.gateway in gateways
-            and self._start <= attempt.started_at < self._end
-            and attempt.outcome is not Outcome.OPEN
-        ]
-        served = sum(attempt.is_served for attempt in attempts)
-        sys.stdout.write(f'{gateways}: {served} of {len(attempts)} served\n')
-        return served / len(attempts)
+def _served_share(
+    records: Records, gateways: set[str], start: float, end: float
+) -> float:
+    """Return the served share of the requests that began in a period."""
+    attempts = [
+        attempt
+        for attempt in records.attempts
+        if attempt.gateway in gateways and start <= attempt.started_at < end
+    ]
+    served = sum(attempt.is_served for attempt in attempts)
+    sys.stdout.write(f'{gateways}: {served} of {len(attempts)} served\n')
+    return served / len(attempts)
 
 
 @pytest.mark.parametrize(
@@ -78,10 +68,12 @@
         world.cut(cut_off, CutWay.NONE)
         # Later requests may be served after the end of the cut.
         end = time.monotonic() - DEADLINE_S
-        period = Period(world.records, start + _RECOVER_S, end)
+        start += _RECOVER_S
         world.await_served(cut_off.ip)
         world.finish_callers()
         assert not world.find_faults(ALWAYS)
-        there = period.served_share({cut_off.ip})
-        elsewhere = period.served_share({other.ip for other in others})
+        records = world.records
+        there = _served_share(records, {cut_off.ip}, start, end)
+        other_ips = {other.ip for other in others}
+        elsewhere = _served_share(records, other_ips, start, end)
         assert there >= elsewhere * _SERVED_SHARE
