--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -160,7 +160,13 @@
         """Stop as a process does that got SIGTERM, up to its exit."""
         servers = ServerGroup()
         servers.add(self.server)
-        return stop_calls(self.active_requests, servers, stop_s, answer_ttl_s)
+        return stop_calls(
+            self.active_requests,
+            servers,
+            boot_clock_s(),
+            stop_s,
+            answer_ttl_s,
+        )
 
     def stop(self) -> None:
         """Stop the listener and the watcher."""
@@ -175,7 +181,7 @@
     server.gateway = CallerGateway
     server.header_timeout_s = _TIMEOUT_S
     server.body_timeout_s = _TIMEOUT_S
-    server.requests = GrowingThreadPool(server, min=1, max=16)
+    server.requests = GrowingThreadPool(server, min=1, max=64)
     server.error_log = lambda *args, **options: None
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
