--- a/src/apricotcart/gateway/reachability/evidence.py
+++ b/src/apricotcart/gateway/reachability/evidence.py
@@ -161,6 +161,10 @@
         """Record an open connection that brought no bytes."""
         self._silent_at = now
 
+    def connected_at(self, address: str) -> float:
+        """Return when an endpoint was last connected to, 0 if never."""
+        return self._connected.get(address, 0)
+
     def is_doubtful(self, now: float) -> bool:
         """Return whether something suggests that no endpoint is reached."""
         last_failed_at = max(self._failed.values(), default=0)
--- a/tests/gateway/reachability/test_probe_plan.py
+++ b/tests/gateway/reachability/test_probe_plan.py
@@ -117,6 +117,14 @@
     assert {address for _, address in probing.probes} == set(reached)
 
 
+def test_endpoints_take_turns() -> None:
+    """Guards against a return that waits for one endpoint of three."""
+    probing = Probing()
+    probing.run(19)
+    addresses = [address for _, address in probing.probes[:20]]
+    assert sorted(addresses) == sorted(_LISTED)
+
+
 def test_single_endpoint_is_probed_while_requests_connect() -> None:
     """Guards against requests that wait there and hold probes back."""
     probing = Probing(delay_s=0.5, succeeds=False)
