--- a/src/apricotcart/gateway/reachability/evidence.py
+++ b/src/apricotcart/gateway/reachability/evidence.py
@@ -34,6 +34,8 @@
     ----------
     listed : frozenset of str
         Addresses of the listed endpoints; others do not count.
+    connected : dict of str to float
+        When each endpoint was last connected to, in seconds.
     doubted_since : float or None
         Start of the first connection that failed since the last success of a
         new one; None without a failure.
@@ -44,7 +46,6 @@
     """
 
     __slots__ = (
-        '_connected',
         '_connected_at',
         '_expired_at',
         '_failed',
@@ -54,6 +55,7 @@
         '_seen_at',
         '_silent_at',
         'attempts',
+        'connected',
         'doubted_since',
         'last_success_at',
         'listed',
@@ -70,7 +72,7 @@
         self._expired_at: float = 0
         self._failures = 0
         self._failed: dict[str, float] = {}
-        self._connected: dict[str, float] = {}
+        self.connected: dict[str, float] = {}
         self._received: dict[str, float] = {}
         self._pending: dict[str, float] = {}
 
@@ -111,7 +113,7 @@
     def replace_listed(self, addresses: Iterable[str]) -> None:
         """Set the listed endpoints and forget all others."""
         self.listed = frozenset(addresses)
-        for times in (self._failed, self._connected, self._received):
+        for times in (self._failed, self.connected, self._received):
             for address in times.keys() - self.listed:
                 times.pop(address)
         if not self._failed:
@@ -125,7 +127,7 @@
         """Record a new connection, which refutes the failures before it."""
         self._pending.pop(address, None)
         self.attempts.on_connected(address, now)
-        self._connected[address] = now
+        self.connected[address] = now
         self._connected_at = now
         self.last_success_at = now
         self._forget_failures()
@@ -161,10 +163,6 @@
         """Record an open connection that brought no bytes."""
         self._silent_at = now
 
-    def connected_at(self, address: str) -> float:
-        """Return when an endpoint was last connected to, 0 if never."""
-        return self._connected.get(address, 0)
-
     def is_doubtful(self, now: float) -> bool:
         """Return whether something suggests that no endpoint is reached."""
         last_failed_at = max(self._failed.values(), default=0)
@@ -184,7 +182,7 @@
 
     def reached_since(self, since: float) -> list[str]:
         """Return the endpoints that were reached since a time, last first."""
-        latest = dict(self._connected)
+        latest = dict(self.connected)
         if not self._failed:
             for address, received_at in self._received.items():
                 connected_at = latest.get(address, 0)
--- a/src/apricotcart/gateway/reachability/probe_plan.py
+++ b/src/apricotcart/gateway/reachability/probe_plan.py
@@ -84,7 +84,7 @@
                 address in evidence.pending,
                 address in evidence.failed,
                 address not in reached,
-                evidence.connected_at(address),
+                evidence.connected.get(address, 0),
             )
         )
         return addresses[:count]
