Read how many rejections a brittle endpoint withstands

Endpoints say in Server-Brittle how many requests a second they can reject for want of room. The header was passed on to callers and otherwise ignored. It is now a field of EndpointNotice, and each run of an endpoint keeps the word of the response to the latest request, as with Server-Limit.

Result: the new cases of test_headers.py and test_endpoint_notices.py failed before and pass.

--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -182,9 +182,21 @@
         Whether it names a limit that is not a number of requests.
     pause_s : float
         Time in seconds for which it wants no requests from this host.
+    rejections_per_s : int or None
+        Requests of all hosts that it can reject in a second for want of room
+        without ending; None if it says nothing about that.
+    is_rejections_unreadable : bool
+        Whether it names something else than a number of rejections.
     """
 
-    __slots__ = ('is_leaving', 'is_limit_unreadable', 'limit_per_s', 'pause_s')
+    __slots__ = (
+        'is_leaving',
+        'is_limit_unreadable',
+        'is_rejections_unreadable',
+        'limit_per_s',
+        'pause_s',
+        'rejections_per_s',
+    )
 
     def __init__(
         self,
@@ -193,8 +205,12 @@
         limit_per_s: float | None = None,
         is_limit_unreadable: bool = False,
         pause_s: float = 0,
+        rejections_per_s: int | None = None,
+        is_rejections_unreadable: bool = False,
     ) -> None:
         self.pause_s = pause_s
+        self.rejections_per_s = rejections_per_s
+        self.is_rejections_unreadable = is_rejections_unreadable
         self.is_leaving = is_leaving
         self.limit_per_s = limit_per_s
         self.is_limit_unreadable = is_limit_unreadable
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -178,6 +178,7 @@
                 endpoint=endpoint.instance.instance_id,
                 is_leaving=endpoint.notices.is_leaving,
                 limit_per_s=endpoint.notices.limit_per_s,
+                rejections_per_s=endpoint.notices.rejections_per_s,
                 retry_after_s=notice.pause_s,
                 duration_s=boot_clock_s() - sent_at,
             )
--- a/src/apricotcart/gateway/dispatching/endpoint_notices.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_notices.py
@@ -2,8 +2,42 @@
 
 from __future__ import annotations
 
+from typing import Generic, TypeVar
+
 from apricotcart.gateway.api import EndpointNotice
 
+_Word = TypeVar('_Word')
+
+
+class LatestWord(Generic[_Word]):
+    """What the response to the latest request said about one matter.
+
+    Attributes
+    ----------
+    word : object or None
+        What it said; None if it said nothing.
+    sent_at : float
+        When the request was sent whose response last said so, in seconds.
+    """
+
+    __slots__ = ('sent_at', 'word')
+
+    def __init__(self) -> None:
+        self.word: _Word | None = None
+        self.sent_at: float = 0
+
+    def apply(self, word: _Word | None, sent_at: float) -> bool:
+        """Apply the word of a response; return whether it has changed.
+
+        A response to an earlier request than the last one says nothing new.
+        """
+        if sent_at < self.sent_at:
+            return False
+        self.sent_at = sent_at
+        has_changed = word != self.word
+        self.word = word
+        return has_changed
+
 
 class EndpointNotices:
     """Latest notices of one run of an endpoint, as heard by this host.
@@ -13,22 +47,31 @@
     is_leaving : bool
         Whether it has said that it ends soon. That cannot be withdrawn: an
         endpoint that stays is another run of it.
-    limit_per_s : float or None
-        Requests a second that it takes from all hosts together; None if it
-        names no limit.
-    limit_at : float
-        When the request was sent whose response last said so, in seconds.
+    limit : LatestWord of float
+        Requests a second that it takes from all hosts together.
     paused_until : float
         Time until which it wants no requests from this host, in seconds.
+    rejections : LatestWord of int
+        Requests of all hosts that it can reject in a second.
     """
 
-    __slots__ = ('is_leaving', 'limit_at', 'limit_per_s', 'paused_until')
+    __slots__ = ('is_leaving', 'limit', 'paused_until', 'rejections')
 
     def __init__(self) -> None:
         self.is_leaving = False
-        self.limit_per_s: float | None = None
-        self.limit_at: float = 0
+        self.limit: LatestWord[float] = LatestWord()
         self.paused_until: float = 0
+        self.rejections: LatestWord[int] = LatestWord()
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Requests a second from all hosts, None if it names no limit."""
+        return self.limit.word
+
+    @property
+    def rejections_per_s(self) -> int | None:
+        """Rejections a second that it withstands, None if it names none."""
+        return self.rejections.word
 
     def pause_left_s(self, now: float) -> float:
         """Return the time for which it still wants no requests, in seconds."""
@@ -42,22 +85,18 @@
         notice : EndpointNotice
             Notice of a response.
         sent_at : float
-            When the request was sent, in seconds. A response to an earlier
-            request than the last one says nothing new about the limit.
+            When the request was sent, in seconds.
         now : float
             When the response arrived, in seconds.
         """
-        has_left = notice.is_leaving and not self.is_leaving
+        has_changed = notice.is_leaving and not self.is_leaving
         self.is_leaving |= notice.is_leaving
         self.paused_until = max(self.paused_until, now + notice.pause_s)
-        has_paused = notice.pause_s > 0
-        return self._apply_limit(notice, sent_at) or has_left or has_paused
-
-    def _apply_limit(self, notice: EndpointNotice, sent_at: float) -> bool:
-        if notice.is_limit_unreadable or sent_at < self.limit_at:
-            return False
-        self.limit_at = sent_at
-        if notice.limit_per_s == self.limit_per_s:
-            return False
-        self.limit_per_s = notice.limit_per_s
-        return True
+        has_changed |= notice.pause_s > 0
+        if not notice.is_limit_unreadable:
+            has_changed |= self.limit.apply(notice.limit_per_s, sent_at)
+        if not notice.is_rejections_unreadable:
+            has_changed |= self.rejections.apply(
+                notice.rejections_per_s, sent_at
+            )
+        return has_changed
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -148,6 +148,7 @@
     'endpoint',
     'is_leaving',
     'limit_per_s',
+    'rejections_per_s',
     'retry_after_s',
     _DURATION,
 )
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -59,6 +59,7 @@
         'queue_wait_s',
         'ready',
         'reason',
+        'rejections_per_s',
         'request_id',
         'requests',
         'resumes',
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -15,7 +15,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
-from apricotcart.platform.notices import LEAVING, LIMIT, parse_notice
+from apricotcart.platform.notices import BRITTLE, LEAVING, LIMIT, parse_notice
 from apricotcart.web.errors import RequestError
 
 _MS_PER_S: Final = 1000
@@ -73,7 +73,7 @@
 )
 # Headers of endpoints' answers that are not forwarded to callers.
 _INTERNAL: Final = frozenset(
-    ('server-load', 'not-executed', 'instance-id', LIMIT, LEAVING)
+    ('server-load', 'not-executed', 'instance-id', LIMIT, LEAVING, BRITTLE)
 )
 
 
--- a/src/apricotcart/platform/notices.py
+++ b/src/apricotcart/platform/notices.py
@@ -11,6 +11,7 @@
 
 LIMIT: Final = 'server-limit'
 LEAVING: Final = 'server-leaving'
+BRITTLE: Final = 'server-brittle'
 _PAUSE: Final = 'retry-after'
 _TURNED_AWAY: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
@@ -31,14 +32,29 @@
     status : int
         Its status; only one that turns the request away can ask for a pause.
     """
-    limits = [_parse_decimal(text) for text in _texts_of(headers, LIMIT)]
-    readable = [limit for limit in limits if limit is not None]
+    limits = _texts_of(headers, LIMIT)
+    limit_per_s = _lowest(limits)
+    rejections = _texts_of(headers, BRITTLE)
+    rejections_per_s = _lowest(rejections)
     return EndpointNotice(
         is_leaving=('1' in _texts_of(headers, LEAVING)),
-        # Of several limits, the lowest keeps to all of them.
-        limit_per_s=min(readable, default=None),
-        is_limit_unreadable=bool(limits) and not readable,
+        limit_per_s=limit_per_s,
+        is_limit_unreadable=bool(limits) and limit_per_s is None,
         pause_s=_pause_s(headers) if status in _TURNED_AWAY else 0,
+        rejections_per_s=(
+            None if rejections_per_s is None else int(rejections_per_s)
+        ),
+        is_rejections_unreadable=(
+            bool(rejections) and rejections_per_s is None
+        ),
+    )
+
+
+def _lowest(texts: list[str]) -> float | None:
+    """Return the lowest readable number, which keeps to all of them."""
+    numbers = [_parse_decimal(text) for text in texts]
+    return min(
+        (number for number in numbers if number is not None), default=None
     )
 
 
--- a/tests/gateway/dispatching/test_endpoint_notices.py
+++ b/tests/gateway/dispatching/test_endpoint_notices.py
@@ -37,3 +37,31 @@
     notices.apply(EndpointNotice(), 10, 12)
     assert notices.pause_left_s(12) == 2
     assert notices.pause_left_s(20) == 0
+
+
+def test_rejections_follow_the_response_to_the_latest_request() -> None:
+    """Guards against a late answer that begins or ends the word again."""
+    notices = EndpointNotices()
+    assert notices.apply(EndpointNotice(rejections_per_s=3), 10, 10)
+    assert not notices.apply(EndpointNotice(), 9, 11)
+    assert notices.rejections_per_s == 3
+    assert notices.apply(EndpointNotice(), 12, 12)
+    assert notices.rejections_per_s is None
+    assert not notices.apply(EndpointNotice(rejections_per_s=3), 11, 13)
+    assert notices.rejections_per_s is None
+
+
+def test_unreadable_rejections_leave_the_last_ones() -> None:
+    notices = EndpointNotices()
+    notices.apply(EndpointNotice(rejections_per_s=3), 10, 10)
+    damaged = EndpointNotice(is_rejections_unreadable=True)
+    assert not notices.apply(damaged, 11, 11)
+    assert notices.rejections_per_s == 3
+
+
+def test_unreadable_limit_does_not_hide_rejections() -> None:
+    notices = EndpointNotices()
+    notices.apply(
+        EndpointNotice(is_limit_unreadable=True, rejections_per_s=2), 10, 10
+    )
+    assert notices.rejections_per_s == 2
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -179,6 +179,43 @@
     assert passed_on == [('X-Note', 'n')]
 
 
+@pytest.mark.parametrize(
+    ('texts', 'rejections'),
+    [
+        ([], None),
+        (['3'], 3),
+        (['0'], 0),
+        ([' 20 '], 20),
+        (['2.9'], 2),
+        (['5', '4'], 4),
+        (['5', 'x'], 5),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 503])
+def test_rejections_that_an_endpoint_withstands_are_read(
+    texts: list[str], rejections: int | None, status: int
+) -> None:
+    headers = [('Server-Brittle', text) for text in texts]
+    metadata = PlatformHeaderCodec().parse_response_headers(headers, status)
+    assert metadata.notice.rejections_per_s == rejections
+    assert not metadata.notice.is_rejections_unreadable
+
+
+@pytest.mark.parametrize('text', ['', '-1', 'nan', '9' * 400, '1 2', 'x'])
+def test_unreadable_rejections_say_nothing(text: str) -> None:
+    """Guards against a word that ends or begins with a damaged header."""
+    headers = [('Server-Brittle', text)]
+    metadata = PlatformHeaderCodec().parse_response_headers(headers, 200)
+    assert metadata.notice.rejections_per_s is None
+    assert metadata.notice.is_rejections_unreadable
+
+
+def test_rejections_are_not_passed_on_to_callers() -> None:
+    headers = [('Server-Brittle', '1'), ('X-Note', 'n')]
+    passed_on = PlatformHeaderCodec().build_caller_headers(headers)
+    assert passed_on == [('X-Note', 'n')]
+
+
 @pytest.mark.parametrize('text', ['9' * 400, '1' + '0' * 16, '-1', '', 'x'])
 def test_time_limit_that_is_no_time_is_refused(text: str) -> None:
     """Guards against numbers that raise errors outside our own."""
