Keep rejections within what brittle endpoints withstand

An endpoint that names N in Server-Brittle ends when it rejects more than N requests in a second for want of room. Gateways sent by loads that are half a second old, and to plain endpoints up to three times their slots: at twice the load, all of them fell over again and again.

The gateways now divide the slots of a brittle endpoint by rank. A rejection takes a place of its gateway for 1.5 s. Half of N further places are used while the reported load leaves room, and no place is needed at calm endpoints. The word of one endpoint holds for those of its service that have not answered since.

--- a/src/apricotcart/gateway/dispatching/admission.py
+++ b/src/apricotcart/gateway/dispatching/admission.py
@@ -7,6 +7,7 @@
 
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
+from apricotcart.gateway.dispatching.brittle_limits import BrittleLimits
 from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     Requirements,
@@ -32,6 +33,8 @@
 
     Attributes
     ----------
+    brittle_limits : BrittleLimits
+        Keeps rejections within what brittle endpoints withstand.
     engines : mapping of str to Engine
         Capacity of the engines, by service; other services have none.
     versions : mapping of str to frozenset of str
@@ -40,12 +43,13 @@
         Keeps requests within the limits that endpoints name.
     """
 
-    __slots__ = ('engines', 'rate_limits', 'versions')
+    __slots__ = ('brittle_limits', 'engines', 'rate_limits', 'versions')
 
     def __init__(self) -> None:
         self.engines: Mapping[str, Engine] = {}
         self.versions: VersionsByService = {}
         self.rate_limits = RateLimits()
+        self.brittle_limits = BrittleLimits(self.rate_limits)
 
     def accepts(
         self,
@@ -72,15 +76,27 @@
             return False
         if not self._fits(endpoint, requirements):
             return False
-        is_paused = endpoint.notices.pause_left_s(now) > 0
-        if is_paused or not self.rate_limits.allows(endpoint, now):
-            return False
         engine = self.engines.get(requirements.service)
+        if not self._keeps_to_notices(now, endpoint, engine):
+            return False
         if engine is None:
             max_requests = instance.slots * (1 + _PLAIN_QUEUE_RATIO)
             return endpoint.requests < max_requests * requirements.slot_ratio
         return _has_capacity(endpoint, requirements, engine)
 
+    def _keeps_to_notices(
+        self, now: float, endpoint: EndpointState, engine: Engine | None
+    ) -> bool:
+        """Return whether a request is what the endpoint says it takes."""
+        if endpoint.notices.pause_left_s(now) > 0:
+            return False
+        slots = endpoint.instance.slots
+        if engine is not None:
+            slots = min(slots, engine.slots)
+        return self.rate_limits.allows(
+            endpoint, now
+        ) and self.brittle_limits.allows(endpoint, slots, now)
+
     def _fits(
         self, endpoint: EndpointState, requirements: Requirements
     ) -> bool:
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -163,6 +163,8 @@
                 endpoint.on_success()
             elif outcome is not Outcome.ERROR_RESPONSE:
                 endpoint.on_failure(now)
+            if outcome is Outcome.REFUSAL:
+                endpoint.rejections.add(now)
 
     def record_notice(
         self, endpoint: EndpointState, notice: EndpointNotice, sent_at: float
--- a/src/apricotcart/gateway/dispatching/endpoint_notices.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_notices.py
@@ -73,6 +73,11 @@
         """Rejections a second that it withstands, None if it names none."""
         return self.rejections.word
 
+    @property
+    def heard_at(self) -> float:
+        """When the request was sent that last brought a word on rejections."""
+        return self.rejections.sent_at
+
     def pause_left_s(self, now: float) -> float:
         """Return the time for which it still wants no requests, in seconds."""
         return max(0, self.paused_until - now)
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -11,6 +11,7 @@
 from apricotcart.gateway.api import PromptPart
 from apricotcart.gateway.dispatching.endpoint_notices import EndpointNotices
 from apricotcart.gateway.dispatching.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.recent_rejections import RecentRejections
 
 # Ratio of an engine's KV memory that may be filled. Outputs can become longer
 # than expected, and an engine that runs out of memory preempts requests.
@@ -231,6 +232,7 @@
         'notices',
         'outcomes',
         'rate_grants',
+        'rejections',
         'hash_order',
         'remote_load',
         'cached_parts',
@@ -253,6 +255,7 @@
         self.hash_order = hash_to_unit(instance.instance_id)
         self.instance = instance
         self.notices = EndpointNotices()
+        self.rejections = RecentRejections()
         self.local_requests: dict[str, PlacedRequest] = {}
         self.remote_load = LoadSummary()
         self.outcomes = RecentOutcomes()
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -47,6 +47,9 @@
 _PREFILL_WEIGHT: Final = 6
 # Cost of an endpoint that is warming up, in prefill tokens.
 _WARMUP_COST_TOKENS: Final = 20_000
+# Maximum cost by which hosts prefer different brittle endpoints, in prefill
+# tokens: that of a few requests, since loads are known with a delay.
+_SPREAD_COST_TOKENS: Final = 1500
 # Cost of a failed request, in prefill tokens: most requests cannot be sent
 # again, and the others start late. It is weighted with the ratio of failures.
 _FAILURE_COST_TOKENS: Final = 100_000
@@ -148,6 +151,10 @@
             Ids of endpoints that the request must not be sent to again.
         """
         self._now = now
+        service = requirements.service
+        self._admission.brittle_limits.update_service(
+            service, self.table.of_service(service), now
+        )
         eligible = self._eligible_endpoints(requirements)
         homes = _homes_among(requirements, eligible)
         candidates = [
@@ -256,6 +263,12 @@
         engine = self._admission.engines.get(requirements.service)
         if engine is None:
             return True
+        # The slots of a brittle endpoint are divided already.
+        if (
+            self._admission.brittle_limits.rejections_per_s(endpoint)
+            is not None
+        ):
+            return True
         return self._slot_grants.allows(
             self._now, endpoint, requirements, engine
         )
@@ -281,6 +294,10 @@
             cost += self._zone_cost(requirements)
         if endpoint.instance.warmup_s > 0:
             cost += _WARMUP_COST_TOKENS
+        cost += (
+            self._admission.brittle_limits.spread(endpoint, now)
+            * _SPREAD_COST_TOKENS
+        )
         cost += endpoint.outcomes.failure_ratio(now) * _FAILURE_COST_TOKENS
         if now < endpoint.penalty_until:
             cost += _PENALTY_COST_TOKENS
--- a/src/apricotcart/gateway/dispatching/rate_limits.py
+++ b/src/apricotcart/gateway/dispatching/rate_limits.py
@@ -9,31 +9,37 @@
 
 
 class RateLimits:
-    """This host's share of the limits, and what it has used of it."""
+    """This host's share of the limits, and what it has used of it.
 
-    __slots__ = ('_share',)
+    Attributes
+    ----------
+    share : RateShare
+        This host's place among the hosts that divide the limits.
+    """
+
+    __slots__ = ('share',)
 
     def __init__(self) -> None:
-        self._share = RateShare()
+        self.share = RateShare()
 
     def update_share(self, share: RateShare) -> None:
         """Replace this host's share of the limits."""
-        self._share = share
+        self.share = share
 
     def allows(self, endpoint: EndpointState, now: float) -> bool:
         """Return whether one more request keeps to the endpoint's limit."""
         limit_per_s = endpoint.notices.limit_per_s
         if limit_per_s is None:
             return True
-        period = self._share.period(now)
-        granted = self._share.granted(
+        period = self.share.period(now)
+        granted = self.share.granted(
             endpoint.instance.instance_id, limit_per_s, period
         )
         return endpoint.rate_grants.count(period) < granted
 
     def count_request(self, endpoint: EndpointState, now: float) -> None:
         """Count a request to an endpoint, which may name its limit later."""
-        endpoint.rate_grants.increment(self._share.period(now))
+        endpoint.rate_grants.increment(self.share.period(now))
 
     def rate_per_s(self, endpoints: Iterable[EndpointState]) -> float | None:
         """Return the mean rate at which this host may send to endpoints.
@@ -44,7 +50,7 @@
         known = [limit for limit in limits if limit is not None]
         if not known or len(known) < len(limits):
             return None
-        return sum(self._share.rate_per_s(limit) for limit in known)
+        return sum(self.share.rate_per_s(limit) for limit in known)
 
 
 class StartEstimate:
--- a/src/apricotcart/gateway/dispatching/rate_share.py
+++ b/src/apricotcart/gateway/dispatching/rate_share.py
@@ -64,15 +64,25 @@
             Number of the period.
         """
         requests = _requests_in(endpoint_id, limit_per_s, period)
-        even_share, left = divmod(requests, self.hosts)
-        shift = int(hash_to_unit(endpoint_id, str(period)) * self.hosts)
-        is_selected = (self.rank + shift) % self.hosts < left
-        return even_share + is_selected
+        return self._divide(requests, hash_to_unit(endpoint_id, str(period)))
+
+    def places(self, endpoint_id: str, places: int) -> int:
+        """Return how many of an endpoint's places this host may use.
+
+        They do not move between hosts: a request may run for any time.
+        """
+        return self._divide(places, hash_to_unit(endpoint_id))
 
     def rate_per_s(self, limit_per_s: float) -> float:
         """Return the mean rate of this host at a limit."""
         return max(limit_per_s, MIN_RATE_PER_S) / self.hosts
 
+    def _divide(self, total: int, selector: float) -> int:
+        """Return this host's part of a total, by a selector from 0 to 1."""
+        even_share, left = divmod(total, self.hosts)
+        shift = int(selector * self.hosts)
+        return even_share + ((self.rank + shift) % self.hosts < left)
+
 
 def _requests_in(endpoint_id: str, limit_per_s: float, period: int) -> int:
     """Return the requests of all hosts together in a period.
