Limit the whole answer to a platform call by its deadline

The timeout of the socket started anew with each read, and the HTTP library set it to the connect timeout before the answer: a platform that sent a byte every 0.1 s held the leader's thread for 6 and 10 s at a deadline of 0.5 s. The answer is now read with one deadline, and its head and framing are checked as elsewhere.

--- a/src/apricotcart/provisioning/client.py
+++ b/src/apricotcart/provisioning/client.py
@@ -15,6 +15,7 @@
 
 from apricotcart.errors.tree import CodecError
 from apricotcart.provisioning.api import EXPIRED, NO_ANSWER, STATUS_OK, Answer
+from apricotcart.responses.strict_connections import StrictResponse
 from apricotcart.timers.clock import boot_clock_s
 
 if TYPE_CHECKING:
@@ -112,6 +113,11 @@
             conn.close()
 
     def _connection(self, url: str) -> HTTPConnection:
+        conn = self._build_connection(url)
+        conn.response_class = StrictResponse
+        return conn
+
+    def _build_connection(self, url: str) -> HTTPConnection:
         parts = parse_url(url)
         options: list[_SocketOption] = [_NO_DELAY, _RESET_ON_CLOSE]
         if parts.scheme == 'https':
@@ -145,6 +151,12 @@
             preload_content=False,
         )
         self._count_late_send(request, deadline)
+        remaining_s = deadline - self._clock()
+        if remaining_s <= 0:
+            return Answer(code=NO_ANSWER)
+        # The library applies it to the socket before it reads, and it limits
+        # the whole answer, not each read.
+        conn.timeout = remaining_s
         return self._read(conn.getresponse(), deadline)
 
     def _count_late_send(self, request: Request, deadline: float) -> None:
--- a/tests/provisioning/test_client.py
+++ b/tests/provisioning/test_client.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import pytest
@@ -131,3 +132,36 @@
     client = PlatformClient(url, lambda now, _: now + 1, lambda: next(readings))
     client.send(_report())
     assert client.late_sends == 1
+
+
+def _trickle(
+    listener: socket.socket, payload: bytes, interval_s: float
+) -> None:
+    """Send an answer byte by byte, each long before a time limit of reads."""
+    conn, _ = listener.accept()
+    with conn, suppress(OSError):
+        conn.recv(65536)
+        for byte in payload:
+            conn.sendall(bytes([byte]))
+            time.sleep(interval_s)
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Note: a long one\r\n\r\n{}',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n{"a": "%s"}'
+        % (b'b' * 51),
+    ],
+)
+def test_client_ends_an_answer_that_trickles(payload: bytes) -> None:
+    """Guards against a time limit that starts anew with each byte."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        threading.Thread(
+            target=_trickle, args=(listener, payload, 0.1), daemon=True
+        ).start()
+        port = listener.getsockname()[1]
+        started = time.monotonic()
+        answer = _client(f'http://127.0.0.1:{port}', 0.5).send(_report())
+        assert answer.code == NO_ANSWER
+        assert time.monotonic() - started < 1
