Count failures of one silence of an endpoint once

Requests that were on their way to an endpoint fail together when it accepts no connection for 1.2 s. Each made the penalty longer: 6 of them made it 8 s, for an endpoint that went on at once. Failures within 1.5 s now count as one.

--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -24,6 +24,9 @@
 # row, and the maximum.
 _PENALTY_S: Final = 2.0
 _PENALTY_MAX_S: Final = 8.0
+# Time in which several failures count as one: requests that were on their way
+# fail together when an endpoint falls silent for a second.
+_SAME_FAILURE_S: Final = 1.5
 # A draining endpoint is a source for KV copies until this long before its end.
 _COPY_SOURCE_MIN_S: Final = 1.0
 # Maximum number of prompt parts that are recorded for one endpoint.
@@ -224,6 +227,7 @@
     """One endpoint and its load as seen by this host."""
 
     __slots__ = (
+        '_failed_at',
         '_failures',
         'slot_grants',
         'instance',
@@ -270,6 +274,7 @@
         # Requests of this host in the period of a limit.
         self.rate_grants = PeriodCount()
         self._failures = 0
+        self._failed_at: float = 0
 
     @property
     def requests(self) -> int:
@@ -361,7 +366,9 @@
 
     def on_failure(self, now: float) -> None:
         """Penalize the endpoint, so that it is chosen last for a while."""
-        self._failures += 1
+        if not self._failures or now >= self._failed_at + _SAME_FAILURE_S:
+            self._failures += 1
+            self._failed_at = now
         penalty_s = min(_PENALTY_S * self._failures, _PENALTY_MAX_S)
         self.penalty_until = now + penalty_s
 
