--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -11,6 +11,7 @@
 from apricotcart.gateway.api import PromptPart
 from apricotcart.gateway.dispatching.endpoint_notices import EndpointNotices
 from apricotcart.gateway.dispatching.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.recent_rejections import RecentRejections
 
 # Ratio of an engine's KV memory that may be filled. Outputs can become longer
 # than expected, and an engine that runs out of memory preempts requests.
@@ -23,6 +24,9 @@
 # row, and the maximum.
 _PENALTY_S: Final = 2.0
 _PENALTY_MAX_S: Final = 8.0
+# Time in which several failures count as one: requests that were on their way
+# fail together when an endpoint falls silent for a second.
+_SAME_FAILURE_S: Final = 1.5
 # A draining endpoint is a source for KV copies until this long before its end.
 _COPY_SOURCE_MIN_S: Final = 1.0
 # Maximum number of prompt parts that are recorded for one endpoint.
@@ -223,6 +227,7 @@
     """One endpoint and its load as seen by this host."""
 
     __slots__ = (
+        '_failed_at',
         '_failures',
         'slot_grants',
         'instance',
@@ -231,6 +236,7 @@
         'notices',
         'outcomes',
         'rate_grants',
+        'rejections',
         'hash_order',
         'remote_load',
         'cached_parts',
@@ -253,6 +259,7 @@
         self.hash_order = hash_to_unit(instance.instance_id)
         self.instance = instance
         self.notices = EndpointNotices()
+        self.rejections = RecentRejections()
         self.local_requests: dict[str, PlacedRequest] = {}
         self.remote_load = LoadSummary()
         self.outcomes = RecentOutcomes()
@@ -267,6 +274,7 @@
         # Requests of this host in the period of a limit.
         self.rate_grants = PeriodCount()
         self._failures = 0
+        self._failed_at: float = 0
 
     @property
     def requests(self) -> int:
@@ -358,7 +366,9 @@
 
     def on_failure(self, now: float) -> None:
         """Penalize the endpoint, so that it is chosen last for a while."""
-        self._failures += 1
+        if not self._failures or now >= self._failed_at + _SAME_FAILURE_S:
+            self._failures += 1
+            self._failed_at = now
         penalty_s = min(_PENALTY_S * self._failures, _PENALTY_MAX_S)
         self.penalty_until = now + penalty_s
 
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -68,6 +68,7 @@
         'reach',
         'ready',
         'reason',
+        'rejections_per_s',
         'request_id',
         'requests',
         'resumes',
