Name the parts of passing on by the usual terms

The listener for other gateways, the authority of tickets and the progress of one request had figurative names.

--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -15,7 +15,7 @@
 )
 from apricotcart.gateway.fingerprint import fingerprint_of
 from apricotcart.gateway.held_connection import HeldConnection
-from apricotcart.gateway.passing import Passing
+from apricotcart.gateway.relay_progress import RelayProgress
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.timers.clock import boot_clock_s
@@ -48,7 +48,7 @@
         it; only endpoints of the same origin may go on with it.
     conn : HeldConnection
         The connection on which the request waits.
-    passing : Passing
+    relay : RelayProgress
         What is known about passing the request on to another gateway.
     failure_response : WebResponse or None
         The last endpoint's own response, returned if no retry succeeds.
@@ -65,7 +65,7 @@
         'is_host_ending',
         'message',
         'origin',
-        'passing',
+        'relay',
         'request_id',
         'routing',
         'send_count',
@@ -90,7 +90,7 @@
         self.routing = routing
         self.origin = origin
         self.started_at = started_at
-        self.passing = Passing()
+        self.relay = RelayProgress()
         self.fingerprint = fingerprint_of(self.customer_name, message)
         self.conn = HeldConnection()
         self.excluded_endpoints: set[str] = set()
@@ -179,7 +179,7 @@
 
     def withdraw(self) -> None:
         """Take the request out of the queue, to pass it on."""
-        self.passing.is_withdrawn = True
+        self.relay.is_withdrawn = True
         self.dispatcher.cancel(self.request_id)
 
     def _cancel(self) -> None:
--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -110,8 +110,8 @@
             If no endpoint of the stream's version is left.
         """
         self._require_version(call)
-        if not call.passing.is_counted:
-            call.passing.is_counted = True
+        if not call.relay.is_counted:
+            call.relay.is_counted = True
             self.retry_policy.on_request(call.service, boot_clock_s())
         timeout_s = queue_timeout_s(
             call.route.target_s,
@@ -261,7 +261,7 @@
     """Return why a request was taken out of the queue."""
     if call.is_host_ending and not call.may_have_run:
         return LeavingError('this host is shutting down')
-    if call.passing.is_withdrawn and not call.is_caller_gone:
+    if call.relay.is_withdrawn and not call.is_caller_gone:
         return WithdrawnError('this host reaches no endpoint')
     return CallerLeftError('the caller closed its connection while queued')
 
--- a/src/apricotcart/gateway/relay/door.py
+++ b/src/apricotcart/gateway/relay/application.py
@@ -25,7 +25,7 @@
     RECEIPT,
     Receipt,
     Ticket,
-    TicketOffice,
+    TicketAuthority,
     without_internal,
 )
 from apricotcart.observability.decisions import (
@@ -38,12 +38,12 @@
 from apricotcart.web.response import WebResponse
 
 
-class DoorApplication(GatewayApplication):
+class RelayApplication(GatewayApplication):
     """Serves requests that other gateways pass on, like those of callers.
 
     Parameters
     ----------
-    tickets : TicketOffice
+    tickets : TicketAuthority
         Verifies the tickets of the requests.
     view : ReachView
         Tells whether this host reaches endpoints.
@@ -52,7 +52,7 @@
     __slots__ = ('_tickets', '_view')
 
     def __init__(
-        self, *, tickets: TicketOffice, view: ReachView, **parts: Any
+        self, *, tickets: TicketAuthority, view: ReachView, **parts: Any
     ) -> None:
         super().__init__(**parts)
         self._tickets = tickets
@@ -110,6 +110,7 @@
     ) -> Call:
         if self._view.reach(started_at) is Reach.CUT_OFF:
             raise CutOffError('this host reaches no endpoint')
+        self._refuse_if_leaving(0)
         self._state.wait_until_known(ticket.wait_s)
         if self._state.version < ticket.version:
             raise NotReadyError(
@@ -127,8 +128,8 @@
         )
         ticket.require_matches(call.message)
         _require_service(call)
-        call.passing.is_taken_over = True
-        call.passing.is_counted = ticket.is_counted
+        call.relay.is_taken_over = True
+        call.relay.is_counted = ticket.is_counted
         call.send_count = ticket.send_count
         call.may_have_run = ticket.may_have_run
         log_decision(
--- a/src/apricotcart/gateway/relay/assembly.py
+++ b/src/apricotcart/gateway/relay/assembly.py
@@ -8,10 +8,10 @@
 from apricotcart.coordinator.messages import CLUSTER_SECRET
 from apricotcart.gateway.api import HeaderCodec
 from apricotcart.gateway.reachability.api import ReachView
+from apricotcart.gateway.relay.application import RelayApplication
 from apricotcart.gateway.relay.choice import PeerChoice
-from apricotcart.gateway.relay.door import DoorApplication
 from apricotcart.gateway.relay.pool import PeerPool
-from apricotcart.gateway.relay.tickets import TicketOffice
+from apricotcart.gateway.relay.tickets import TicketAuthority
 from apricotcart.gateway.relay.upstream import PeerUpstream
 from apricotcart.membership.peers import PeerSource
 from apricotcart.responses.memory import ResponseMemory
@@ -60,7 +60,9 @@
         memory: ResponseMemory,
     ) -> None:
         self._view = view
-        self._tickets = TicketOffice(Sealer(CLUSTER_SECRET), host.name, clock)
+        self._tickets = TicketAuthority(
+            Sealer(CLUSTER_SECRET), host.name, clock
+        )
         self.upstream = PeerUpstream(
             view=view,
             choice=PeerChoice(source, host.zone),
@@ -75,7 +77,7 @@
         tick = self.upstream.tick
         RepeatingTimer('relay', _TICK_INTERVAL_S, tick).start()
 
-    def door(self, **parts: Any) -> DoorApplication:
+    def application(self, **parts: Any) -> RelayApplication:
         """Return the application that takes requests over.
 
         Parameters
@@ -83,4 +85,4 @@
         **parts : Any
             Arguments of `GatewayApplication`.
         """
-        return DoorApplication(tickets=self._tickets, view=self._view, **parts)
+        return RelayApplication(tickets=self._tickets, view=self._view, **parts)
--- a/src/apricotcart/gateway/relay/exchange.py
+++ b/src/apricotcart/gateway/relay/exchange.py
@@ -19,7 +19,7 @@
     TICKET,
     Receipt,
     Ticket,
-    TicketOffice,
+    TicketAuthority,
     digest_of,
     without_internal,
 )
@@ -51,7 +51,7 @@
         header_codec: HeaderCodec,
         memory: ResponseMemory,
         peer: PeerGateway,
-        tickets: TicketOffice,
+        tickets: TicketAuthority,
     ) -> None:
         destination = Destination(
             peer.host, peer.address, {'peer': peer.host, 'zone': peer.zone}
@@ -92,7 +92,7 @@
             version=call.routing.version,
             send_count=call.send_count,
             may_have_run=call.may_have_run,
-            is_counted=call.passing.is_counted,
+            is_counted=call.relay.is_counted,
             service='' if origin is None else origin.service,
             software_version=(
                 '' if origin is None else origin.software_version
--- a/src/apricotcart/gateway/relay/tickets.py
+++ b/src/apricotcart/gateway/relay/tickets.py
@@ -206,7 +206,7 @@
         )
 
 
-class TicketOffice:
+class TicketAuthority:
     """Issues and verifies the tickets and receipts of one host.
 
     Parameters
--- a/src/apricotcart/gateway/relay/upstream.py
+++ b/src/apricotcart/gateway/relay/upstream.py
@@ -21,7 +21,7 @@
 from apricotcart.gateway.relay.choice import PeerChoice
 from apricotcart.gateway.relay.errors import CutOffError
 from apricotcart.gateway.relay.exchange import RelayExchange
-from apricotcart.gateway.relay.tickets import TicketOffice
+from apricotcart.gateway.relay.tickets import TicketAuthority
 from apricotcart.observability.decisions import (
     PASS_ON_FAILED,
     PASSED_ON_ANSWERED,
@@ -65,7 +65,7 @@
         Tells whether this host reaches endpoints.
     choice : PeerChoice
         Chooses the gateway.
-    tickets : TicketOffice
+    tickets : TicketAuthority
         Issues the tickets.
     pool : ConnectionPool
         Connections to the gateways.
@@ -92,7 +92,7 @@
         *,
         view: ReachView,
         choice: PeerChoice,
-        tickets: TicketOffice,
+        tickets: TicketAuthority,
         pool: ConnectionPool,
         header_codec: HeaderCodec,
         memory: ResponseMemory,
@@ -120,7 +120,7 @@
         now = boot_clock_s()
         reach = self._view.reach(now)
         if reach is Reach.REACHED:
-            call.passing.is_withdrawn = False
+            call.relay.is_withdrawn = False
             return None
         if _tries_endpoint_first(call, reach):
             return None
@@ -194,10 +194,10 @@
     ) -> None:
         """Count a request that has ended, and avoid a gateway that failed."""
         self._choice.release(exchange.destination.name)
-        call.passing.tried_peers.add(exchange.destination.name)
+        call.relay.tried_peers.add(exchange.destination.name)
         if exchange.sent_at and exchange.receipt is None:
             # The other gateway may have counted it, and sent it once at least.
-            call.passing.is_counted = True
+            call.relay.is_counted = True
             call.send_count += 1
         if not isinstance(exc, ApricotcartError):
             return
@@ -224,10 +224,10 @@
     def _pass_on(
         self, call: Call, reach: Reach, now: float
     ) -> RelayExchange | None:
-        passing = call.passing
-        if passing.is_taken_over or len(passing.tried_peers) >= _MAX_PEERS:
+        progress = call.relay
+        if progress.is_taken_over or len(progress.tried_peers) >= _MAX_PEERS:
             return None
-        peer = self._choice.acquire(passing.tried_peers, now)
+        peer = self._choice.acquire(progress.tried_peers, now)
         if peer is None:
             return None
         log_decision(
@@ -255,18 +255,18 @@
 
 
 def _tries_endpoint_first(call: Call, reach: Reach) -> bool:
-    if reach is Reach.CUT_OFF or call.passing.is_withdrawn:
+    if reach is Reach.CUT_OFF or call.relay.is_withdrawn:
         return False
     return len(call.excluded_endpoints) < _TRIES_BEFORE
 
 
 def _require_try_left(call: Call, reach: Reach) -> None:
     """Raise unless one more endpoint is tried although it may be in vain."""
-    passing = call.passing
+    progress = call.relay
     tries = _SUSPECT_TRIES
-    if reach is Reach.CUT_OFF or passing.is_taken_over:
+    if reach is Reach.CUT_OFF or progress.is_taken_over:
         tries = _CUT_OFF_TRIES
-    if not passing.is_withdrawn and len(call.excluded_endpoints) < tries:
+    if not progress.is_withdrawn and len(call.excluded_endpoints) < tries:
         return
     message = 'this host reaches no endpoint, and no gateway took over'
     if call.may_have_run:
@@ -275,8 +275,8 @@
 
 
 def _reason_of(call: Call) -> str:
-    if call.passing.tried_peers:
+    if call.relay.tried_peers:
         return 'peer_failed'
     if call.excluded_endpoints:
         return 'send_failed'
-    return 'withdrawn' if call.passing.is_withdrawn else 'cut_off'
+    return 'withdrawn' if call.relay.is_withdrawn else 'cut_off'
--- a/src/apricotcart/gateway/passing.py
+++ b/src/apricotcart/gateway/relay_progress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class Passing:
+class RelayProgress:
     """State of one request that may be passed on.
 
     Attributes
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -75,7 +75,7 @@
 # Maximum number of requests in progress and connections being read.
 _THREADS_MAX: Final = 800
 # The same for requests that other gateways pass on, which are rare.
-_DOOR_THREADS: Final = 2
+_RELAY_THREADS: Final = 2
 # Maximum size of a ticket, on top of the headers of a caller.
 _MAX_TICKET_BYTES: Final = 4096
 _READINESS_THREADS: Final = 2
@@ -241,8 +241,8 @@
         )
         self._add_server(
             HttpAddress(host=cfg.host.address, port=cfg.links.last_port),
-            _limits(_DOOR_THREADS, _MAX_TICKET_BYTES),
-            self._relay.door(**parts),
+            _limits(_RELAY_THREADS, _MAX_TICKET_BYTES),
+            self._relay.application(**parts),
         )
 
     def _add_server(
--- a/tests/gateway/relay/fleet.py
+++ b/tests/gateway/relay/fleet.py
@@ -21,10 +21,10 @@
 )
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.reachability.api import Reach, ReachView
+from apricotcart.gateway.relay.application import RelayApplication
 from apricotcart.gateway.relay.choice import PeerChoice
-from apricotcart.gateway.relay.door import DoorApplication
 from apricotcart.gateway.relay.pool import PeerPool
-from apricotcart.gateway.relay.tickets import TicketOffice
+from apricotcart.gateway.relay.tickets import TicketAuthority
 from apricotcart.gateway.relay.upstream import PeerUpstream
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.usage import UsageCounter
@@ -84,7 +84,7 @@
 
 
 class FleetGateway:
-    """A gateway with its callers' listener and its door."""
+    """A gateway with the listeners for callers and for other gateways."""
 
     def __init__(self, name: str, zone: str) -> None:
         self.name = name
@@ -95,7 +95,7 @@
         self.bench.upstream._usage = self.usage
         self.belief = Belief()
         self.directory = PeerDirectory()
-        self.tickets = TicketOffice(
+        self.tickets = TicketAuthority(
             Sealer(SECRET), name, SteadyUnixClock.from_host()
         )
         self.choice = PeerChoice(self.directory, zone)
@@ -110,8 +110,8 @@
         self.bench.sender = Sender(self.bench.upstream, self.peers)
         self.bench.forwarder = Forwarder(self.bench.sender)
         self.served = ServedGateway(self.bench)
-        self._door = start_listener(
-            DoorApplication(
+        self._relay_server = start_listener(
+            RelayApplication(
                 tickets=self.tickets, view=self.belief, **self.served.parts
             )
         )
@@ -123,15 +123,15 @@
             timer.start()
 
     @property
-    def door(self) -> tuple[str, int]:
-        """Address of the door."""
-        address: tuple[str, int] = self._door.bind_addr
+    def relay_address(self) -> tuple[str, int]:
+        """Address of the listener for other gateways."""
+        address: tuple[str, int] = self._relay_server.bind_addr
         return address
 
     def as_peer(
         self, requests: int = 0, address: tuple[str, int] | None = None
     ) -> PeerGateway:
-        host, port = address or self.door
+        host, port = address or self.relay_address
         return PeerGateway(
             host=self.name,
             zone=self.zone,
@@ -151,14 +151,14 @@
         """Return how many requests this gateway counts as usage."""
         return self.usage.runs
 
-    def stop_door(self) -> None:
-        self._door.stop()
+    def stop_relay(self) -> None:
+        self._relay_server.stop()
 
     def stop(self) -> None:
         for timer in self._timers:
             timer.stop()
         self.served.stop()
-        self._door.stop()
+        self._relay_server.stop()
 
 
 class Fleet:
@@ -199,7 +199,7 @@
         self, gateway: FleetGateway, cut: Cut, requests: int = 0
     ) -> PeerGateway:
         """Return a gateway behind a link that may break."""
-        link = Link(gateway.door, cut)
+        link = Link(gateway.relay_address, cut)
         self._links.append(link)
         return gateway.as_peer(requests, link.address)
 
--- a/tests/gateway/relay/test_passing_on.py
+++ b/tests/gateway/relay/test_passing_on.py
@@ -68,8 +68,8 @@
 
 def test_gateway_without_trouble_passes_nothing_on(fleet: Fleet) -> None:
     fleet.serve(respond_with())
-    fleet.gateways[1].stop_door()
-    fleet.gateways[2].stop_door()
+    fleet.gateways[1].stop_relay()
+    fleet.gateways[2].stop_relay()
     assert fleet.sender.ask('once').status == 200
     assert fleet.sender.runs() == 1
 
@@ -185,7 +185,7 @@
 
 def test_refused_connection_leads_to_another_gateway(fleet: Fleet) -> None:
     fleet.serve(respond_with())
-    fleet.gateways[1].stop_door()
+    fleet.gateways[1].stop_relay()
     fleet.sender.cut_off()
     for _ in range(6):
         assert fleet.sender.ask('once').status == 200
--- a/tests/gateway/relay/test_door_of_process.py
+++ b/tests/gateway/relay/test_relay_of_process.py
@@ -1,4 +1,4 @@
-"""Guards against a gateway process whose door is missing or open."""
+"""Guards against a gateway process without a protected relay listener."""
 
 from __future__ import annotations
 
@@ -19,13 +19,13 @@
         return int(listener.getsockname()[1])
 
 
-def _settings(folder: Path, door: int) -> Path:
+def _settings(folder: Path, relay_port: int) -> Path:
     path = folder / 'settings.ini'
     path.write_text(
         '[host]\nname = a\nzone = a\nregion = r\naddress = 127.0.0.1\n'
         f'[listen]\ncallers = 127.0.0.1:{_free_port()}\n'
         f'readiness = 127.0.0.1:{_free_port()}\n'
-        f'[links]\nfirst_port = {door - 1}\nlast_port = {door}\n'
+        f'[links]\nfirst_port = {relay_port - 1}\nlast_port = {relay_port}\n'
         'seeds = 127.0.0.1:1\n[platform]\naddress = 127.0.0.1:1\n'
         '[bounds]\nstop_s = 3\n',
     )
@@ -44,8 +44,8 @@
 
 
 def test_process_takes_nothing_over_without_a_ticket(tmp_path: Path) -> None:
-    door = _free_port()
-    settings = _settings(tmp_path, door)
+    relay_port = _free_port()
+    settings = _settings(tmp_path, relay_port)
     command = [sys.executable, '-m', 'apricotcart', 'gateway']
     with contextlib.ExitStack() as cleanup:
         process = cleanup.enter_context(
@@ -56,4 +56,4 @@
             )
         )
         cleanup.callback(process.kill)
-        assert _status_of(door) == 403
+        assert _status_of(relay_port) == 403
--- a/tests/gateway/relay/test_tickets.py
+++ b/tests/gateway/relay/test_tickets.py
@@ -1,4 +1,4 @@
-"""Guards against requests that come through the door without a right to."""
+"""Guards against requests that are passed on without a valid ticket."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     TICKET,
     Receipt,
     Ticket,
-    TicketOffice,
+    TicketAuthority,
     digest_of,
 )
 from apricotcart.timers.clock import SteadyUnixClock
@@ -30,13 +30,13 @@
 
 def _office(
     host: str = 'g0', *, secret: bytes = SECRET, ahead_s: float = 0
-) -> TicketOffice:
+) -> TicketAuthority:
     clock = SteadyUnixClock.from_host()
     clock.offset_s += ahead_s
-    return TicketOffice(Sealer(secret), host, clock)
+    return TicketAuthority(Sealer(secret), host, clock)
 
 
-def _ticket(office: TicketOffice, **fields: Any) -> Ticket:
+def _ticket(authority: TicketAuthority, **fields: Any) -> Ticket:
     given: dict[str, Any] = {
         'digest': digest_of(_MESSAGE, _HEADERS),
         'peer': 'g1',
@@ -49,7 +49,7 @@
         'service': '',
         'software_version': '',
     }
-    return office.issue(**{**given, **fields})
+    return authority.issue(**{**given, **fields})
 
 
 def _send(
@@ -64,32 +64,34 @@
     lines.extend(f'{TICKET}: {text}' for text in sealed)
     lines.append(f'Content-Length: {len(body)}')
     raw = '\r\n'.join([*lines, '', '']).encode() + body
-    with socket.create_connection(gateway.door, 5) as conn:
+    with socket.create_connection(gateway.relay_address, 5) as conn:
         conn.sendall(raw)
         return int(conn.recv(65536).split()[1])
 
 
-def test_door_accepts_a_valid_ticket_once(fleet: Fleet) -> None:
+def test_relay_accepts_a_valid_ticket_once(fleet: Fleet) -> None:
     """Guards against a request that is replayed as a whole."""
     fleet.serve(respond_with())
-    office = _office()
-    sealed = office.seal_ticket(_ticket(office))
+    authority = _office()
+    sealed = authority.seal_ticket(_ticket(authority))
     assert _send(fleet.gateways[1], sealed) == 200
     assert _send(fleet.gateways[1], sealed) == 403
     assert fleet.received() == 1
 
 
 @pytest.mark.parametrize(
-    'office',
+    'authority',
     [
         pytest.param(_office(secret=b'another secret, long'), id='forged'),
         pytest.param(_office(ahead_s=-400), id='expired'),
         pytest.param(_office(ahead_s=400), id='from the future'),
     ],
 )
-def test_door_refuses_a_bad_ticket(fleet: Fleet, office: TicketOffice) -> None:
+def test_relay_refuses_a_bad_ticket(
+    fleet: Fleet, authority: TicketAuthority
+) -> None:
     fleet.serve(respond_with())
-    sealed = office.seal_ticket(_ticket(office))
+    sealed = authority.seal_ticket(_ticket(authority))
     assert _send(fleet.gateways[1], sealed) == 403
     assert not fleet.received()
 
@@ -97,7 +99,7 @@
 @pytest.mark.parametrize(
     'sealed', [(), ('',), ('not base64!',), ('AAAA',), ('AAAA', 'AAAA')]
 )
-def test_door_refuses_without_ticket(
+def test_relay_refuses_without_ticket(
     fleet: Fleet, sealed: tuple[str, ...]
 ) -> None:
     fleet.serve(respond_with())
@@ -105,10 +107,13 @@
     assert not fleet.received()
 
 
-def test_door_refuses_a_ticket_for_another_host(fleet: Fleet) -> None:
+def test_relay_refuses_a_ticket_for_another_host(fleet: Fleet) -> None:
     fleet.serve(respond_with())
-    office = _office()
-    assert _send(fleet.gateways[2], office.seal_ticket(_ticket(office))) == 403
+    authority = _office()
+    assert (
+        _send(fleet.gateways[2], authority.seal_ticket(_ticket(authority)))
+        == 403
+    )
     assert not fleet.received()
 
 
@@ -122,20 +127,20 @@
     ],
     ids=['body', 'target', 'header', 'host'],
 )
-def test_door_refuses_a_ticket_for_another_request(
+def test_relay_refuses_a_ticket_for_another_request(
     fleet: Fleet, changed: dict[str, Any]
 ) -> None:
     fleet.serve(respond_with())
-    office = _office()
-    sealed = office.seal_ticket(_ticket(office))
+    authority = _office()
+    sealed = authority.seal_ticket(_ticket(authority))
     assert _send(fleet.gateways[1], sealed, **changed) in {403, 404}
     assert not fleet.received()
 
 
-def test_door_refuses_other_messages_of_the_cluster(fleet: Fleet) -> None:
+def test_relay_refuses_other_messages_of_the_cluster(fleet: Fleet) -> None:
     """Guards against sealed messages of other kinds that serve as tickets."""
-    office = _office()
-    receipt = office.seal_receipt(Receipt(nonce='n'))
+    authority = _office()
+    receipt = authority.seal_receipt(Receipt(nonce='n'))
     assert _send(fleet.gateways[1], receipt) == 403
 
 
@@ -145,7 +150,7 @@
     """Guards against refusals that have another reason."""
     monkeypatch.setattr(Ticket, 'require_matches', lambda *_: None)
     with pytest.raises(AssertionError):
-        test_door_refuses_a_ticket_for_another_request(
+        test_relay_refuses_a_ticket_for_another_request(
             fleet, {'body': b'other'}
         )
 
@@ -153,18 +158,18 @@
 def test_proof_fails_without_the_check_for_reuse(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(TicketOffice, '_mark_used', lambda *_: None)
+    monkeypatch.setattr(TicketAuthority, '_mark_used', lambda *_: None)
     with pytest.raises(AssertionError):
-        test_door_accepts_a_valid_ticket_once(fleet)
+        test_relay_accepts_a_valid_ticket_once(fleet)
 
 
-def test_door_waits_for_the_desired_state_of_the_sender(
+def test_relay_waits_for_the_desired_state_of_the_sender(
     fleet: Fleet,
 ) -> None:
     """Guards against requests that an older desired state decides."""
     fleet.serve(respond_with())
-    office = _office()
-    sealed = office.seal_ticket(_ticket(office, version=2))
+    authority = _office()
+    sealed = authority.seal_ticket(_ticket(authority, version=2))
     assert _send(fleet.gateways[1], sealed) == 503
     assert not fleet.received()
 
@@ -197,12 +202,12 @@
     now = 1000.0
     module = 'apricotcart.gateway.relay.tickets'
     monkeypatch.setattr(f'{module}.boot_clock_s', lambda: now)
-    office = _office('g1')
+    authority = _office('g1')
     for _ in range(50):
         sender = _office()
         now += 100
         sealed = sender.seal_ticket(_ticket(sender))
-        office.accept([(TICKET, sealed)])
-    assert len(office._used) < 10
+        authority.accept([(TICKET, sealed)])
+    assert len(authority._used) < 10
     with pytest.raises(InvalidTicketError):
-        office.accept([(TICKET, sealed)])
+        authority.accept([(TICKET, sealed)])
