--- a/src/apricotcart/gateway/reachability/attempts.py
+++ b/src/apricotcart/gateway/reachability/attempts.py
@@ -33,6 +33,10 @@
         self._tried_at[address] = now
         self._failing_since.setdefault(address, started_at)
 
+    def tried_at(self, address: str) -> float:
+        """Return when an endpoint was last tried, 0 if that is long ago."""
+        return self._tried_at.get(address, 0)
+
     def retain(self, listed: frozenset[str], now: float) -> None:
         """Forget unlisted endpoints and old attempts."""
         oldest = now - _ATTEMPT_TTL_S
--- a/src/apricotcart/gateway/reachability/evidence.py
+++ b/src/apricotcart/gateway/reachability/evidence.py
@@ -34,8 +34,6 @@
     ----------
     listed : frozenset of str
         Addresses of the listed endpoints; others do not count.
-    connected : dict of str to float
-        When each endpoint was last connected to, in seconds.
     doubted_since : float or None
         Start of the first connection that failed since the last success of a
         new one; None without a failure.
@@ -46,6 +44,7 @@
     """
 
     __slots__ = (
+        '_connected',
         '_connected_at',
         '_expired_at',
         '_failed',
@@ -55,7 +54,6 @@
         '_seen_at',
         '_silent_at',
         'attempts',
-        'connected',
         'doubted_since',
         'last_success_at',
         'listed',
@@ -72,7 +70,7 @@
         self._expired_at: float = 0
         self._failures = 0
         self._failed: dict[str, float] = {}
-        self.connected: dict[str, float] = {}
+        self._connected: dict[str, float] = {}
         self._received: dict[str, float] = {}
         self._pending: dict[str, float] = {}
 
@@ -113,7 +111,7 @@
     def replace_listed(self, addresses: Iterable[str]) -> None:
         """Set the listed endpoints and forget all others."""
         self.listed = frozenset(addresses)
-        for times in (self._failed, self.connected, self._received):
+        for times in (self._failed, self._connected, self._received):
             for address in times.keys() - self.listed:
                 times.pop(address)
         if not self._failed:
@@ -127,7 +125,7 @@
         """Record a new connection, which refutes the failures before it."""
         self._pending.pop(address, None)
         self.attempts.on_connected(address, now)
-        self.connected[address] = now
+        self._connected[address] = now
         self._connected_at = now
         self.last_success_at = now
         self._forget_failures()
@@ -182,7 +180,7 @@
 
     def reached_since(self, since: float) -> list[str]:
         """Return the endpoints that were reached since a time, last first."""
-        latest = dict(self.connected)
+        latest = dict(self._connected)
         if not self._failed:
             for address, received_at in self._received.items():
                 connected_at = latest.get(address, 0)
--- a/src/apricotcart/gateway/reachability/probe_plan.py
+++ b/src/apricotcart/gateway/reachability/probe_plan.py
@@ -77,14 +77,14 @@
         addresses = sorted(evidence.listed)
         self._rng.shuffle(addresses)
         # Endpoints that other gateways have just reached tell most. Those that
-        # are being tried or have failed already tell least, and those that this
-        # host has reached long ago more than others.
+        # are being tried or have failed already tell least, and of the others
+        # those that were tried last.
         addresses.sort(
             key=lambda address: (
                 address in evidence.pending,
                 address in evidence.failed,
                 address not in reached,
-                evidence.connected.get(address, 0),
+                evidence.attempts.tried_at(address),
             )
         )
         return addresses[:count]
