Keep reading a connection whose first part has arrived in a drain

What a caller could have seen: 400 in place of 503, under load. A new connection that had sent nothing 0.2 s after its listener was closed was ended, judged by what a thread had read. The first part of a head could wait in the socket, and the second was cut off.

Change: a connection with unread bytes goes on.

Evidence: test_unread_first_part_is_not_cut_off failed before (the second part could not be sent).

--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -142,7 +142,7 @@
         listener.listen(0)
         accepted = []
         with suppress(OSError):
-            while _is_readable(listener):
+            while is_readable(listener):
                 accepted.append(self._from_server_socket(listener))
         self.server.socket = None
         listener.close()
@@ -161,14 +161,19 @@
         """Close the kept connections; those with a request are served."""
         for fileno, conn in list(self._selector.connections):
             is_idle = getattr(conn, 'activity', None) is Activity.IDLE
-            if is_idle and not _is_readable(conn.socket):
+            if is_idle and not is_readable(conn.socket):
                 self._selector.unregister(fileno)
                 conn.close()
 
 
-def _is_readable(sock: Any) -> bool:
+def is_readable(sock: Any) -> bool:
+    """Return whether a socket has data, its end or a connection."""
     poller = select.poll()
-    poller.register(sock, select.POLLIN)
+    try:
+        poller.register(sock, select.POLLIN)
+    except ValueError:
+        # Another thread has just closed it.
+        return True
     return bool(poller.poll(0))
 
 
--- a/src/apricotcart/web/http_server.py
+++ b/src/apricotcart/web/http_server.py
@@ -8,7 +8,7 @@
 from cheroot.wsgi import Server
 
 from apricotcart.timers.clock import boot_clock_s
-from apricotcart.web.draining import DrainingConnections
+from apricotcart.web.draining import DrainingConnections, is_readable
 from apricotcart.web.open_connections import Activity, OpenConnections
 from apricotcart.web.server_group import ServerGroup
 
@@ -106,7 +106,9 @@
     def end_unstarted(self) -> None:
         """Close the new connections that have not sent a byte."""
         for conn in self.open_connections.snapshot():
-            if conn.activity is Activity.READING:
+            # What has arrived is read, however late a thread gets to it.
+            is_reading = conn.activity is Activity.READING
+            if is_reading and not is_readable(conn.socket):
                 conn.rfile.socket_reader.end_unstarted()
 
     def end_reads(self) -> None:
--- a/tests/web/test_draining.py
+++ b/tests/web/test_draining.py
@@ -9,7 +9,9 @@
 import time
 from collections.abc import Iterable, Iterator
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any, Final
+from unittest.mock import patch
 
 import pytest
 import trustme
@@ -17,7 +19,11 @@
 from gateway.started_process import read_response, read_to_end
 
 from apricotcart.timers.clock import boot_clock_s
-from apricotcart.web.deadlines import ConnectionGateway, DeadlineConnection
+from apricotcart.web.deadlines import (
+    CallerReader,
+    ConnectionGateway,
+    DeadlineConnection,
+)
 from apricotcart.web.http_server import DrainingServer
 from apricotcart.web.open_connections import LINGER_S, Activity, OpenConnections
 from apricotcart.web.server_group import ServerGroup
@@ -193,6 +199,26 @@
     drained.wait_drained()
 
 
+def test_unread_first_part_is_not_cut_off(drained: DrainedServer) -> None:
+    """Guards against a 400 for a head whose second part is under way.
+
+    The thread that reads the connection has not got to its first part yet.
+    """
+    ours, theirs = socket.socketpair()
+    conn = SimpleNamespace(
+        activity=Activity.READING,
+        socket=ours,
+        rfile=CallerReader(ours, _PIPELINED),
+    )
+    with ours, theirs:
+        theirs.sendall(b'first')
+        with patch.object(OpenConnections, 'snapshot', return_value=[conn]):
+            drained.server.end_unstarted()
+        theirs.sendall(b' second')
+        theirs.close()
+        assert conn.rfile.read() == b'first second'
+
+
 def test_slow_body_is_answered_at_the_end(drained: DrainedServer) -> None:
     """Guards against a slow caller that outlasts the stop or gets nothing."""
     with drained.connect() as conn:
