--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -77,6 +77,21 @@
         return self.start <= attempt.ended_at and attempt.sent_at <= self.end
 
 
+class Absence(Disturbance):
+    """A time in which no process of a gateway runs.
+
+    A request that is sent then reached at most the proxy, which closes the
+    connection as fast as the machine lets it.
+    """
+
+    __slots__ = ()
+
+    def excuses(self, attempt: Attempt) -> bool:
+        """Return whether an attempt was sent in this time."""
+        is_same = self.gateway == attempt.gateway
+        return is_same and self.start <= attempt.sent_at <= self.end
+
+
 class Violation:
     """An attempt that breaks a promise."""
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 from typing import Final
 
+from soak.checks import Absence
 from soak.fleet import GATEWAY, STOP_S, ManagedProcess
 from soak.proxy import ProxyMode
 from soak.world import World
@@ -59,7 +60,8 @@
         stop = world.signal_stop(self._process)
         self._signal_again()
         world.await_stop(self._process, stop)
-        self._process.start()
+        with world.disturbance(self._disturbed, Absence):
+            self._process.start()
 
     def _signal_again(self) -> None:
         """Send further signals while the process stops."""
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.checks import (
+    Absence,
     Disturbance,
     PlannedStop,
     Rule,
@@ -118,6 +119,14 @@
     assert not find_violations(records, [stop])
 
 
+def test_absence_excuses_only_what_is_sent_meanwhile(records: Records) -> None:
+    """Guards against a restart that excuses requests before the end."""
+    attempt = _add(records, Outcome.NO_RESPONSE, waited_s=0.3)
+    unread = find_violations(records, [])[0]
+    assert is_excused(unread, [Absence(_GATEWAY, attempt.sent_at)])
+    assert not is_excused(unread, [Absence(_GATEWAY, attempt.sent_at + 0.1)])
+
+
 def test_disturbance_excuses_only_cut_responses(records: Records) -> None:
     """Guards against unplanned faults that excuse a second run."""
     attempt = _add(records, Outcome.CUT, status=200, runs=2)
