--- a/tests/gateway/reachability/test_probe.py
+++ b/tests/gateway/reachability/test_probe.py
@@ -91,8 +91,10 @@
     assert reached_s is not None
 
 
-def _are_probes_running() -> bool:
-    return any('_connect' in thread.name for thread in threading.enumerate())
+def _running_probes() -> set[threading.Thread]:
+    return {
+        thread for thread in threading.enumerate() if '_connect' in thread.name
+    }
 
 
 def test_probe_of_a_silent_endpoint_does_not_block(
@@ -101,15 +103,17 @@
     monkeypatch.setattr(
         'apricotcart.gateway.reachability.probe._CONNECT_TIMEOUT_S', 20
     )
+    earlier = _running_probes()
     Probing(silent).probe.run_due()
-    assert _are_probes_running()
+    assert _running_probes() - earlier
 
 
 def test_probe_of_a_silent_endpoint_ends(silent: str) -> None:
+    earlier = _running_probes()
     probing = Probing(silent)
     probing.run_until(Reach.SUSPECT, 10)
     deadline = time.monotonic() + 10
-    while _are_probes_running():
+    while _running_probes() - earlier:
         assert time.monotonic() < deadline
         time.sleep(PROBE_CHECK_S)
 
