--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -163,6 +163,8 @@
                 endpoint.on_success()
             elif outcome is not Outcome.ERROR_RESPONSE:
                 endpoint.on_failure(now)
+            if outcome is Outcome.REFUSAL:
+                endpoint.rejections.add(now)
 
     def record_notice(
         self, endpoint: EndpointState, notice: EndpointNotice, sent_at: float
@@ -178,6 +180,7 @@
                 endpoint=endpoint.instance.instance_id,
                 is_leaving=endpoint.notices.is_leaving,
                 limit_per_s=endpoint.notices.limit_per_s,
+                rejections_per_s=endpoint.notices.rejections_per_s,
                 retry_after_s=notice.pause_s,
                 duration_s=boot_clock_s() - sent_at,
             )
@@ -214,6 +217,15 @@
                 endpoint.instance for endpoint in self._placement.endpoints()
             )
 
+    def listed_addresses(self) -> list[str]:
+        """Return the addresses of the endpoints that accept requests."""
+        with self._lock:
+            return [
+                endpoint.instance.address
+                for endpoint in self._placement.endpoints()
+                if endpoint.accepts_requests
+            ]
+
     def serves(
         self, requirements: Requirements, excluded: Collection[str]
     ) -> bool:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import Any, Final
 
 import cherrypy
@@ -26,6 +27,7 @@
 )
 from apricotcart.gateway.dispatching.list_relay import ControlHostRelay
 from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connections import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
@@ -34,6 +36,11 @@
     CallerGateway,
     GrowingThreadPool,
 )
+from apricotcart.gateway.reachability.monitor import ReachMonitor
+from apricotcart.gateway.reachability.probe import PROBE_CHECK_S, ReachProbe
+from apricotcart.gateway.reachability.probe_plan import ProbePlan
+from apricotcart.gateway.reachability.sync import SyncedReach
+from apricotcart.gateway.relay.assembly import Relay
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
@@ -42,6 +49,7 @@
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.membership.answers import ANSWER_TTL_S
+from apricotcart.membership.peers import PeerDirectory
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.process.fleet import FleetProcess
 from apricotcart.resumption.record_store import ControlHostStore
@@ -66,6 +74,10 @@
 _THREADS: Final = 24
 # Maximum number of requests in progress and connections being read.
 _THREADS_MAX: Final = 800
+# The same for requests that other gateways pass on, which are rare.
+_RELAY_THREADS: Final = 2
+# Maximum size of a ticket, on top of the headers of a caller.
+_MAX_TICKET_BYTES: Final = 4096
 _READINESS_THREADS: Final = 2
 _MAX_HEADER_BYTES: Final = 65_536
 _HEADER_TIMEOUT_S: Final = 3.0
@@ -93,6 +105,7 @@
         )
         self._watcher = CallerWatcher()
         self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
+        self._build_reachability()
         self._build_sender()
 
     def _stop(self, stop_at: float) -> str:
@@ -104,10 +117,25 @@
             ANSWER_TTL_S,
         )
 
+    def _build_reachability(self) -> None:
+        address = self._cfg.host.address
+        relay_port = self._cfg.links.last_port
+        self._reach = ReachMonitor()
+        self._peers = PeerDirectory()
+        self._synced_reach = SyncedReach(
+            self._reach, self._peers, f'{address}:{relay_port}'
+        )
+        self._probe = ReachProbe(
+            self._reach,
+            ProbePlan(self._reach, random.Random()),
+            self._dispatcher.listed_addresses,
+            self._forget_failures,
+        )
+
     def _build_sender(self) -> None:
         cfg = self._cfg
         bounds = cfg.bounds
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(self._reach)
         self._retry_policy = RetryPolicy(
             bounds.budget_ratio, bounds.budget_extra
         )
@@ -123,7 +151,7 @@
         self._origins = StreamOrigins(
             ControlHostStore(any_host), LeaderVersionSource(leader)
         )
-        self._sender = Sender(
+        self._upstream = EndpointUpstream(
             dispatcher=self._dispatcher,
             pool=self._pool,
             header_codec=self._adapter.header_codec(),
@@ -132,6 +160,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
         )
+        self._build_relay()
         self._endpoints = EndpointUpdater(
             self._adapter.platform_client(cfg.platform.address),
             ControlHostRelay(any_host),
@@ -150,8 +179,20 @@
             active_requests=self._active_requests,
             quarantine=self._quarantine,
             origins=self._origins,
+            reachability=self._synced_reach,
         )
 
+    def _build_relay(self) -> None:
+        self._relay = Relay(
+            host=self._cfg.host,
+            view=self._reach,
+            source=self._peers,
+            clock=self._clock,
+            header_codec=self._adapter.header_codec(),
+            memory=self._upstream.response_memory,
+        )
+        self._sender = Sender(self._upstream, self._relay.upstream)
+
     def _start(self) -> None:
         self._watcher.start()
         link = self._link
@@ -161,6 +202,8 @@
         ).start()
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
+        RepeatingTimer('reach', PROBE_CHECK_S, self._probe.run_due).start()
+        self._relay.start()
         configure_engine()
         self._serve_callers()
         readiness = self._adapter.readiness_app(self._link.is_serving)
@@ -175,21 +218,38 @@
     def _store_origins(self) -> None:
         self._origins.store_new(self._dispatcher.listed_versions())
 
-    def _serve_callers(self) -> None:
-        app = GatewayApplication(
-            state=self._state,
-            header_codec=self._adapter.header_codec(),
-            dispatcher=self._dispatcher,
-            forwarder=Forwarder(self._sender),
-            watcher=self._watcher,
-            active_requests=self._active_requests,
-            resumption=StreamResumption(self._origins, self._dispatcher),
+    def _forget_failures(self) -> None:
+        self._dispatcher.update_placement(
+            lambda placement: placement.table.forget_failures(),
         )
-        server = add_server(
-            HttpAddress.from_host_port(self._cfg.listen.callers),
+
+    def _serve_callers(self) -> None:
+        parts: dict[str, Any] = {
+            'state': self._state,
+            'header_codec': self._adapter.header_codec(),
+            'dispatcher': self._dispatcher,
+            'forwarder': Forwarder(self._sender),
+            'watcher': self._watcher,
+            'active_requests': self._active_requests,
+            'resumption': StreamResumption(self._origins, self._dispatcher),
+        }
+        cfg = self._cfg
+        self._add_server(
+            HttpAddress.from_host_port(cfg.listen.callers),
             _limits(_THREADS),
-            app,
+            GatewayApplication(**parts),
         )
+        self._add_server(
+            HttpAddress(host=cfg.host.address, port=cfg.links.last_port),
+            _limits(_RELAY_THREADS, _MAX_TICKET_BYTES),
+            self._relay.application(**parts),
+        )
+
+    def _add_server(
+        self, address: HttpAddress, limits: ServerLimits, app: Any
+    ) -> None:
+        """Serve callers, or gateways that pass their requests on."""
+        server = add_server(address, limits, app)
         http: Any = server.httpserver
         http.ConnectionClass = CallerConnection
         http.gateway = CallerGateway
@@ -197,17 +257,17 @@
         http.keep_alive_conn_limit = _KEEP_ALIVE_MAX
         http.requests = GrowingThreadPool(
             http,
-            min=_THREADS,
+            min=limits.threads,
             max=_THREADS_MAX,
         )
         http.error_log = _log_server_error
         self._servers.add(http)
 
 
-def _limits(threads: int) -> ServerLimits:
+def _limits(threads: int, extra_header_bytes: int = 0) -> ServerLimits:
     return ServerLimits(
         threads=threads,
-        max_header_bytes=_MAX_HEADER_BYTES,
+        max_header_bytes=_MAX_HEADER_BYTES + extra_header_bytes,
         header_timeout_s=_HEADER_TIMEOUT_S,
         body_timeout_s=_BODY_TIMEOUT_S,
     )
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -20,6 +20,7 @@
 _REASON: Final = 'reason'
 _REQUEST_ID: Final = 'request_id'
 _FINGERPRINT: Final = 'fingerprint'
+_KIND: Final = 'kind'
 _DURATION: Final = 'duration_s'
 # Limit on the log lines per event and second; further decisions are counted
 # but not logged.
@@ -49,7 +50,7 @@
     _REQUEST_ID,
     _FINGERPRINT,
     'route',
-    'kind',
+    _KIND,
     'customer',
     'endpoint',
     'zone',
@@ -81,8 +82,9 @@
     'request_answered',
     _REQUEST_ID,
     'route',
-    'kind',
+    _KIND,
     'endpoint',
+    'peer',
     'zone',
     'attempt',
     'status',
@@ -110,6 +112,8 @@
     'stream_resumed',
     _REQUEST_ID,
     'endpoint',
+    'peer',
+    'zone',
     'software',
     'attempt',
     _REASON,
@@ -131,6 +135,44 @@
     _REASON,
     _DURATION,
 )
+# This host reaches no endpoint, or may not, and passes the request on.
+REQUEST_PASSED_ON: Final = Event(
+    'request_passed_on',
+    _REQUEST_ID,
+    'route',
+    _KIND,
+    'customer',
+    'peer',
+    'zone',
+    _REASON,
+    'reach',
+    'attempt',
+    'deadline_s',
+)
+# The duration ends with the headers of the response.
+PASSED_ON_ANSWERED: Final = Event(
+    'passed_on_answered', _REQUEST_ID, 'peer', 'status', _REASON, _DURATION
+)
+PASS_ON_FAILED: Final = Event(
+    'pass_on_failed',
+    _REQUEST_ID,
+    'peer',
+    'attempt',
+    _REASON,
+    'detail',
+    'run_state',
+    _DURATION,
+)
+REQUEST_TAKEN_OVER: Final = Event(
+    'request_taken_over',
+    _REQUEST_ID,
+    'route',
+    _KIND,
+    'customer',
+    'sender',
+    'attempt',
+    'deadline_s',
+)
 CRASH_SUSPECTED: Final = Event(
     'crash_suspected',
     _REQUEST_ID,
@@ -140,17 +182,34 @@
     _DURATION,
 )
 SUSPECT_QUARANTINED: Final = Event(
-    'suspect_quarantined', 'kind', 'suspect', 'endpoints'
+    'suspect_quarantined', _KIND, 'suspect', 'endpoints'
 )
-SUSPECT_RELEASED: Final = Event('suspect_released', 'kind', 'suspect')
+SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
 ENDPOINT_NOTICE: Final = Event(
     'endpoint_notice',
     'endpoint',
     'is_leaving',
     'limit_per_s',
+    'rejections_per_s',
     'retry_after_s',
     _DURATION,
 )
+# What decided whether the host believes that it reaches no endpoint while
+# other gateways do.
+ENDPOINTS_CUT_OFF: Final = Event(
+    'endpoints_cut_off',
+    'failed_endpoints',
+    'since_success_s',
+    'others_reach',
+    'view_age_s',
+)
+ENDPOINTS_REGAINED: Final = Event(
+    'endpoints_regained',
+    'failed_endpoints',
+    'since_success_s',
+    'others_reach',
+    'view_age_s',
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -165,7 +224,7 @@
 LEADER_FOUND: Final = Event('leader_found', 'leader')
 CONTROL_CALL_FAILED: Final = Event(
     'control_call_failed',
-    'kind',
+    _KIND,
     'asked',
     _REASON,
     'detail',
@@ -179,7 +238,7 @@
     'endpoints_ordered',
     'pool',
     'zone',
-    'kind',
+    _KIND,
     'count',
     'outcome',
 )
@@ -210,10 +269,16 @@
     STREAM_ORIGIN_FOUND,
     VERSIONS_CHANGED,
     STREAM_BROKEN,
+    REQUEST_PASSED_ON,
+    PASSED_ON_ANSWERED,
+    PASS_ON_FAILED,
+    REQUEST_TAKEN_OVER,
     CRASH_SUSPECTED,
     SUSPECT_QUARANTINED,
     SUSPECT_RELEASED,
     ENDPOINT_NOTICE,
+    ENDPOINTS_CUT_OFF,
+    ENDPOINTS_REGAINED,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
@@ -281,7 +346,7 @@
         """Count a decision and record the durations among its fields."""
         if self._metrics is None:
             return
-        labels = {'event': event.name, 'kind': str(fields.get('kind', ''))}
+        labels = {'event': event.name, _KIND: str(fields.get(_KIND, ''))}
         reason = str(fields.get(_REASON) or fields.get('status') or '')
         self._metrics.count(DECISIONS, {**labels, _REASON: reason})
         for name in _DURATION_FIELDS:
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -15,7 +15,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
-from apricotcart.platform.notices import LEAVING, LIMIT, parse_notice
+from apricotcart.platform.notices import BRITTLE, LEAVING, LIMIT, parse_notice
 from apricotcart.web.errors import RequestError
 
 _MS_PER_S: Final = 1000
@@ -73,7 +73,7 @@
 )
 # Headers of endpoints' answers that are not forwarded to callers.
 _INTERNAL: Final = frozenset(
-    ('server-load', 'not-executed', 'instance-id', LIMIT, LEAVING)
+    ('server-load', 'not-executed', 'instance-id', LIMIT, LEAVING, BRITTLE)
 )
 
 
@@ -121,6 +121,17 @@
             forwarded.append(('Last-Event-Id', metadata.last_event_id))
         return forwarded
 
+    def build_relayed_headers(
+        self, headers: Headers, last_event_id: str
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request that another gateway takes over."""
+        dropped_names = _hop_by_hop_names(headers)
+        if not last_event_id:
+            return _without_names(headers, dropped_names)
+        relayed = _without_names(headers, dropped_names | {_LAST_EVENT})
+        relayed.append(('Last-Event-Id', last_event_id))
+        return relayed
+
     def parse_response_headers(
         self, headers: Headers, status: int
     ) -> ResponseMetadata:
