Name the state of a stop and why it ended for what they are

ActiveRequests no longer counts anything since the HTTP servers are drained: it holds the phase of a stop and ends what outlasts it. The condition that ended a stop is an enumeration in place of bare strings. No change of behaviour.

--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -58,7 +58,7 @@
     add_server,
     configure_engine,
 )
-from apricotcart.web.server_group import KILL_MARGIN_S
+from apricotcart.web.server_group import KILL_MARGIN_S, StopReason
 
 _LOG = logging.getLogger(__name__)
 # Time between two ticks of the consensus node.
@@ -94,7 +94,7 @@
         self._build_consensus()
         self._build_services()
 
-    def _stop(self, stop_at: float) -> str:
+    def _stop(self, stop_at: float) -> StopReason:
         # The log goes on meanwhile, so that changes are acknowledged.
         deadline = stop_at + self._cfg.bounds.stop_s - KILL_MARGIN_S
         reason = self._servers.finish(deadline)
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -6,7 +6,6 @@
 from typing import Any, Final
 
 from apricotcart.errors.tree import ApricotcartError
-from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.api import (
     ForwardedRequest,
     HeaderCodec,
@@ -29,6 +28,7 @@
 )
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.state import StateCopy
+from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.watcher import CallerWatcher
 from apricotcart.resumption.origins import StreamOrigin
@@ -56,7 +56,7 @@
         Sends requests to endpoints.
     watcher : CallerWatcher
         Detects callers that close their connection.
-    active_requests : ActiveRequests
+    stop_state : StopState
         Holds the shutdown phase, and ends the requests that outlast it.
     resumption : StreamResumption
         Finds where a stream began that a caller resumes.
@@ -66,7 +66,7 @@
         '_header_codec',
         '_dispatcher',
         '_forwarder',
-        '_active_requests',
+        '_stop_state',
         '_resumption',
         '_state',
         '_watcher',
@@ -80,7 +80,7 @@
         dispatcher: Dispatcher,
         forwarder: Forwarder,
         watcher: CallerWatcher,
-        active_requests: ActiveRequests,
+        stop_state: StopState,
         resumption: StreamResumption,
     ) -> None:
         self._resumption = resumption
@@ -89,7 +89,7 @@
         self._dispatcher = dispatcher
         self._forwarder = forwarder
         self._watcher = watcher
-        self._active_requests = active_requests
+        self._stop_state = stop_state
 
     def __call__(
         self,
@@ -99,7 +99,7 @@
         """Handle one WSGI call."""
         headers: Headers = environ[HEADERS_KEY]
         guard = GuardedResponse(
-            self._active_requests, self._watcher, environ[REQUEST_KEY]
+            self._stop_state, self._watcher, environ[REQUEST_KEY]
         )
         try:
             response = self._response(environ, headers, guard)
@@ -147,12 +147,12 @@
         self, call: Call, environ: Environ, guard: GuardedResponse
     ) -> WebResponse:
         self._refuse_if_leaving(call.remaining_s())
-        self._active_requests.add_end_callback(call.on_host_ending)
+        self._stop_state.add_end_callback(call.on_host_ending)
         guard.watch(environ[CONNECTION_KEY].socket, call)
         return self._forwarder.forward(call)
 
     def _refuse_if_leaving(self, longest_s: float) -> None:
-        if self._active_requests.refuses(longest_s):
+        if self._stop_state.refuses(longest_s):
             raise LeavingError('this host is shutting down', retry_after_s=0.1)
 
     def _call(
@@ -198,7 +198,7 @@
     """Response chunks; releases the resources of the request at the end."""
 
     __slots__ = (
-        '_active_requests',
+        '_stop_state',
         '_req',
         '_watched_fileno',
         '_watcher',
@@ -207,12 +207,12 @@
 
     def __init__(
         self,
-        active_requests: ActiveRequests,
+        stop_state: StopState,
         watcher: CallerWatcher,
         req: CallerRequest,
     ) -> None:
         self._req = req
-        self._active_requests = active_requests
+        self._stop_state = stop_state
         self._watcher = watcher
         self._watched_fileno: int | None = None
         self.chunks: Iterable[bytes] = ()
@@ -237,7 +237,7 @@
         close = getattr(self.chunks, 'close', None)
         if close is not None:
             close()
-        self._active_requests.remove_end_callback()
+        self._stop_state.remove_end_callback()
 
     def _mark_broken(self) -> None:
         # Without chunks, as for HTTP/1.0, a normal end of the connection
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -19,7 +19,6 @@
 from apricotcart.desired.routing import RoutingTable
 from apricotcart.endpoints.recent_outcomes import OutcomeCounts
 from apricotcart.errors.tree import ApricotcartError
-from apricotcart.gateway.active_requests import ActiveRequests, Phase
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import LoadSummary
@@ -29,6 +28,7 @@
 from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.state import StateCopy
+from apricotcart.gateway.stop_state import Phase, StopState
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.resumption.serving_versions import versions_from_wire
 from apricotcart.resumption.stream_origins import StreamOrigins
@@ -69,7 +69,7 @@
         Counts the usage to report.
     clock : SteadyUnixClock
         Clock that is set to the leader's time.
-    active_requests : ActiveRequests
+    stop_state : StopState
         Holds the shutdown phase of this host.
     quarantine : CrashQuarantine
         Shares its evidence with the other hosts.
@@ -90,7 +90,7 @@
         '_quarantine',
         '_reachability',
         '_retry_policy',
-        '_active_requests',
+        '_stop_state',
         '_state',
         '_usage',
     )
@@ -106,7 +106,7 @@
         retry_policy: RetryPolicy,
         usage: UsageCounter,
         clock: SteadyUnixClock,
-        active_requests: ActiveRequests,
+        stop_state: StopState,
         quarantine: CrashQuarantine,
         origins: StreamOrigins,
         reachability: SyncedReach,
@@ -122,7 +122,7 @@
         self._quarantine = quarantine
         self._origins = origins
         self._clock = clock
-        self._active_requests = active_requests
+        self._stop_state = stop_state
         self._incarnation = uuid.uuid4().hex
 
     def sync(self) -> None:
@@ -141,10 +141,7 @@
 
     def is_serving(self) -> bool:
         """Return whether the directory may direct callers to this host."""
-        return (
-            self._state.is_usable
-            and self._active_requests.phase is Phase.SERVING
-        )
+        return self._state.is_usable and self._stop_state.phase is Phase.SERVING
 
     def interval_s(self) -> float:
         """Return the time to the next sync in seconds."""
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -14,7 +14,6 @@
 from apricotcart.coordinator.leader_client import LeaderClient
 from apricotcart.coordinator.leader_search import LeaderSearch
 from apricotcart.coordinator.messages import CLUSTER_SECRET
-from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.application import GatewayApplication
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import (
@@ -44,6 +43,7 @@
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
 from apricotcart.gateway.state import StateCopy
+from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.stopping import stop_calls
 from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.usage import UsageCounter
@@ -68,6 +68,7 @@
     add_server,
     configure_engine,
 )
+from apricotcart.web.server_group import StopReason
 
 _LOG = logging.getLogger(__name__)
 # Initial number of threads; more are started while all are busy.
@@ -95,7 +96,7 @@
 
     def __init__(self, cfg: FleetConfig, adapter: PlatformAdapter) -> None:
         super().__init__(cfg, adapter)
-        self._active_requests = ActiveRequests()
+        self._stop_state = StopState()
         self._clock = SteadyUnixClock.from_host()
         self._dispatcher = Dispatcher(
             Placement(cfg.host.zone, cfg.host.name),
@@ -108,9 +109,9 @@
         self._build_reachability()
         self._build_sender()
 
-    def _stop(self, stop_at: float) -> str:
+    def _stop(self, stop_at: float) -> StopReason:
         return stop_calls(
-            self._active_requests,
+            self._stop_state,
             self._servers,
             stop_at,
             self._cfg.bounds.stop_s,
@@ -176,7 +177,7 @@
             retry_policy=self._retry_policy,
             usage=self._usage,
             clock=self._clock,
-            active_requests=self._active_requests,
+            stop_state=self._stop_state,
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
@@ -230,7 +231,7 @@
             'dispatcher': self._dispatcher,
             'forwarder': Forwarder(self._sender),
             'watcher': self._watcher,
-            'active_requests': self._active_requests,
+            'stop_state': self._stop_state,
             'resumption': StreamResumption(self._origins, self._dispatcher),
         }
         cfg = self._cfg
--- a/src/apricotcart/gateway/active_requests.py
+++ b/src/apricotcart/gateway/stop_state.py
@@ -1,4 +1,4 @@
-"""Requests in progress, and the phases of a planned shutdown."""
+"""Phases of a planned shutdown, and the end of requests that outlast it."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     FINISHING = 3
 
 
-class ActiveRequests:
+class StopState:
     """Knows the phase of a stop, and ends the requests that outlast it.
 
     Attributes
--- a/src/apricotcart/gateway/stopping.py
+++ b/src/apricotcart/gateway/stopping.py
@@ -5,12 +5,13 @@
 import time
 from typing import Final
 
-from apricotcart.gateway.active_requests import ActiveRequests, Phase
+from apricotcart.gateway.stop_state import Phase, StopState
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.server_group import (
     KILL_MARGIN_S,
     LAST_ANSWERS_S,
     ServerGroup,
+    StopReason,
 )
 
 # Callers cache a directory answer for its time to live, some for three times
@@ -25,17 +26,17 @@
 
 
 def stop_calls(
-    active_requests: ActiveRequests,
+    stop_state: StopState,
     servers: ServerGroup,
     stop_at: float,
     stop_s: float,
     answer_ttl_s: float,
-) -> str:
+) -> StopReason:
     """Finish the requests in progress before the process stops.
 
     Parameters
     ----------
-    active_requests : ActiveRequests
+    stop_state : StopState
         Phase of the stop, and what ends the requests.
     servers : ServerGroup
         HTTP servers of the process.
@@ -49,20 +50,19 @@
 
     Returns
     -------
-    str
-        The condition that ended the stop: ``idle`` if no request was left,
-        ``ended`` if the last ones were ended, or ``bound``.
+    StopReason
+        The condition that ended the stop.
     """
     deadline = stop_at + stop_s - KILL_MARGIN_S
     leaving_s = min(answer_ttl_s * _TTL_MULTIPLE + _DIRECTORY_LAG_S, stop_s / 2)
-    active_requests.ends_at = deadline - LAST_ANSWERS_S
-    active_requests.phase = Phase.LEAVING
+    stop_state.ends_at = deadline - LAST_ANSWERS_S
+    stop_state.phase = Phase.LEAVING
     servers.leave()
     _sleep_until(stop_at + min(_ACCEPT_S, leaving_s))
-    active_requests.phase = Phase.CLOSING
+    stop_state.phase = Phase.CLOSING
     _sleep_until(stop_at + leaving_s)
-    active_requests.phase = Phase.FINISHING
-    return servers.finish(deadline, active_requests.end_all)
+    stop_state.phase = Phase.FINISHING
+    return servers.finish(deadline, stop_state.end_all)
 
 
 def _sleep_until(ends_at: float) -> None:
--- a/src/apricotcart/process/fleet.py
+++ b/src/apricotcart/process/fleet.py
@@ -20,7 +20,7 @@
 from apricotcart.process.stop_request import StopRequest
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.timers.clock import boot_clock_s
-from apricotcart.web.server_group import ServerGroup
+from apricotcart.web.server_group import ServerGroup, StopReason
 
 _LOG = logging.getLogger(__name__)
 
@@ -79,7 +79,7 @@
         """Start serving, and return without waiting for the end."""
 
     @abstractmethod
-    def _stop(self, stop_at: float) -> str:
+    def _stop(self, stop_at: float) -> StopReason:
         """Finish running requests.
 
         Parameters
@@ -89,7 +89,7 @@
 
         Returns
         -------
-        str
+        StopReason
             The condition that ended the stop.
         """
 
--- a/src/apricotcart/web/server_group.py
+++ b/src/apricotcart/web/server_group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import logging
 import socket
 import struct
@@ -25,6 +26,17 @@
 _QUEUE_LENGTH: Final = struct.Struct('=24xI')
 
 
+class StopReason(enum.StrEnum):
+    """The condition that ended a planned stop."""
+
+    # No request was left.
+    IDLE = 'idle'
+    # The last requests were ended, and their answers written.
+    ENDED = 'ended'
+    # The time was up.
+    BOUND = 'bound'
+
+
 def _end_nothing() -> None:
     """Let the requests in progress go on."""
 
@@ -77,7 +89,7 @@
         self,
         deadline: float,
         end_requests: Callable[[], None] = _end_nothing,
-    ) -> str:
+    ) -> StopReason:
         """Drain, and wait until the callers have the last answers.
 
         Parameters
@@ -89,16 +101,16 @@
 
         Returns
         -------
-        str
-            The condition that ended the wait: ``idle`` if no request was
-            left, ``ended`` if the last ones were ended, or ``bound``.
+        StopReason
+            The condition that ended the wait.
         """
-        reason = 'idle'
+        reason = StopReason.IDLE
         if not self.drain(deadline - LAST_ANSWERS_S):
             _LOG.warning('ending the requests that are still in progress')
             end_requests()
             self.end_reads()
-            reason = 'ended' if self.wait_answered(deadline) else 'bound'
+            is_answered = self.wait_answered(deadline)
+            reason = StopReason.ENDED if is_answered else StopReason.BOUND
         self.wait_closed(deadline)
         return reason
 
--- a/tests/gateway/relay/test_broken_hops.py
+++ b/tests/gateway/relay/test_broken_hops.py
@@ -142,7 +142,7 @@
     def end_all() -> None:
         dying.wait(2)
         for gateway in fleet.gateways[1:]:
-            gateway.served.active_requests.end_all()
+            gateway.served.stop_state.end_all()
         cut.set()
 
     threading.Thread(target=end_all, daemon=True).start()
--- a/tests/gateway/relay/test_passing_on.py
+++ b/tests/gateway/relay/test_passing_on.py
@@ -17,13 +17,13 @@
 from gateway.relay.fleet import Fleet
 from gateway.relay.proofs import PROOFS, Proof, after_event, resumable_stream
 
-from apricotcart.gateway.active_requests import Phase
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.dispatching.endpoint_state import LoadSummary
 from apricotcart.gateway.reachability.api import Reach
 from apricotcart.gateway.relay.upstream import PeerUpstream
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
+from apricotcart.gateway.stop_state import Phase
 from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.responses.memory import ResponseMemory
 
@@ -99,7 +99,7 @@
     def script(conn: socket.socket, request: ReceivedRequest) -> bool:
         active.append(
             [
-                len(gateway.served.active_requests._on_end)
+                len(gateway.served.stop_state._on_end)
                 for gateway in fleet.gateways[:2]
             ]
         )
@@ -127,7 +127,7 @@
     fleet: Fleet,
 ) -> None:
     fleet.serve(respond_with())
-    fleet.gateways[1].served.active_requests.phase = Phase.FINISHING
+    fleet.gateways[1].served.stop_state.phase = Phase.FINISHING
     fleet.sender.cut_off()
     for _ in range(6):
         assert fleet.sender.ask('once').status == 200
--- a/tests/gateway/served_gateway.py
+++ b/tests/gateway/served_gateway.py
@@ -19,7 +19,6 @@
     Service,
     Split,
 )
-from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.application import GatewayApplication
 from apricotcart.gateway.listener import (
     CallerConnection,
@@ -27,6 +26,7 @@
     GrowingThreadPool,
 )
 from apricotcart.gateway.state import StateCopy
+from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.stopping import stop_calls
 from apricotcart.gateway.stream_resumption import StreamResumption
 from apricotcart.gateway.watcher import CallerWatcher
@@ -104,7 +104,7 @@
 
     def __init__(self, bench: Bench) -> None:
         self.bench = bench
-        self.active_requests = ActiveRequests()
+        self.stop_state = StopState()
         self._watcher = CallerWatcher()
         self._watcher.start()
         # What the application consists of.
@@ -114,7 +114,7 @@
             'dispatcher': bench.dispatcher,
             'forwarder': bench.forwarder,
             'watcher': self._watcher,
-            'active_requests': self.active_requests,
+            'stop_state': self.stop_state,
             'resumption': StreamResumption(bench.origins, bench.dispatcher),
         }
         self.server = start_listener(GatewayApplication(**self.parts))
@@ -166,7 +166,7 @@
         servers = ServerGroup()
         servers.add(self.server)
         return stop_calls(
-            self.active_requests,
+            self.stop_state,
             servers,
             boot_clock_s(),
             stop_s,
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -13,7 +13,6 @@
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import UnavailableError
 from apricotcart.gateway import link as link_module
-from apricotcart.gateway.active_requests import ActiveRequests
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching import endpoint_updates as updates_module
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
@@ -28,6 +27,7 @@
 from apricotcart.gateway.reachability.monitor import ReachMonitor
 from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
+from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.membership.peers import PeerDirectory
 from apricotcart.provisioning.fleet_api import PlatformUnavailableError
@@ -151,7 +151,7 @@
             retry_policy=RetryPolicy(1, 100),
             usage=UsageCounter(true_clock, 5),
             clock=true_clock,
-            active_requests=ActiveRequests(),
+            stop_state=StopState(),
             quarantine=CrashQuarantine(),
             origins=StreamOrigins(MemoryStore(), Versions()),
             reachability=SyncedReach(
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -21,8 +21,8 @@
 )
 from gateway.served_gateway import Received, ServedGateway, read_to_end
 
-from apricotcart.gateway.active_requests import ActiveRequests, Phase
 from apricotcart.gateway.listener import CallerGateway
+from apricotcart.gateway.stop_state import Phase, StopState
 from apricotcart.timers.clock import boot_clock_s
 
 # Time to the kill, and times at which requests arrive, from the signal on.
@@ -48,16 +48,16 @@
     Seen on sailom-fleet, mix --seed 259758087821: a stream accepted 3.97 s
     after SIGTERM was cut off 4 s later.
     """
-    active_requests = ActiveRequests()
-    active_requests.ends_at = boot_clock_s() + _LEFT_S
-    assert not active_requests.refuses(_LONG_S)
-    active_requests.phase = Phase.LEAVING
-    assert not active_requests.refuses(_LONG_S)
-    active_requests.phase = Phase.CLOSING
-    assert active_requests.refuses(_LONG_S)
-    assert not active_requests.refuses(_SHORT_S)
-    active_requests.phase = Phase.FINISHING
-    assert active_requests.refuses(_SHORT_S)
+    stop_state = StopState()
+    stop_state.ends_at = boot_clock_s() + _LEFT_S
+    assert not stop_state.refuses(_LONG_S)
+    stop_state.phase = Phase.LEAVING
+    assert not stop_state.refuses(_LONG_S)
+    stop_state.phase = Phase.CLOSING
+    assert stop_state.refuses(_LONG_S)
+    assert not stop_state.refuses(_SHORT_S)
+    stop_state.phase = Phase.FINISHING
+    assert stop_state.refuses(_SHORT_S)
 
 
 def _never_answer(conn: socket.socket, request: ReceivedRequest) -> bool:
--- a/tests/process/test_fleet.py
+++ b/tests/process/test_fleet.py
@@ -16,6 +16,7 @@
 from apricotcart.observability.logs import DroppingQueueHandler
 from apricotcart.process.fleet import FleetProcess
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.server_group import StopReason
 
 _START_S: Final = 0.3
 _TIMEOUT_S: Final = 5
@@ -42,9 +43,9 @@
             os.kill(os.getpid(), number)
         time.sleep(_START_S)
 
-    def _stop(self, stop_at: float) -> str:
+    def _stop(self, stop_at: float) -> StopReason:
         self.stop_delays_s.append(boot_clock_s() - stop_at)
-        return 'idle'
+        return StopReason.IDLE
 
 
 @pytest.fixture(autouse=True)
