--- a/src/apricotcart/gateway/dispatching/endpoint_updates.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_updates.py
@@ -12,7 +12,7 @@
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.list_relay import ListRelay
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.provisioning.fleet_api import FleetPlatform
 from apricotcart.timers.clock import boot_clock_s
 
--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -22,7 +22,7 @@
     SilentEndpointError,
     WithdrawnError,
 )
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.exchanges.endpoint_exchange import EndpointExchange
 from apricotcart.gateway.exchanges.exchange import Upstream
 from apricotcart.gateway.retry_policy import RetryPolicy
--- a/src/apricotcart/gateway/exchanges/endpoint_exchange.py
+++ b/src/apricotcart/gateway/exchanges/endpoint_exchange.py
@@ -13,7 +13,7 @@
     NotExecutedError,
     UnreachableEndpointError,
 )
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.exchanges.exchange import (
     Destination,
     Exchange,
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -25,10 +25,8 @@
     read_available,
     skip_body,
 )
-from apricotcart.gateway.exchanges.connections import (
-    ConnectionPool,
-    EndpointConnection,
-)
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
+from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.responses.body_buffer import BodyBuffer
 from apricotcart.responses.framing import Framing, FramingError
 from apricotcart.responses.memory import ResponseMemory
--- a/src/apricotcart/gateway/relay/exchange.py
+++ b/src/apricotcart/gateway/relay/exchange.py
@@ -8,7 +8,7 @@
 from apricotcart.gateway.api import HeaderCodec
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.errors import BrokenEndpointError
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.exchanges.exchange import (
     Destination,
     Exchange,
--- a/src/apricotcart/gateway/relay/pool.py
+++ b/src/apricotcart/gateway/relay/pool.py
@@ -4,10 +4,8 @@
 
 from typing import Final
 
-from apricotcart.gateway.exchanges.connections import (
-    ConnectionPool,
-    EndpointConnection,
-)
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
+from apricotcart.gateway.exchanges.connections import EndpointConnection
 
 # Hosts are milliseconds apart. After a lost packet, another gateway is tried
 # sooner than TCP would retransmit, which takes 1 s.
--- a/src/apricotcart/gateway/relay/upstream.py
+++ b/src/apricotcart/gateway/relay/upstream.py
@@ -15,7 +15,7 @@
     SilentEndpointError,
     UnreachableEndpointError,
 )
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.exchanges.exchange import Upstream
 from apricotcart.gateway.reachability.api import Reach, ReachView
 from apricotcart.gateway.relay.choice import PeerChoice
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -27,7 +27,7 @@
 from apricotcart.gateway.dispatching.list_relay import ControlHostRelay
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.listener import (
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -25,7 +25,7 @@
 )
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.routing_decision import RoutingDecision
--- a/tests/gateway/exchanges/test_observation.py
+++ b/tests/gateway/exchanges/test_observation.py
@@ -14,10 +14,8 @@
     SilentEndpointError,
     UnreachableEndpointError,
 )
-from apricotcart.gateway.exchanges.connections import (
-    ConnectionPool,
-    EndpointConnection,
-)
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
+from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.reachability.api import ReachObserver
 from apricotcart.timers.clock import boot_clock_s
 
--- a/tests/gateway/relay/fleet.py
+++ b/tests/gateway/relay/fleet.py
@@ -15,10 +15,8 @@
 
 from apricotcart.codec.envelope import Sealer
 from apricotcart.gateway.errors import UnreachableEndpointError
-from apricotcart.gateway.exchanges.connections import (
-    ConnectionPool,
-    EndpointConnection,
-)
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
+from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.reachability.api import Reach, ReachView
 from apricotcart.gateway.relay.application import RelayApplication
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -27,7 +27,7 @@
     CallerLeftError,
     SilentEndpointError,
 )
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.web.response import WebResponse
 
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -22,7 +22,7 @@
     RelayedList,
 )
 from apricotcart.gateway.dispatching.placement import Placement
-from apricotcart.gateway.exchanges.connections import ConnectionPool
+from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.reachability.monitor import ReachMonitor
 from apricotcart.gateway.reachability.sync import SyncedReach
