Let streams go on only at a run of an endpoint that the list can show

Cause: the version of an endpoint was taken from the last list, which lags, and the request names only the id, which a restarted endpoint keeps.

Change: a stream goes on only on a connection to a run that the list can show: one from before the time that the list describes, or a new one while an older one still brings bytes; a connection ends with the run that accepted it. Otherwise the stream waits for the list, 2 s at most. The list has a time for that, from its age at the leader and the platform's lag (list_lag_ms).

Without the check, test_stream_does_not_go_on_at_an_unknown_run fails; it passes now.

Open: the version with which a stream begins is still that of the list.

--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -118,6 +118,7 @@
         reply = SyncReply(
             document=self._state.document if is_newer else None,
             list_mark=mark,
+            list_age_s=self._endpoints.age_s(),
             instances=instances,
             loads=self._gateways.loads_excluding(sync.incarnation, now),
             failing=self._gateways.failing_excluding(sync.incarnation, now),
--- a/src/apricotcart/coordinator/sync_messages.py
+++ b/src/apricotcart/coordinator/sync_messages.py
@@ -100,6 +100,8 @@
         Desired state, if it is newer than that of the gateway.
     list_mark : int
         Mark of the leader's endpoint list, 0 without one.
+    list_age_s : float
+        Age of that list in seconds.
     instances : list or None
         Endpoint list in wire form, if its mark differs.
     loads : dict
@@ -130,6 +132,7 @@
         'failing',
         'hosts',
         'instances',
+        'list_age_s',
         'list_mark',
         'loads',
         'members',
@@ -157,7 +160,9 @@
         ranked_hosts: int = 1,
         failing: Mapping[str, Sequence[int]] | None = None,
         reachability: Mapping[str, Any] | None = None,
+        list_age_s: float = 0,
     ) -> None:
+        self.list_age_s = list_age_s
         self.failing = failing or {}
         self.reachability = reachability or {}
         self.rank = rank
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import threading
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
@@ -95,6 +96,12 @@
     ----------
     placement : Placement
         Chooses endpoints.
+
+    Attributes
+    ----------
+    listed_until : float
+        Up to when the list of endpoints has every change, in seconds;
+        infinite until a list of a known age is in use.
     """
 
     __slots__ = (
@@ -103,6 +110,7 @@
         '_placement',
         '_queue',
         '_pending',
+        'listed_until',
     )
 
     def __init__(self, placement: Placement) -> None:
@@ -111,6 +119,7 @@
         self._queue = RequestQueue(placement)
         self._pending: dict[str, PendingDecision] = {}
         self._loads_updated_at = boot_clock_s()
+        self.listed_until = math.inf
 
     def acquire(self, request: QueuedRequest) -> EndpointState:
         """Queue a request and block until an endpoint is assigned.
--- a/src/apricotcart/gateway/dispatching/endpoint_updates.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_updates.py
@@ -48,12 +48,15 @@
         Stores the endpoints.
     pool : ConnectionPool
         Closes connections to endpoints that are no longer listed.
+    lag_s : float
+        Time after which the platform's list shows a change, in seconds.
     """
 
     __slots__ = (
         '_dispatcher',
         '_fetch_at',
         '_hosts',
+        '_lag_s',
         '_lock',
         '_mark',
         '_platform',
@@ -70,7 +73,9 @@
         relay: ListRelay,
         dispatcher: Dispatcher,
         pool: ConnectionPool,
+        lag_s: float = 0,
     ) -> None:
+        self._lag_s = lag_s
         self._platform = platform
         self._relay = relay
         self._rng = random.Random()
@@ -94,6 +99,7 @@
         instances: Sequence[Instance] | None,
         mark: int,
         requested_at: float,
+        age_s: float = 0,
     ) -> None:
         """Apply the list of a sync reply.
 
@@ -105,6 +111,8 @@
             Mark of the list, 0 if the leader has no recent one.
         requested_at : float
             When the sync was sent, in seconds.
+        age_s : float
+            Age of the leader's list in seconds.
         """
         with self._lock:
             if instances is not None:
@@ -112,6 +120,7 @@
             if mark:
                 self._mark = mark
                 self._updated_at = requested_at
+                self._set_listed_until(requested_at - age_s)
                 self._set_fetch_at(requested_at + _LIST_MAX_AGE_S)
 
     def set_host_count(self, hosts: int) -> None:
@@ -142,6 +151,7 @@
                 self._apply(relayed.instances)
             self._mark = relayed.mark
             self._updated_at = fetched_at
+            self._set_listed_until(fetched_at)
             self._set_fetch_at(fetched_at + _LIST_MAX_AGE_S)
 
     def _fetch(self, now: float) -> None:
@@ -156,6 +166,7 @@
                 # A newer list of the leader arrived meanwhile.
                 return
             self._apply(instances)
+            self._set_listed_until(now)
             # Makes the leader send its full list in the next sync.
             self._mark = 0
 
@@ -163,6 +174,9 @@
         spread_s = self._hosts * _FETCH_SPACING_S
         self._fetch_at = earliest + self._rng.uniform(0, spread_s)
 
+    def _set_listed_until(self, fetched_at: float) -> None:
+        self._dispatcher.listed_until = fetched_at - self._lag_s
+
     def _apply(self, instances: Sequence[Instance]) -> None:
         self._dispatcher.update_placement(
             lambda placement: placement.update_instances(
--- a/src/apricotcart/gateway/exchanges/connection_pool.py
+++ b/src/apricotcart/gateway/exchanges/connection_pool.py
@@ -9,6 +9,7 @@
 from urllib3.util.connection import is_connection_dropped
 
 from apricotcart.gateway.exchanges.connections import EndpointConnection
+from apricotcart.gateway.exchanges.endpoint_runs import EndpointRuns
 from apricotcart.gateway.reachability.api import ReachObserver
 from apricotcart.timers.clock import boot_clock_s
 
@@ -30,10 +31,11 @@
         Learns which endpoints are reached, by their addresses.
     """
 
-    __slots__ = ('_idle', '_lock', '_observer')
+    __slots__ = ('_idle', '_lock', '_observer', '_runs')
 
     def __init__(self, observer: ReachObserver | None = None) -> None:
         self._observer = observer
+        self._runs = EndpointRuns()
         self._idle: dict[str, deque[EndpointConnection]] = {}
         self._lock = threading.Lock()
 
@@ -49,8 +51,25 @@
         if conn is None:
             conn = EndpointConnection(address, self._observer)
             conn.connect()
+            self._runs.add(address, conn.observation)
         return conn
 
+    def knows_run(
+        self, address: str, conn: EndpointConnection, since: float
+    ) -> bool:
+        """Return whether a connection is to the run of an earlier time.
+
+        Parameters
+        ----------
+        address : str
+            Address of the endpoint.
+        conn : EndpointConnection
+            A connection to it.
+        since : float
+            The earlier time, in seconds.
+        """
+        return self._runs.is_unbroken(address, since, conn.observation)
+
     def release(
         self,
         address: str,
@@ -79,6 +98,7 @@
 
     def close_except(self, addresses: set[str]) -> None:
         """Close the idle connections to all other addresses."""
+        self._runs.retain(addresses)
         with self._lock:
             unlisted = [
                 address for address in self._idle if address not in addresses
--- a/src/apricotcart/gateway/exchanges/connections.py
+++ b/src/apricotcart/gateway/exchanges/connections.py
@@ -50,13 +50,15 @@
     ----------
     is_aborted : bool
         Whether another thread has shut the connection down.
+    observation : EndpointObservation
+        When it was established and last brought bytes.
     """
 
     def __init__(
         self, address: str, observer: ReachObserver | None = None
     ) -> None:
         """Initialize a connection without opening it."""
-        self._observation = EndpointObservation(address, observer)
+        self.observation = EndpointObservation(address, observer)
         host, _, port = address.rpartition(':')
         super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_S)
         self.response_class = self._create_response  # type: ignore[assignment]
@@ -77,15 +79,15 @@
             If the connection cannot be established.
         """
         started_at = boot_clock_s()
-        self._observation.on_connecting()
+        self.observation.on_connecting()
         try:
             super().connect()
         except (HTTPError, OSError) as exc:
-            self._observation.on_connect_failed(started_at, CONNECT_TIMEOUT_S)
+            self.observation.on_connect_failed(started_at, CONNECT_TIMEOUT_S)
             raise UnreachableEndpointError(str(exc)) from exc
         self._socket = self.sock
-        self._observation.on_connected()
-        self._deadline_reader = ObservedReader(self.sock, self._observation)
+        self.observation.on_connected()
+        self._deadline_reader = ObservedReader(self.sock, self.observation)
         self._reader = io.BufferedReader(self._deadline_reader)
 
     def send_request(
--- a/src/apricotcart/gateway/exchanges/endpoint_exchange.py
+++ b/src/apricotcart/gateway/exchanges/endpoint_exchange.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Final
 
 from apricotcart.gateway.api import EndpointRequestMetadata, HeaderCodec
 from apricotcart.gateway.call import Call
@@ -18,10 +19,16 @@
     Destination,
     Exchange,
     Upstream,
+    require_open,
 )
 from apricotcart.responses.memory import ResponseMemory
 from apricotcart.timers.clock import boot_clock_s
 
+# How long a stream waits for a list that shows which version it goes on at.
+# Callers give streams up that pause for longer.
+_RUN_TIMEOUT_S: Final = 2.0
+_RUN_CHECK_S: Final = 0.05
+
 
 class EndpointExchange(Exchange):
     """A request to an endpoint.
@@ -58,7 +65,35 @@
         return self.status == HTTPStatus.MISDIRECTED_REQUEST
 
     def _require_sendable(self) -> None:
+        """Check the caller and the endpoint, and wait until its run is known.
+
+        A stream goes on only at the version that began it, and an endpoint
+        that has started again may have another one than the list shows.
+        """
         super()._require_sendable()
+        self._require_accepting()
+        deadline = boot_clock_s() + min(
+            _RUN_TIMEOUT_S, self._call.remaining_s()
+        )
+        while not self._is_run_known():
+            if boot_clock_s() >= deadline:
+                raise UnreachableEndpointError(
+                    'whether the endpoint has started again is not known'
+                )
+            time.sleep(_RUN_CHECK_S)
+            super()._require_sendable()
+            self._require_accepting()
+
+    def _is_run_known(self) -> bool:
+        """Return whether the list shows the run that has the connection."""
+        call = self._call
+        return call.origin is None or self._pool.knows_run(
+            self.destination.address,
+            require_open(self._conn),
+            call.dispatcher.listed_until,
+        )
+
+    def _require_accepting(self) -> None:
         endpoint = self.endpoint
         is_paused = endpoint.notices.pause_left_s(boot_clock_s()) > 0
         if is_paused or not endpoint.accepts_requests:
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -177,7 +177,7 @@
         SilentEndpointError
             If the body is not complete before the deadline.
         """
-        conn = _require_open(self._conn)
+        conn = require_open(self._conn)
         conn.set_read_timeout(self._call.remaining_s() + self.grace_s)
         size = 0
         while True:
@@ -214,7 +214,7 @@
 
     def finish(self) -> None:
         """Release the connection after a complete response."""
-        conn = _require_open(self._conn)
+        conn = require_open(self._conn)
         will_close = self._response.will_close
         self._response.close()
         self._call.conn.release()
@@ -365,7 +365,14 @@
         """Release what a failed exchange occupies, and record the failure."""
 
 
-def _require_open(conn: EndpointConnection | None) -> EndpointConnection:
+def require_open(conn: EndpointConnection | None) -> EndpointConnection:
+    """Return a connection, or raise if the exchange has closed it.
+
+    Raises
+    ------
+    BrokenEndpointError
+        If there is none.
+    """
     if conn is None:
         raise BrokenEndpointError('the connection is already closed')
     return conn
--- a/src/apricotcart/gateway/exchanges/observation.py
+++ b/src/apricotcart/gateway/exchanges/observation.py
@@ -24,13 +24,28 @@
         Address of the endpoint, which identifies it.
     observer : ReachObserver or None
         Receives the reports.
+
+    Attributes
+    ----------
+    established_at : float
+        When the connection was established, in seconds; 0 before.
+    received_at : float
+        When it last brought bytes, in seconds; 0 before.
     """
 
-    __slots__ = ('_address', '_observer')
+    __slots__ = (
+        '__weakref__',
+        '_address',
+        '_observer',
+        'established_at',
+        'received_at',
+    )
 
     def __init__(self, address: str, observer: ReachObserver | None) -> None:
         self._address = address
         self._observer = observer or NULL_OBSERVER
+        self.established_at: float = 0
+        self.received_at: float = 0
 
     def on_connecting(self) -> None:
         """Report that a connection is being established."""
@@ -38,7 +53,8 @@
 
     def on_connected(self) -> None:
         """Report a new connection."""
-        self._observer.on_connected(self._address, boot_clock_s())
+        self.established_at = boot_clock_s()
+        self._observer.on_connected(self._address, self.established_at)
 
     def on_connect_failed(self, started_at: float, timeout_s: float) -> None:
         """Report a connection that failed, unless this host stood still."""
@@ -48,7 +64,8 @@
 
     def on_received(self) -> None:
         """Report received bytes."""
-        self._observer.on_received(self._address, boot_clock_s())
+        self.received_at = boot_clock_s()
+        self._observer.on_received(self._address, self.received_at)
 
     def on_silent(self) -> None:
         """Report a connection that ended without bytes."""
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -179,7 +179,10 @@
             self._configure(self._state.adopt(reply.document, requested_at))
         self._state.confirm(requested_at)
         self._endpoints.apply_reply(
-            parse_instances(reply.instances), reply.list_mark, requested_at
+            parse_instances(reply.instances),
+            reply.list_mark,
+            requested_at,
+            reply.list_age_s,
         )
         loads = {
             name: LoadSummary(*totals) for name, totals in reply.loads.items()
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -167,6 +167,7 @@
             ControlHostRelay(any_host),
             self._dispatcher,
             self._pool,
+            cfg.platform.list_lag_s,
         )
         self._link = ControlLink(
             cfg=cfg,
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -142,13 +142,23 @@
 
 
 class FleetPlatformSettings(Section):
-    """Address of the platform's API."""
+    """Address of the platform's API, and how late its list is."""
 
     title = 'platform'
-    __slots__ = ('address',)
-    fields = (Field('address', SocketAddress()),)
+    __slots__ = ('address', 'list_lag_ms')
+    fields = (
+        Field('address', SocketAddress()),
+        Field('list_lag_ms', NumberKind(0, _MAX_BOUND), '1000'),
+    )
 
     address: str
+    # Time in milliseconds after which the list of endpoints shows a change.
+    list_lag_ms: float
+
+    @property
+    def list_lag_s(self) -> float:
+        """Time in seconds after which the list shows a change."""
+        return self.list_lag_ms / _MS_PER_S
 
 
 class FleetBoundSettings(Section):
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -79,6 +79,7 @@
     """Forwards calls to scripted endpoints."""
 
     def __init__(self, pool: ConnectionPool | None = None) -> None:
+        self.pool = pool or ConnectionPool()
         self.endpoints: list[RawEndpoint] = []
         # Software versions of the endpoints; the same for all if empty.
         self.software_versions: Sequence[str] = ()
@@ -90,7 +91,7 @@
         self.usage = UsageCounter(SteadyUnixClock.from_host(), 5)
         self.upstream = EndpointUpstream(
             dispatcher=self.dispatcher,
-            pool=pool or ConnectionPool(),
+            pool=self.pool,
             header_codec=PlatformHeaderCodec(),
             retry_policy=RetryPolicy(1, 100),
             usage=self.usage,
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -23,10 +23,14 @@
     QueuedRequest,
     RequestQueue,
 )
+from apricotcart.gateway.exchanges import endpoint_exchange
 from apricotcart.resumption.origins import StreamOrigin
 from apricotcart.resumption.serving_versions import VersionsByService
 from apricotcart.timers.clock import boot_clock_s
 
+# Time for which a stream waits for a list in the tests, in seconds.
+_SHORT_S = 0.3
+_KEEP_ALIVE_S = 4.0
 _EVENTS = [event(number) for number in range(1, 5)]
 _ALL = b''.join(_EVENTS)
 
@@ -242,3 +246,78 @@
         refuse_at=100,
         excluded=set(),
     )
+
+
+class RestartedEndpoint:
+    """A gateway whose streams break, and an endpoint that may have restarted.
+
+    The list of endpoints shows the same version for both, as of a time before
+    this gateway has connected to the other one.
+    """
+
+    def __init__(self, bench: Bench) -> None:
+        self._bench = bench
+        self.endpoints = bench.serve(_break_new_streams, _break_new_streams)
+        bench.dispatcher.listed_until = boot_clock_s()
+
+    def connect_early(self) -> None:
+        """Let both have connections from before the time of the list."""
+        for endpoint in self.endpoints:
+            pool = self._bench.pool
+            conn = pool.acquire(endpoint.address)
+            conn.observation.on_received()
+            pool.release(endpoint.address, conn, _KEEP_ALIVE_S)
+        self._bench.dispatcher.listed_until = boot_clock_s()
+
+    def resumptions(self) -> int:
+        return sum(
+            bool(request.header('last-event-id'))
+            for endpoint in self.endpoints
+            for request in endpoint.received
+        )
+
+
+@pytest.fixture
+def restarted(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> RestartedEndpoint:
+    """Return endpoints of which one may have restarted."""
+    monkeypatch.setattr(endpoint_exchange, '_RUN_TIMEOUT_S', _SHORT_S)
+    return RestartedEndpoint(bench)
+
+
+def test_stream_does_not_go_on_at_an_unknown_run(
+    restarted: RestartedEndpoint, gateway: ServedGateway
+) -> None:
+    """Guards against an endpoint that restarts as another version.
+
+    It has the same id, and the list shows its earlier version for a while.
+    """
+    received = gateway.ask('resumable')
+    assert not received.is_complete
+    assert not restarted.resumptions()
+
+
+def test_stream_goes_on_at_a_run_that_an_old_connection_proves(
+    restarted: RestartedEndpoint, gateway: ServedGateway
+) -> None:
+    restarted.connect_early()
+    received = gateway.ask('resumable')
+    assert received.is_complete
+    assert restarted.resumptions() == 1
+
+
+def test_stream_goes_on_once_the_list_shows_the_run(
+    bench: Bench,
+    gateway: ServedGateway,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    restarted = RestartedEndpoint(bench)
+
+    def renew() -> None:
+        bench.dispatcher.listed_until = boot_clock_s()
+
+    threading.Timer(_SHORT_S, renew).start()
+    received = gateway.ask('resumable')
+    assert received.is_complete
+    assert restarted.resumptions() == 1
