Read the load of an endpoint for the log under its lock

What a caller saw: 500 'internal error' for a stream that had been given a slot, which was then never released.

Cause: request_sent has the unread tokens of the endpoint, a sum over its running requests that was read after the lock had been released. If another request ended in between, the iteration raised RuntimeError.

Change: the sum is taken under the lock. The last other read without it, the age of the load, is a single attribute.

Evidence: the traceback in the gateway's log; and test_request_does_not_fail_when_another_ends failed before with that error and passes now.

--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -102,15 +102,17 @@
     listed_until : float
         Up to when the list of endpoints has every change, in seconds;
         infinite until a list of a known age is in use.
+    loads_updated_at : float
+        When the other hosts' load was last applied, in seconds.
     """
 
     __slots__ = (
-        '_loads_updated_at',
         '_lock',
         '_placement',
         '_queue',
         '_pending',
         'listed_until',
+        'loads_updated_at',
     )
 
     def __init__(self, placement: Placement) -> None:
@@ -118,7 +120,7 @@
         self._placement = placement
         self._queue = RequestQueue(placement)
         self._pending: dict[str, PendingDecision] = {}
-        self._loads_updated_at = boot_clock_s()
+        self.loads_updated_at = boot_clock_s()
         self.listed_until = math.inf
 
     def acquire(self, request: QueuedRequest) -> EndpointState:
@@ -211,13 +213,14 @@
     ) -> None:
         """Apply the load of the other hosts on each endpoint."""
         with self._lock:
-            self._loads_updated_at = boot_clock_s()
+            self.loads_updated_at = boot_clock_s()
             self._placement.update_remote_loads(loads, hosts)
             self._decide()
 
-    def load_age_s(self) -> float:
-        """Return the age of the other hosts' load in seconds."""
-        return boot_clock_s() - self._loads_updated_at
+    def unread_tokens(self, endpoint: EndpointState) -> int:
+        """Return the prompt tokens that an endpoint has not read yet."""
+        with self._lock:
+            return endpoint.prefill_tokens
 
     def listed_versions(self) -> VersionsByService:
         """Return the software versions of the listed endpoints."""
