--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,9 +11,8 @@
 from soak.fleet import CALLER_PORT
 from soak.messages import encode_with_length, read_head, read_parts
 from soak.operators import HOST
-from soak.records import Attempt, Outcome, Records, RouteName
+from soak.records import DEADLINE_S, Attempt, Outcome, Records, RouteName
 
-DEADLINE_S: Final = 2.0
 # Pause of a caller that was refused.
 _PAUSE_S: Final = 0.02
 _CONNECT_TIMEOUT_S: Final = 1.0
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from soak.endpoints import COMPLETE_STREAM
-from soak.records import Attempt, Outcome, Records, RouteName
+from soak.records import DEADLINE_S, Attempt, Outcome, Records, RouteName
 
 # A connection may end this long after a request was sent as if it had not
 # been read.
@@ -145,7 +145,9 @@
     # The stream route is not resumable.
     if attempt.route is not RouteName.IDEMPOTENT and runs > 1:
         yield Rule.ONCE
-    if attempt.outcome is Outcome.CUT:
+    # A gateway ends a response at its deadline.
+    in_time = attempt.ended_at - attempt.sent_at < DEADLINE_S
+    if attempt.outcome is Outcome.CUT and in_time:
         yield Rule.CUT
     if attempt.outcome is Outcome.NO_RESPONSE:
         yield from _rules_without_response(attempt, runs, stops)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 _OK: Final = 200
+# Time that a caller gives a request.
+DEADLINE_S: Final = 2.0
 
 
 class RouteName(enum.StrEnum):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,7 +13,7 @@
     is_excused,
 )
 from soak.endpoints import COMPLETE_STREAM, event
-from soak.records import Attempt, Outcome, Records, RouteName, Run
+from soak.records import DEADLINE_S, Attempt, Outcome, Records, RouteName, Run
 
 _GATEWAY = '127.0.0.1'
 
@@ -142,3 +142,13 @@
         is_excused(violation, [elsewhere])
         for violation in find_violations(records, [])
     )
+
+
+def test_response_that_ends_at_its_deadline_is_not_cut(
+    records: Records,
+) -> None:
+    """Guards against a deadline that excuses what was cut before it."""
+    attempt = _add(records, Outcome.CUT, status=200, waited_s=DEADLINE_S)
+    assert Rule.CUT not in _rules(records)
+    attempt.ended_at -= 0.1
+    assert Rule.CUT in _rules(records)
--- a/tests/soak/test_cut_off_gateways.py
+++ b/tests/soak/test_cut_off_gateways.py
@@ -10,10 +10,9 @@
 
 import pytest
 
-from soak.callers import DEADLINE_S
 from soak.checks import ALWAYS
 from soak.cuts import CutWay
-from soak.records import Records
+from soak.records import DEADLINE_S, Records
 from soak.world import running_world
 
 pytestmark = pytest.mark.xdist_group('soak')
