Agree on how gateways share figures, and on settings of the machine

Cause: the parts for two customers with hard load each need figures of all gateways (loads of customers, reports of endpoints, evacuated zones, room). Change: one optional field of the sync holds them. Each part fills and reads its own; none is sent to processes of an earlier build, whose records refuse unknown fields. Records ignore unknown fields from now on. Settings name the memory, descriptors, processor and link of the machine. Requirements of a request name its customer and target.

--- a/src/apricotcart/codec/record.py
+++ b/src/apricotcart/codec/record.py
@@ -29,9 +29,23 @@
 
     @classmethod
     def from_wire(cls, fields: Mapping[str, Any]) -> Self:
-        """Create the record from its wire format."""
-        return cls(**fields)
+        """Create the record from its wire format.
+
+        Fields that this version does not know are ignored: they may come
+        from a process of a newer version.
+        """
+        names = cls._field_names()
+        return cls(**{name: fields[name] for name in names if name in fields})
 
     def to_wire(self) -> dict[str, Any]:
         """Return the fields as a mapping that msgpack can encode."""
         return {name: getattr(self, name) for name in self.__slots__}
+
+    @classmethod
+    def _field_names(cls) -> list[str]:
+        """Return the names of all fields, also those of base classes."""
+        return [
+            name
+            for base in cls.__mro__
+            for name in getattr(base, '__slots__', ())
+        ]
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -11,6 +11,8 @@
 KIND: Final = 'kind'
 # Term of the leader that replied.
 TERM: Final = 'term'
+# Whether the leader that replied understands the figures of gateways.
+SHARES_FIGURES: Final = 'shares_figures'
 SYNC: Final = 'sync'
 VIEW: Final = 'view'
 REPLACE: Final = 'replace'
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -13,6 +13,7 @@
     FETCH,
     KIND,
     REPLACE,
+    SHARES_FIGURES,
     SYNC,
     TERM,
     VERSIONS,
@@ -23,6 +24,7 @@
     CONFIRM_TIMEOUT_S,
     DesiredStateService,
 )
+from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.coordinator.sync_messages import SyncReply, SyncRequest
@@ -52,6 +54,8 @@
         Clock for Unix time.
     copies : StateCopies
         Learns which version each sync leaves at a gateway.
+    figures : FigureStores
+        Figures that gateways share.
     """
 
     def __init__(
@@ -64,7 +68,9 @@
         endpoints: EndpointList,
         clock: SteadyUnixClock,
         copies: StateCopies,
+        figures: FigureStores,
     ) -> None:
+        self._figures = figures
         self._copies = copies
         self._replicated = replicated
         self._state = state
@@ -130,8 +136,16 @@
             rank=self._gateways.rank(sync.incarnation, now),
             ranked_hosts=self._gateways.ranked_hosts(now),
             reachability=self._gateways.reach_reply(sync.incarnation, now),
+            exchange=self._figures.exchange(
+                sync.incarnation, sync.exchange, now
+            ),
         )
-        return {'ok': True, TERM: self._term(), 'sync': reply.to_wire()}
+        return {
+            'ok': True,
+            TERM: self._term(),
+            SHARES_FIGURES: True,
+            'sync': reply.to_wire(),
+        }
 
     def _view(self, _: WireMessage) -> WireMessage:
         self._replicated.barrier(CONFIRM_TIMEOUT_S)
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -39,6 +39,7 @@
 from apricotcart.coordinator.peer_links import RedialingPeerLinks
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
+from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.errors.tree import ApricotcartError
@@ -172,6 +173,7 @@
             endpoints=self._endpoints,
             clock=self._clock,
             copies=copies,
+            figures=FigureStores(()),
         )
         self._duties = Duties(
             name=cfg.host.name,
--- a/src/apricotcart/coordinator/sync_messages.py
+++ b/src/apricotcart/coordinator/sync_messages.py
@@ -10,7 +10,25 @@
 Versions = Mapping[str, Sequence[str]]
 
 
-class SyncRequest(Record):
+class _SyncMessage(Record):
+    """Message that processes of an earlier build also read.
+
+    Those refuse unknown fields, so that the figures are left out without any.
+    """
+
+    __slots__ = ()
+
+    exchange: Mapping[str, Any] | None
+
+    def to_wire(self) -> dict[str, Any]:
+        """Return the fields as a mapping that msgpack can encode."""
+        fields = super().to_wire()
+        if self.exchange is None:
+            fields.pop('exchange')
+        return fields
+
+
+class SyncRequest(_SyncMessage):
     """Periodic report of a gateway to the leader.
 
     Attributes
@@ -41,9 +59,13 @@
         What may crash endpoints, as known to the gateway.
     reachability : dict
         Whether it reaches endpoints, as a ReachReport in wire form.
+    exchange : dict or None
+        Figures that gateways share, as a GatewayFigures in wire form; None
+        until the leader is known to understand them.
     """
 
     __slots__ = (
+        'exchange',
         'host',
         'incarnation',
         'is_serving',
@@ -75,7 +97,9 @@
         suspects: Sequence[Mapping[str, Any]] = (),
         outcomes: Mapping[str, Sequence[int]] | None = None,
         reachability: Mapping[str, Any] | None = None,
+        exchange: Mapping[str, Any] | None = None,
     ) -> None:
+        self.exchange = exchange
         self.outcomes = outcomes or {}
         self.reachability = reachability or {}
         self.host = host
@@ -91,7 +115,7 @@
         self.suspects = suspects
 
 
-class SyncReply(Record):
+class SyncReply(_SyncMessage):
     """Reply of the leader to a sync.
 
     Attributes
@@ -125,9 +149,13 @@
         Number of these gateways.
     reachability : dict
         Whether others reach endpoints, as a ReachReply in wire form.
+    exchange : dict or None
+        What all gateways share, as a SharedFigures in wire form; None if the
+        gateway has sent none.
     """
 
     __slots__ = (
+        'exchange',
         'document',
         'failing',
         'hosts',
@@ -161,7 +189,9 @@
         failing: Mapping[str, Sequence[int]] | None = None,
         reachability: Mapping[str, Any] | None = None,
         list_age_s: float = 0,
+        exchange: Mapping[str, Any] | None = None,
     ) -> None:
+        self.exchange = exchange
         self.list_age_s = list_age_s
         self.failing = failing or {}
         self.reachability = reachability or {}
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -165,6 +165,8 @@
             software_version=(
                 self.origin.software_version if self.origin else None
             ),
+            customer=self.customer_name,
+            target_s=self.route.target_s,
         )
 
     def on_caller_gone(self) -> None:
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from typing import Final
@@ -67,9 +68,14 @@
         Whether its caller may resume the response at another endpoint.
     software_version : str or None
         The only version that may run it; None for any.
+    customer : str
+        Customer that asks for it; empty on public routes.
+    target_s : float
+        Target time to first byte in seconds, from the arrival of the request.
     """
 
     __slots__ = (
+        'customer',
         'is_latency_critical',
         'is_resumable',
         'level',
@@ -78,6 +84,7 @@
         'prompt_tokens',
         'service',
         'software_version',
+        'target_s',
     )
 
     def __init__(
@@ -91,7 +98,11 @@
         level: int = 0,
         is_resumable: bool = False,
         software_version: str | None = None,
+        customer: str = '',
+        target_s: float = math.inf,
     ) -> None:
+        self.customer = customer
+        self.target_s = target_s
         self.service = service
         self.level = min(level, _MAX_LEVEL)
         self.is_latency_critical = is_latency_critical
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -13,6 +13,7 @@
 )
 from apricotcart.coordinator.messages import (
     KIND,
+    SHARES_FIGURES,
     SYNC,
 )
 from apricotcart.coordinator.sync_messages import SyncReply, SyncRequest
@@ -27,6 +28,7 @@
 from apricotcart.gateway.dispatching.rate_share import RateShare
 from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
+from apricotcart.gateway.shared_figures import FigureExchange
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.stop_state import Phase, StopState
 from apricotcart.gateway.usage import UsageCounter
@@ -77,6 +79,8 @@
         Learns which software versions serve, and the control hosts.
     reachability : SyncedReach
         Shares with the other hosts whether endpoints are reached.
+    figures : FigureExchange
+        Figures that this host shares with the others.
     """
 
     __slots__ = (
@@ -84,6 +88,7 @@
         '_clock',
         '_dispatcher',
         '_endpoints',
+        '_figures',
         '_incarnation',
         '_leader',
         '_origins',
@@ -110,7 +115,9 @@
         quarantine: CrashQuarantine,
         origins: StreamOrigins,
         reachability: SyncedReach,
+        figures: FigureExchange,
     ) -> None:
+        self._figures = figures
         self._reachability = reachability
         self._cfg = cfg
         self._leader = leader
@@ -128,15 +135,10 @@
     def sync(self) -> None:
         """Synchronize once; a failure is logged and the next sync retries."""
         requested_at = boot_clock_s()
-        message = {KIND: SYNC, **self._request().to_wire()}
         try:
-            fields = self._leader.call(
-                message, self._timeout_s(), HOST_TIMEOUT_S
-            )
-            reply = SyncReply.from_wire(fields['sync'])
-            self._reachability.apply(reply.reachability, requested_at)
-            self._apply(reply, requested_at)
+            self._sync_from(requested_at)
         except ApricotcartError as exc:
+            self._figures.on_failure()
             _LOG.info('sync with the leader failed: %s', exc.message)
 
     def is_serving(self) -> bool:
@@ -149,6 +151,15 @@
             return _SYNC_INTERVAL_S
         return _FIRST_INTERVAL_S
 
+    def _sync_from(self, requested_at: float) -> None:
+        message = {KIND: SYNC, **self._request().to_wire()}
+        fields = self._leader.call(message, self._timeout_s(), HOST_TIMEOUT_S)
+        reply = SyncReply.from_wire(fields['sync'])
+        self._reachability.apply(reply.reachability, requested_at)
+        self._apply(reply, requested_at)
+        self._figures.on_leader(is_understood=bool(fields.get(SHARES_FIGURES)))
+        self._figures.apply(reply.exchange, requested_at)
+
     def _timeout_s(self) -> float:
         if self._state.is_known:
             return _SYNC_TIMEOUT_S
@@ -170,6 +181,7 @@
             usage=self._usage.counts(),
             suspects=self._quarantine.reports(),
             reachability=self._reachability.report(boot_clock_s()),
+            exchange=self._figures.request(boot_clock_s()),
         )
 
     def _apply(self, reply: SyncReply, requested_at: float) -> None:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -42,6 +42,7 @@
 from apricotcart.gateway.relay.assembly import Relay
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
+from apricotcart.gateway.shared_figures import FigureExchange
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.stopping import stop_calls
@@ -182,6 +183,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
+            figures=FigureExchange(()),
         )
 
     def _build_relay(self) -> None:
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -21,6 +21,7 @@
 
 _SOCKET_ADDRESS_PATTERN: Final = re.compile(r'([0-9.]+):([0-9]+)')
 _MS_PER_S = 1000
+_BYTES_PER_MB: Final = 1_000_000
 _MAX_BOUND: Final = 1_000_000
 # Each process needs a port for its peers and one for other processes.
 _MIN_LINK_PORTS: Final = 2
@@ -161,6 +162,49 @@
         return self.list_lag_ms / _MS_PER_S
 
 
+class FleetMachineSettings(Section):
+    """Resources of the host that the process may use."""
+
+    title = 'machine'
+    __slots__ = (
+        'descriptors',
+        'link_mbps',
+        'memory_mb',
+        'processor_share',
+        'processor_speed',
+    )
+    fields = (
+        Field('memory_mb', NumberKind(0, _MAX_BOUND), optional=True),
+        Field('descriptors', NumberKind(0, _MAX_BOUND), optional=True),
+        Field('processor_share', NumberKind(0, _MAX_BOUND), '1'),
+        Field('processor_speed', NumberKind(0, _MAX_BOUND), '1'),
+        Field('link_mbps', NumberKind(0, _MAX_BOUND), optional=True),
+    )
+
+    # Memory in megabytes above which the process is killed.
+    memory_mb: float | None
+    # File descriptors that the process may open.
+    descriptors: float | None
+    # Share of a core that the process may use, and the speed of that core as a
+    # multiple of the usual one.
+    processor_share: float
+    processor_speed: float
+    # Bandwidth of the host's link in megabits a second.
+    link_mbps: float | None
+
+    @property
+    def cores(self) -> float:
+        """Processor time a second, in seconds of a usual core."""
+        return self.processor_share * self.processor_speed
+
+    @property
+    def memory_bytes(self) -> int | None:
+        """Memory limit in bytes, None if it is not known."""
+        if self.memory_mb is None:
+            return None
+        return int(self.memory_mb * _BYTES_PER_MB)
+
+
 class FleetBoundSettings(Section):
     """Limits and periods that the operators of the platform set."""
 
@@ -223,6 +267,7 @@
         'links',
         'listen',
         'log',
+        'machine',
         'metrics',
         'path',
         'platform',
@@ -236,6 +281,7 @@
         self.links = document.read(FleetLinkSettings)
         self.data = document.read(FleetDataSettings)
         self.platform = document.read(FleetPlatformSettings)
+        self.machine = document.read(FleetMachineSettings)
         self.bounds = document.read(FleetBoundSettings)
         self.log = document.read(LogSettings)
         self.metrics = document.read(MetricsSettings)
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -20,6 +20,7 @@
 )
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
+from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.coordinator.sync_messages import SyncRequest
@@ -250,6 +251,7 @@
 ) -> None:
     service.replace(b'7')
     requests = CoordinatorRequests(
+        figures=FigureStores(()),
         replicated=log,
         state=log.state,
         service=service,
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -27,6 +27,7 @@
 from apricotcart.gateway.reachability.monitor import ReachMonitor
 from apricotcart.gateway.reachability.sync import SyncedReach
 from apricotcart.gateway.retry_policy import RetryPolicy
+from apricotcart.gateway.shared_figures import FigureExchange
 from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.usage import UsageCounter
 from apricotcart.membership.peers import PeerDirectory
@@ -154,6 +155,7 @@
             stop_state=StopState(),
             quarantine=CrashQuarantine(),
             origins=StreamOrigins(MemoryStore(), Versions()),
+            figures=FigureExchange(()),
             reachability=SyncedReach(
                 ReachMonitor(), PeerDirectory(), '10.0.0.1:90'
             ),
