Make second attempts at late requests that may run more than once

Cause: a few slow answers decide what callers see, and one slow endpoint among many makes them. Change: gateways send a late read or resumable stream to a second endpoint within a share that operators set (off by default), while nothing waits and the retry budget has room. The first answer counts, the other attempt is cancelled. Gateways learn from each other what is late. An attempt is a class of its own; reads of the placement by other parts share one method of the dispatcher.

--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -28,9 +28,12 @@
     room : float or None
         Share of its own capacity that is free, between 0 and 1; None if it
         does not know.
+    answer_times : dict
+        Answers by kind of request and by bucket of the time that they took.
     """
 
     __slots__ = (
+        'answer_times',
         'customer_loads',
         'endpoint_reports',
         'evacuation_revision',
@@ -46,7 +49,9 @@
         state_version: int = -1,
         evacuation_revision: int = 0,
         room: float | None = None,
+        answer_times: Mapping[str, Mapping[int, float]] | None = None,
     ) -> None:
+        self.answer_times = answer_times or {}
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
@@ -68,9 +73,12 @@
         Newest version of the desired state, -1 without one.
     evacuations : dict
         Evacuated zones and their revision, in wire form; empty without.
+    answer_times : dict
+        Answers by kind of request and by bucket of the time that they took.
     """
 
     __slots__ = (
+        'answer_times',
         'customer_loads',
         'endpoint_reports',
         'evacuations',
@@ -84,7 +92,9 @@
         endpoint_reports: Mapping[str, Sequence[float]] | None = None,
         state_version: int = -1,
         evacuations: Mapping[str, Any] | None = None,
+        answer_times: Mapping[str, Mapping[int, float]] | None = None,
     ) -> None:
+        self.answer_times = answer_times or {}
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
--- a/src/apricotcart/endpoints/crash_suspects.py
+++ b/src/apricotcart/endpoints/crash_suspects.py
@@ -62,6 +62,13 @@
         """Return the endpoints whose crashes count against a suspect."""
         return sorted(self._evidence().get(suspect, ()))
 
+    def has_evidence(self, suspects: Iterable[Suspect]) -> bool:
+        """Return whether a crash counts against any of the suspects."""
+        return any(
+            suspect in self._crashes or suspect in self._remote
+            for suspect in suspects
+        )
+
     def on_crash(
         self, crash: Crash, endpoint: str, suspects: Sequence[Suspect]
     ) -> None:
--- a/src/apricotcart/gateway/call.py
+++ b/src/apricotcart/gateway/call.py
@@ -8,6 +8,7 @@
 from apricotcart.desired.records import Route, RouteKind
 from apricotcart.desired.urgency import Urgency
 from apricotcart.gateway.api import ForwardedRequest, RequestMetadata
+from apricotcart.gateway.attempt_state import AttemptState
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
@@ -37,8 +38,6 @@
         Digest that the request has in every attempt of its caller.
     send_count : int
         How many times the request was written to an endpoint.
-    may_have_run : bool
-        Whether an endpoint may have run it.
     is_caller_gone : bool
         Whether the caller has closed its connection.
     is_host_ending : bool
@@ -48,6 +47,8 @@
         it; only endpoints of the same origin may go on with it.
     conn : HeldConnection
         The connection on which the request waits.
+    attempts : AttemptState
+        What all attempts at the request share.
     relay : RelayProgress
         What is known about passing the request on to another gateway.
     failure_response : WebResponse or None
@@ -55,12 +56,12 @@
     """
 
     __slots__ = (
+        'attempts',
         'conn',
         'dispatcher',
         'excluded_endpoints',
         'failure_response',
         'fingerprint',
-        'may_have_run',
         'is_caller_gone',
         'is_host_ending',
         'message',
@@ -95,11 +96,20 @@
         self.conn = HeldConnection()
         self.excluded_endpoints: set[str] = set()
         self.send_count = 0
-        self.may_have_run = False
+        self.attempts = AttemptState()
         self.is_caller_gone = False
         self.is_host_ending = False
         self.failure_response: WebResponse | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request."""
+        return self.attempts.may_have_run
+
+    @may_have_run.setter
+    def may_have_run(self, may_have_run: bool) -> None:
+        self.attempts.may_have_run = may_have_run
+
     @property
     def route(self) -> Route:
         """Route of the request."""
@@ -173,11 +183,17 @@
         """Cancel the request after its caller closed the connection."""
         self.is_caller_gone = True
         self._cancel()
+        second = self.attempts.second_of(self)
+        if second is not None:
+            second.on_caller_gone()
 
     def on_host_ending(self) -> None:
         """End the request with the response that its state allows."""
         self.is_host_ending = True
         self._cancel()
+        second = self.attempts.second_of(self)
+        if second is not None:
+            second.on_host_ending()
 
     def withdraw(self) -> None:
         """Take the request out of the queue, to pass it on."""
--- a/src/apricotcart/gateway/crash_quarantine.py
+++ b/src/apricotcart/gateway/crash_quarantine.py
@@ -46,6 +46,11 @@
         """Return whether the request or a part of it is quarantined."""
         return self._culprit(call) is not None
 
+    def suspects(self, call: Call) -> bool:
+        """Return whether the request or a part of it may crash endpoints."""
+        with self._lock:
+            return self._suspects.has_evidence(_suspects_of(call))
+
     def require_allowed(self, call: Call) -> None:
         """Raise if the request must not be sent.
 
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -6,7 +6,7 @@
 import math
 import threading
 from collections.abc import Callable, Collection, Iterable
-from typing import Final
+from typing import Final, TypeVar
 
 from apricotcart.endpoints.recent_outcomes import OutcomeCounts
 from apricotcart.gateway.api import EndpointNotice
@@ -33,6 +33,7 @@
 )
 from apricotcart.timers.clock import boot_clock_s
 
+Answer = TypeVar('Answer')
 # Interval at which the queue is processed without other events.
 TICK_INTERVAL_S: Final = 0.05
 
@@ -141,6 +142,33 @@
         pending.wait()
         return _endpoint_of(pending)
 
+    def acquire_free(
+        self,
+        request_id: str,
+        requirements: Requirements,
+        excluded: Collection[str],
+    ) -> EndpointState | None:
+        """Return an endpoint with room that no other request waits for.
+
+        Parameters
+        ----------
+        request_id : str
+            The request, which is not queued.
+        requirements : Requirements
+            What it requires, at the lowest level.
+        excluded : collection of str
+            Ids of endpoints that it must not be sent to.
+        """
+        with self._lock:
+            if self._queue.waits_for(requirements.service):
+                return None
+            endpoint = self._placement.choose(
+                boot_clock_s(), requirements, excluded
+            )
+            if endpoint is not None:
+                self._placement.place(request_id, endpoint, requirements)
+            return endpoint
+
     def cancel(self, request_id: str) -> None:
         """Remove a request from the queue and wake its thread."""
         with self._lock:
@@ -217,10 +245,10 @@
             self._placement.update_remote_loads(loads, hosts)
             self._decide()
 
-    def unread_tokens(self, endpoint: EndpointState) -> int:
-        """Return the prompt tokens that an endpoint has not read yet."""
+    def read_placement(self, read: Callable[[Placement], Answer]) -> Answer:
+        """Return what a function reads of the placement."""
         with self._lock:
-            return endpoint.prefill_tokens
+            return read(self._placement)
 
     def listed_versions(self) -> VersionsByService:
         """Return the software versions of the listed endpoints."""
@@ -229,15 +257,6 @@
                 endpoint.instance for endpoint in self._placement.endpoints()
             )
 
-    def listed_addresses(self) -> list[str]:
-        """Return the addresses of the endpoints that accept requests."""
-        with self._lock:
-            return [
-                endpoint.instance.address
-                for endpoint in self._placement.endpoints()
-                if endpoint.accepts_requests
-            ]
-
     def serves(
         self, requirements: Requirements, excluded: Collection[str]
     ) -> bool:
--- a/src/apricotcart/gateway/dispatching/endpoint_table.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_table.py
@@ -78,6 +78,14 @@
         """Return the endpoint with an id."""
         return self._endpoints.get(name)
 
+    def accepting_addresses(self) -> list[str]:
+        """Return the addresses of the endpoints that accept requests."""
+        return [
+            endpoint.instance.address
+            for endpoint in self.all_endpoints()
+            if endpoint.accepts_requests
+        ]
+
     def all_endpoints(self) -> list[EndpointState]:
         """Return all endpoints."""
         return list(self._endpoints.values())
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -118,6 +118,13 @@
         """Remove a request from the queue if it is there."""
         self._queued.pop(request_id, None)
 
+    def waits_for(self, service: str) -> bool:
+        """Return whether a request for a service is queued."""
+        return any(
+            request.requirements.service == service
+            for request in self._queued.values()
+        )
+
     def queued_requirements(self) -> list[Requirements]:
         """Return the requirements of the queued requests."""
         return [request.requirements for request in self._queued.values()]
--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -128,37 +128,22 @@
         queued_at = boot_clock_s()
         endpoint = self._acquire_endpoint(call, request)
         self._recheck_quarantine(call, endpoint)
-        log_decision(
-            REQUEST_SENT,
-            request_id=call.metadata.attempt_id,
-            fingerprint=call.fingerprint,
-            route=call.route.name,
-            kind=str(call.route.kind),
-            customer=call.customer_name,
-            endpoint=endpoint.instance.instance_id,
-            attempt=call.send_count + 1,
-            queue_wait_s=boot_clock_s() - queued_at,
-            deadline_s=call.remaining_s(),
-            zone=endpoint.instance.zone,
-            software=endpoint.instance.software_version,
-            running=len(endpoint.local_requests),
-            running_elsewhere=endpoint.remote_load.requests,
-            unread_tokens=self._dispatcher.unread_tokens(endpoint),
-            load_age_s=boot_clock_s() - self._dispatcher.loads_updated_at,
-            levels_above=call.urgency.levels_above,
-            levels_below=call.urgency.level,
-            copied_from=endpoint.cache_source_of(call.request_id),
-            version=call.routing.version,
-            state_age_s=call.routing.state_age_s,
-        )
-        return EndpointExchange(
-            call,
-            self,
-            self._pool,
-            self._header_codec,
-            self.response_memory,
-            endpoint,
+        return self._exchange_with(call, endpoint, boot_clock_s() - queued_at)
+
+    def acquire_free(self, call: Call) -> EndpointExchange | None:
+        """Return an exchange with an endpoint that nobody else waits for.
+
+        The request is not queued, and takes only room that the least urgent
+        requests may have; None without such an endpoint.
+        """
+        requirements = call.requirements()
+        requirements.level = 0
+        endpoint = self._dispatcher.acquire_free(
+            call.request_id, requirements, call.excluded_endpoints
         )
+        if endpoint is None:
+            return None
+        return self._exchange_with(call, endpoint, 0)
 
     def on_response(self, exchange: EndpointExchange) -> None:
         """Apply what the endpoint says about itself."""
@@ -227,6 +212,43 @@
             self.on_run(call, exchange, exchange.sent_at)
         self._dispatcher.release(call.request_id, exchange.endpoint)
 
+    def _exchange_with(
+        self, call: Call, endpoint: EndpointState, queue_wait_s: float
+    ) -> EndpointExchange:
+        log_decision(
+            REQUEST_SENT,
+            request_id=call.metadata.attempt_id,
+            fingerprint=call.fingerprint,
+            route=call.route.name,
+            kind=str(call.route.kind),
+            customer=call.customer_name,
+            endpoint=endpoint.instance.instance_id,
+            attempt=call.send_count + 1,
+            queue_wait_s=queue_wait_s,
+            deadline_s=call.remaining_s(),
+            zone=endpoint.instance.zone,
+            software=endpoint.instance.software_version,
+            running=len(endpoint.local_requests),
+            running_elsewhere=endpoint.remote_load.requests,
+            unread_tokens=self._dispatcher.read_placement(
+                lambda _: endpoint.prefill_tokens
+            ),
+            load_age_s=boot_clock_s() - self._dispatcher.loads_updated_at,
+            levels_above=call.urgency.levels_above,
+            levels_below=call.urgency.level,
+            copied_from=endpoint.cache_source_of(call.request_id),
+            version=call.routing.version,
+            state_age_s=call.routing.state_age_s,
+        )
+        return EndpointExchange(
+            call,
+            self,
+            self._pool,
+            self._header_codec,
+            self.response_memory,
+            endpoint,
+        )
+
     def _require_version(self, call: Call) -> None:
         origin = call.origin
         if origin is None:
--- a/src/apricotcart/gateway/exchanges/streams.py
+++ b/src/apricotcart/gateway/exchanges/streams.py
@@ -59,6 +59,8 @@
         ------
         BrokenEndpointError, SilentEndpointError
             If the stream ends before its first event.
+        HedgeLostError
+            If another attempt at the request was answered first.
         """
         self._sender = sender
         self._call = call
@@ -67,6 +69,7 @@
         self._source = exchange.chunks()
         self.headers = exchange.caller_headers()
         self._first_events = self._read_first_events()
+        call.attempts.claim_answer(call)
         self._last_event_at = boot_clock_s()
         self._first_event_s = self._last_event_at - call.started_at
         self._max_event_gap_s: float = 0
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from http import HTTPStatus
 from typing import Final
 
 from apricotcart.errors.tree import ApricotcartError
+from apricotcart.gateway.attempts import AttemptRunner
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.errors import (
     BrokenEndpointError,
@@ -16,24 +16,11 @@
     UnreachableEndpointError,
 )
 from apricotcart.gateway.exchanges.exchange import Exchange
-from apricotcart.gateway.exchanges.streams import EventStream
+from apricotcart.gateway.hedging.hedger import Hedger
+from apricotcart.gateway.hedging.race import HedgeLostError
 from apricotcart.gateway.sender import Sender
-from apricotcart.observability.decisions import (
-    REQUEST_ANSWERED,
-    log_decision,
-)
-from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.response import WebResponse
 
-# Statuses that a caller takes as a guarantee that its request was not run.
-_NOT_RUN_STATUSES: Final = frozenset(
-    (
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    )
-)
 # Delay before a caller may retry a request that no endpoint accepted.
 _RETRY_AFTER_S: Final = 0.3
 _SEND_FAILURES: Final = (
@@ -51,12 +38,20 @@
     ----------
     sender : Sender
         Sends the requests.
+    attempts : AttemptRunner
+        Runs the attempts.
+    hedger : Hedger
+        Makes second attempts at requests whose first one is late.
     """
 
-    __slots__ = ('_sender',)
+    __slots__ = ('_attempts', '_hedger', '_sender')
 
-    def __init__(self, sender: Sender) -> None:
+    def __init__(
+        self, sender: Sender, attempts: AttemptRunner, hedger: Hedger
+    ) -> None:
         self._sender = sender
+        self._attempts = attempts
+        self._hedger = hedger
 
     def forward(self, call: Call) -> WebResponse:
         """Forward a request and return the response.
@@ -69,65 +64,57 @@
         """
         while True:
             exchange = self._sender.acquire(call)
-            try:
-                response = self._attempt(call, exchange)
-            except _SEND_FAILURES as exc:
-                self._sender.fail(call, exchange, exc)
-                response = self._after_failure(call, exc)
-            except BaseException as exc:
-                self._sender.fail(call, exchange, exc)
-                raise
+            self._hedger.watch(call, exchange)
+            response = self._run_attempt(call, exchange)
             if response is not None:
                 return response
 
-    def _attempt(self, call: Call, exchange: Exchange) -> WebResponse | None:
-        self._sender.send(exchange)
-        if exchange.is_stream and exchange.status == HTTPStatus.OK:
-            stream = EventStream(self._sender, call, exchange)
-            return WebResponse(exchange.status, stream.headers, stream)
-        return self._read_full_response(call, exchange)
-
-    def _read_full_response(
+    def _run_attempt(
         self, call: Call, exchange: Exchange
     ) -> WebResponse | None:
-        body = exchange.body()
-        status = exchange.status
-        if status in _NOT_RUN_STATUSES:
-            # The status is not passed on, since the endpoint does not state
-            # that it did not run the request.
-            raise BrokenEndpointError(
-                f'the endpoint responded with status {status}'
-            )
-        headers = exchange.caller_headers()
-        headers.append(('Content-Length', str(body.size)))
-        exchange.upstream.on_run(call, exchange, exchange.sent_at)
-        self._sender.complete(call, exchange)
-        is_failure = status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        call.failure_response = WebResponse(status, headers, body)
-        log_decision(
-            REQUEST_ANSWERED,
-            request_id=call.metadata.attempt_id,
-            route=call.route.name,
-            kind=str(call.route.kind),
-            **exchange.destination.log_fields,
-            attempt=call.send_count,
-            status=status,
-            framing=exchange.framing,
-            duration_s=boot_clock_s() - call.started_at,
-            bytes_out=body.size,
-        )
-        is_repeated = is_failure and exchange.upstream.repeats_errors
-        if is_repeated and self._sender.may_retry(call):
-            call.excluded_endpoints.add(exchange.destination.name)
+        """Return the response, None to repeat the request."""
+        response: WebResponse | None = None
+        try:
+            response = self._attempts.run(call, exchange)
+        except HedgeLostError as lost:
+            self._sender.fail(call, exchange, lost)
+        except _SEND_FAILURES as exc:
+            return self._after_failure(call, exchange, exc)
+        except BaseException as exc:
+            self._sender.fail(call, exchange, exc)
+            raise
+        return response or self._other_response(call)
+
+    def _other_response(self, call: Call) -> WebResponse | None:
+        """Return the response of a second attempt, None without one."""
+        race = call.attempts.race
+        if race is None:
             return None
-        return call.failure_response
+        race.end_first()
+        response = race.wait_for_second(call.remaining_s())
+        if response is None:
+            call.attempts.race = None
+        return response
 
     def _after_failure(
         self,
         call: Call,
+        exchange: Exchange,
         exc: ApricotcartError,
     ) -> WebResponse | None:
         """Return None to retry the request, or the caller's response."""
+        # The end of its connection says nothing about the endpoint if the
+        # second attempt has ended it.
+        has_lost = call.attempts.is_lost(call)
+        self._sender.fail(call, exchange, HedgeLostError() if has_lost else exc)
+        response = self._other_response(call)
+        if response is not None:
+            return response
+        return self._next_response(call, exc)
+
+    def _next_response(
+        self, call: Call, exc: ApricotcartError
+    ) -> WebResponse | None:
         if call.is_caller_gone:
             raise CallerLeftError(
                 'the caller has closed its connection'
--- /dev/null
+++ b/src/apricotcart/gateway/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts at requests whose first one is late."""
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -28,7 +28,7 @@
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
-from apricotcart.gateway.forwarding import Forwarder
+from apricotcart.gateway.hedging.assembly import Hedging
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.listener import (
     CallerConnection,
@@ -130,7 +130,7 @@
         self._probe = ReachProbe(
             self._reach,
             ProbePlan(self._reach, random.Random()),
-            self._dispatcher.listed_addresses,
+            self._listed_addresses,
             self._forget_failures,
         )
 
@@ -162,6 +162,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
         )
+        self._hedging = Hedging(cfg)
         self._build_relay()
         self._endpoints = EndpointUpdater(
             self._adapter.platform_client(cfg.platform.address),
@@ -183,7 +184,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
-            figures=FigureExchange(()),
+            figures=FigureExchange((self._hedging.figures,)),
         )
 
     def _build_relay(self) -> None:
@@ -196,8 +197,12 @@
             memory=self._upstream.response_memory,
         )
         self._sender = Sender(self._upstream, self._relay.upstream)
+        self._forwarder = self._hedging.build_forwarder(
+            self._sender, self._upstream
+        )
 
     def _start(self) -> None:
+        self._hedging.start()
         self._watcher.start()
         link = self._link
         RepeatingTimer('sync', link.interval_s, link.sync).start()
@@ -222,6 +227,11 @@
     def _store_origins(self) -> None:
         self._origins.store_new(self._dispatcher.listed_versions())
 
+    def _listed_addresses(self) -> list[str]:
+        return self._dispatcher.read_placement(
+            lambda placement: placement.table.accepting_addresses()
+        )
+
     def _forget_failures(self) -> None:
         self._dispatcher.update_placement(
             lambda placement: placement.table.forget_failures(),
@@ -232,7 +242,7 @@
             'state': self._state,
             'header_codec': self._adapter.header_codec(),
             'dispatcher': self._dispatcher,
-            'forwarder': Forwarder(self._sender),
+            'forwarder': self._forwarder,
             'watcher': self._watcher,
             'stop_state': self._stop_state,
             'resumption': StreamResumption(self._origins, self._dispatcher),
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -173,6 +173,21 @@
     'attempt',
     'deadline_s',
 )
+# A second attempt at a request whose first one is late; the duration is that
+# of the first one so far.
+HEDGE_SENT: Final = Event(
+    'hedge_sent',
+    _REQUEST_ID,
+    'route',
+    'endpoint',
+    'zone',
+    'attempt',
+    _DURATION,
+)
+# Whether the second attempt was answered first; the duration is its own.
+HEDGE_ENDED: Final = Event(
+    'hedge_ended', _REQUEST_ID, 'endpoint', 'zone', 'is_used', _DURATION
+)
 CRASH_SUSPECTED: Final = Event(
     'crash_suspected',
     _REQUEST_ID,
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -47,6 +47,7 @@
         'incarnation',
         'index',
         'is_leaving',
+        'is_used',
         'kind',
         'leader',
         'levels_above',
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -2,24 +2,20 @@
 
 from __future__ import annotations
 
-import re
-from pathlib import Path
 from typing import Any, Final, Self
 
 from apricotcart.settings.addresses import Address
 from apricotcart.settings.common import LogSettings, MetricsSettings
 from apricotcart.settings.document import Document, Field, Section
-from apricotcart.settings.kinds import (
-    Choice,
-    FieldError,
-    FilePath,
-    Kind,
-    Name,
-    port,
+from apricotcart.settings.fleet_kinds import (
+    Flag,
+    Names,
+    SocketAddress,
+    SocketAddresses,
 )
+from apricotcart.settings.kinds import FilePath, Name, port
 from apricotcart.settings.kinds import Number as NumberKind
 
-_SOCKET_ADDRESS_PATTERN: Final = re.compile(r'([0-9.]+):([0-9]+)')
 _MS_PER_S = 1000
 _BYTES_PER_MB: Final = 1_000_000
 _MAX_BOUND: Final = 1_000_000
@@ -27,44 +23,6 @@
 _MIN_LINK_PORTS: Final = 2
 
 
-class SocketAddress(Kind):
-    """Address of a listening socket: ``IP:PORT``."""
-
-    __slots__ = ()
-
-    def parse(self, text: str, folder: Path) -> str:
-        """Return the address unchanged."""
-        match = _SOCKET_ADDRESS_PATTERN.fullmatch(text)
-        if match is None:
-            raise FieldError(f'{text!r} is not of the form IP:PORT')
-        Address().parse(match.group(1), folder)
-        port().parse(match.group(2), folder)
-        return text
-
-
-class SocketAddresses(Kind):
-    """Comma-separated list of ``IP:PORT``."""
-
-    __slots__ = ()
-
-    def parse(self, text: str, folder: Path) -> tuple[str, ...]:
-        """Return the addresses in the given order."""
-        kind = SocketAddress()
-        return tuple(
-            kind.parse(entry.strip(), folder) for entry in text.split(',')
-        )
-
-
-class Flag(Kind):
-    """``true`` or ``false``."""
-
-    __slots__ = ()
-
-    def parse(self, text: str, folder: Path) -> bool:
-        """Return the flag as a bool."""
-        return Choice('true', 'false').parse(text, folder) == 'true'
-
-
 class FleetHostSettings(Section):
     """Identity of the host."""
 
@@ -257,12 +215,32 @@
         return (self.state_apply_ms + self.state_skew_ms) / _MS_PER_S
 
 
+class HedgingSettings(Section):
+    """Second attempts at requests that are late."""
+
+    title = 'hedging'
+    __slots__ = ('late_ratio', 'routes', 'share')
+    fields = (
+        Field('share', NumberKind(0, 1), '0'),
+        Field('late_ratio', NumberKind(0.5, 1), '0.95'),
+        Field('routes', Names(), optional=True),
+    )
+
+    # Second attempts for each request that may have one; 0 for none.
+    share: float
+    # Ratio of the answers of a kind that come before a second attempt is made.
+    late_ratio: float
+    # Names of the routes on which they are made; None for all.
+    routes: tuple[str, ...] | None
+
+
 class FleetConfig:
     """All settings of a gateway or a coordinator."""
 
     __slots__ = (
         'bounds',
         'data',
+        'hedging',
         'host',
         'links',
         'listen',
@@ -283,6 +261,7 @@
         self.platform = document.read(FleetPlatformSettings)
         self.machine = document.read(FleetMachineSettings)
         self.bounds = document.read(FleetBoundSettings)
+        self.hedging = document.read(HedgingSettings)
         self.log = document.read(LogSettings)
         self.metrics = document.read(MetricsSettings)
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -17,6 +17,7 @@
     PromptPart,
     RequestMetadata,
 )
+from apricotcart.gateway.attempts import AttemptRunner
 from apricotcart.gateway.call import Call
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import (
@@ -27,6 +28,7 @@
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
+from apricotcart.gateway.hedging.hedger import NoHedger
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.routing_decision import RoutingDecision
 from apricotcart.gateway.sender import Sender
@@ -99,7 +101,8 @@
             origins=self.origins,
         )
         self.sender = Sender(self.upstream)
-        self.forwarder = Forwarder(self.sender)
+        self.attempts = AttemptRunner(self.sender)
+        self.forwarder = Forwarder(self.sender, self.attempts, NoHedger())
 
     def serve(self, *scripts: Script) -> list[RawEndpoint]:
         self.share([RawEndpoint(script) for script in scripts])
--- a/tests/gateway/relay/fleet.py
+++ b/tests/gateway/relay/fleet.py
@@ -14,10 +14,12 @@
 from gateway.served_gateway import Received, ServedGateway, start_listener
 
 from apricotcart.codec.envelope import Sealer
+from apricotcart.gateway.attempts import AttemptRunner
 from apricotcart.gateway.errors import UnreachableEndpointError
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.exchanges.connections import EndpointConnection
 from apricotcart.gateway.forwarding import Forwarder
+from apricotcart.gateway.hedging.hedger import NoHedger
 from apricotcart.gateway.reachability.api import Reach, ReachView
 from apricotcart.gateway.relay.application import RelayApplication
 from apricotcart.gateway.relay.choice import PeerChoice
@@ -106,7 +108,9 @@
             memory=self.bench.upstream.response_memory,
         )
         self.bench.sender = Sender(self.bench.upstream, self.peers)
-        self.bench.forwarder = Forwarder(self.bench.sender)
+        self.bench.forwarder = Forwarder(
+            self.bench.sender, AttemptRunner(self.bench.sender), NoHedger()
+        )
         self.served = ServedGateway(self.bench)
         self._relay_server = start_listener(
             RelayApplication(
