--- a/src/apricotcart/coordinator/answer_times.py
+++ b/src/apricotcart/coordinator/answer_times.py
@@ -86,9 +86,17 @@
     for report in reports:
         for kind, counts in report.times.items():
             parts.setdefault(kind, []).append(counts)
-    return {name: sum_counts(counted) for name, counted in parts.items()}
+    sums: dict[str, Counts] = {}
+    for name, counted in parts.items():
+        sums[name] = sum_counts(counted)
+    return sums
 
 
 def _largest(sums: Times) -> Times:
-    kinds = sorted(sums, key=lambda kind: -sum(sums[kind].values()))
-    return {name: sums[name] for name in kinds[:_MAX_KINDS]}
+    kinds = sorted(sums, key=lambda kind: _answers(sums[kind]), reverse=True)
+    kept = kinds[:_MAX_KINDS]
+    return {name: sums[name] for name in kept}
+
+
+def _answers(counts: Counts) -> float:
+    return sum(counts.values())
