--- a/src/apricotcart/coordinator/answer_times.py
+++ b/src/apricotcart/coordinator/answer_times.py
@@ -93,10 +93,8 @@
 
 
 def _largest(sums: Times) -> Times:
-    kinds = sorted(sums, key=lambda kind: _answers(sums[kind]), reverse=True)
-    kept = kinds[:_MAX_KINDS]
+    """Return the kinds with most answers."""
+    answers = {name: sum(counts.values()) for name, counts in sums.items()}
+    kinds = sorted(answers, key=answers.__getitem__)
+    kept = kinds[-_MAX_KINDS:]
     return {name: sums[name] for name in kept}
-
-
-def _answers(counts: Counts) -> float:
-    return sum(counts.values())
