--- a/src/apricotcart/coordinator/answer_times.py
+++ b/src/apricotcart/coordinator/answer_times.py
@@ -4,6 +4,8 @@
 
 import threading
 from collections.abc import Iterable, Mapping
+from heapq import nlargest
+from operator import itemgetter
 from typing import Final
 
 from apricotcart.coordinator.exchange_messages import (
@@ -95,6 +97,8 @@
 def _largest(sums: Times) -> Times:
     """Return the kinds with most answers."""
     answers = {name: sum(counts.values()) for name, counts in sums.items()}
-    kinds = sorted(answers, key=answers.__getitem__)
-    kept = kinds[-_MAX_KINDS:]
-    return {name: sums[name] for name in kept}
+    kept = nlargest(_MAX_KINDS, answers.items(), key=itemgetter(1))
+    largest: dict[str, Counts] = {}
+    for name, _ in kept:
+        largest[name] = sums[name]
+    return largest
