--- a/src/apricotcart/coordinator/answer_times.py
+++ b/src/apricotcart/coordinator/answer_times.py
@@ -4,8 +4,6 @@
 
 import threading
 from collections.abc import Iterable, Mapping
-from heapq import nlargest
-from operator import itemgetter
 from typing import Final
 
 from apricotcart.coordinator.exchange_messages import (
@@ -96,9 +94,12 @@
 
 def _largest(sums: Times) -> Times:
     """Return the kinds with most answers."""
-    answers = {name: sum(counts.values()) for name, counts in sums.items()}
-    kept = nlargest(_MAX_KINDS, answers.items(), key=itemgetter(1))
+    ordered = sorted(sums, key=lambda kind: _answers(sums[kind]))
     largest: dict[str, Counts] = {}
-    for name, _ in kept:
+    for name in ordered[-_MAX_KINDS:]:
         largest[name] = sums[name]
     return largest
+
+
+def _answers(counts: Counts) -> float:
+    return sum(counts.values())
