Show that unfinished bodies fill the memory of a process

Real processes with 96 MB in their settings get small crowds of bodies that stop one byte short and stay.

The crowds and bounds stay as they are here.

--- /dev/null
+++ b/tests/web/test_crowds.py
@@ -0,0 +1,247 @@
+"""Guards against clients that end a process or keep it from answering.
+
+Each test starts the system's processes on loopback addresses. The crowds and
+the bounds are fixed: a process must live, stay under its memory limit and the
+bound on descriptors, and answer one ordinary request while the crowd stays.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+import pytest
+import urllib3
+from soak.fleet import (
+    CALLER_PORT,
+    DIRECTORY_PORT,
+    LAST_LINK_PORT,
+    OPERATOR_PORT,
+    ManagedProcess,
+)
+from soak.operators import HOST, desired_state
+from soak.world import World
+from web.crowd import (
+    Body,
+    ask,
+    count_descriptors,
+    count_threads,
+    crowd_at,
+    peak_bytes,
+)
+
+pytestmark = [pytest.mark.xdist_group('crowds'), pytest.mark.timeout(120)]
+_KIB: Final = 1024
+_MIB: Final = _KIB * _KIB
+_MEMORY_MB: Final = 96
+_MEMORY_BYTES: Final = _MEMORY_MB * 1_000_000
+# Bodies of callers up to this size are legal in these tests.
+_MAX_BODY_BYTES: Final = _MIB
+_CALLERS: Final = 80
+_CLIENTS_OF_COORDINATOR: Final = 16
+# Descriptors that a process may have beyond those before and the crowd's.
+_SPARE_DESCRIPTORS: Final = 64
+_SEND_S: Final = 15.0
+# Time after which an ordinary caller asks while the crowd sends.
+_HEAD_START_S: Final = 2.0
+# Tries of an ordinary caller, and its deadline; a refusal is no answer.
+_TRIES: Final = 4
+_PATIENCE_S: Final = 5.0
+_READY_S: Final = 30.0
+_PAUSE_S: Final = 0.1
+_OK: Final = 200
+_LEGAL: Final = '/idempotent/x'
+_ORDINARY: Final = (
+    f'POST {_LEGAL} HTTP/1.1',
+    f'Host: {HOST}',
+    'Attempt-Id: ordinary',
+    f'Deadline-Ms: {_PATIENCE_S * 1000:.0f}',
+    'Content-Length: 0',
+)
+_FETCH: Final = ('GET /v1/Config.Fetch HTTP/1.1', 'Host: h')
+_RESOLVE: Final = ('GET /v1/resolve?zone=z HTTP/1.1', 'Host: h')
+
+
+def _start(folder: Path) -> World:
+    world = World(folder, gateways=1, endpoints=1)
+    for process in world.fleet.processes:
+        settings = folder / f'{process.role}-{process.ip}' / 'settings.ini'
+        with settings.open('a', encoding='utf-8') as output:
+            output.write(
+                f'[machine]\nmemory_mb = {_MEMORY_MB}\ndescriptors = 2000\n'
+            )
+    world.start()
+    document = desired_state(2)
+    document['limits']['max_body_bytes'] = _MAX_BODY_BYTES
+    operators = f'{world.fleet.coordinators[0].ip}:{OPERATOR_PORT}'
+    _until(
+        lambda: (
+            urllib3.request(
+                'POST', f'http://{operators}/v1/Config.Replace', json=document
+            ).status
+            == _OK
+        )
+    )
+    gateway = (world.fleet.gateways[0].ip, CALLER_PORT)
+    _until(lambda: ask(gateway, _ORDINARY, _PATIENCE_S) == _OK)
+    return world
+
+
+def _until(holds: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + _READY_S
+    while not holds():
+        assert time.monotonic() < deadline
+        time.sleep(_PAUSE_S)
+
+
+@pytest.fixture(scope='module')
+def world(tmp_path_factory: pytest.TempPathFactory) -> Iterator[World]:
+    """Return processes that serve; those that end are started again."""
+    started = _start(tmp_path_factory.mktemp('crowds'))
+    yield started
+    started.close()
+
+
+def _restart(process: ManagedProcess) -> int:
+    """Start a process anew, so that its peak is of this test; return its id."""
+    process.kill()
+    process.start()
+    return process.running.pid
+
+
+def _listens(address: tuple[str, int]) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex(address) == 0
+
+
+def _answers(address: tuple[str, int], lines: Sequence[str]) -> bool:
+    """Return whether one of the tries of an ordinary caller is answered."""
+    for _ in range(_TRIES):
+        if ask(address, lines, _PATIENCE_S) == _OK:
+            return True
+        time.sleep(_PAUSE_S)
+    return False
+
+
+def _require_bounds(
+    process: ManagedProcess,
+    door: tuple[str, int],
+    path: str,
+    body: Body,
+    count: int,
+    ordinary: Sequence[tuple[tuple[str, int], Sequence[str]]],
+    *,
+    comes_back: bool = False,
+) -> None:
+    pid = _restart(process)
+    _until(lambda: _listens(door))
+    for question in ordinary:
+        _until(partial(_answers, *question))
+    before = peak_bytes(pid)
+    descriptors = count_descriptors(pid)
+    threads = count_threads(pid)
+    with (
+        crowd_at(
+            door, body.request(path, HOST), count, body.piece_bytes
+        ) as crowd,
+        ThreadPoolExecutor(1) as background,
+    ):
+        sending = background.submit(crowd.send, _SEND_S, comes_back=comes_back)
+        time.sleep(_HEAD_START_S)
+        answered = [_answers(*question) for question in ordinary]
+        sending.result()
+        most = count_descriptors(pid)
+        most_threads = count_threads(pid)
+        answered.extend(_answers(*question) for question in ordinary)
+    print(
+        f'peak {before / 1e6:.0f} to {peak_bytes(pid) / 1e6:.0f} MB, '
+        f'descriptors {descriptors} to {most}, '
+        f'threads {threads} to {most_threads}'
+    )
+    assert process.running.poll() is None
+    assert all(answered)
+    assert peak_bytes(pid) < _MEMORY_BYTES
+    assert most <= descriptors + count + _SPARE_DESCRIPTORS
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        pytest.param(Body.chunked(_MAX_BODY_BYTES, 64 * _KIB), id='chunks'),
+        pytest.param(Body.whole(_MAX_BODY_BYTES), id='whole'),
+        pytest.param(Body.whole(_MAX_BODY_BYTES, 4 * _KIB), id='pieces'),
+    ],
+)
+def test_gateway_outlives_unfinished_bodies(world: World, body: Body) -> None:
+    """Guards against bodies that fill the memory or take all threads."""
+    gateway = world.fleet.gateways[0]
+    door = (gateway.ip, CALLER_PORT)
+    _require_bounds(gateway, door, _LEGAL, body, _CALLERS, [(door, _ORDINARY)])
+
+
+def test_gateway_answers_beside_tiny_chunks(world: World) -> None:
+    """Guards against chunks of one byte that take all of the processor.
+
+    The callers come back when their connections are closed.
+    """
+    gateway = world.fleet.gateways[0]
+    door = (gateway.ip, CALLER_PORT)
+    _require_bounds(
+        gateway,
+        door,
+        _LEGAL,
+        Body.chunked(_MAX_BODY_BYTES, 1),
+        _CALLERS,
+        [(door, _ORDINARY)],
+        comes_back=True,
+    )
+
+
+@pytest.mark.parametrize('port', [CALLER_PORT, LAST_LINK_PORT])
+def test_gateway_outlives_bodies_of_refused_requests(
+    world: World, port: int
+) -> None:
+    """Guards against a refusal that first reads the whole body at once.
+
+    It is sent on the port for callers, and on that for requests that other
+    gateways pass on.
+    """
+    gateway = world.fleet.gateways[0]
+    _require_bounds(
+        gateway,
+        (gateway.ip, port),
+        '/none/x',
+        Body.whole(16 * _MIB),
+        _CLIENTS_OF_COORDINATOR,
+        [((gateway.ip, CALLER_PORT), _ORDINARY)],
+    )
+
+
+@pytest.mark.parametrize(
+    ('port', 'path'),
+    [
+        pytest.param(OPERATOR_PORT, '/v1/Config.Replace', id='operators'),
+        pytest.param(DIRECTORY_PORT, '/v1/resolve', id='directory'),
+    ],
+)
+def test_coordinator_outlives_unfinished_bodies(
+    world: World, port: int, path: str
+) -> None:
+    """Guards against bodies that fill a coordinator's memory."""
+    coordinator = world.fleet.coordinators[0]
+    _require_bounds(
+        coordinator,
+        (coordinator.ip, port),
+        path,
+        Body.whole(8 * _MIB),
+        _CLIENTS_OF_COORDINATOR,
+        [
+            ((coordinator.ip, OPERATOR_PORT), _FETCH),
+            ((coordinator.ip, DIRECTORY_PORT), _RESOLVE),
+        ],
+    )
