Limit what the bodies of callers hold together in a process

Cause: each body was held as a list of parts and then copied, without a limit on all of them; a refused request's body was read at once whatever its length; and chunks were decoded one by one by every thread, so that chunks of one byte took all of the processor. A caller whose body with a length was late got no 408, since the server first waited for the rest.

Change: bodies reserve a place as their bytes arrive. While an eighth of the machine's memory is in use, one that has taken longer than a grace time gives way, that which held most for longest first; new ones are refused else, with 503 and Retry-After. Large bodies are kept outside the heap without a copy, until the last reference of the request ends. The chunked coding is decoded from what is buffered, small chunks many at a time, and costly parts of all connections take turns. The rest of a body is discarded up to 64 KiB and 0.5 s, or the connection is closed after its answer, once the peer has read it.

--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -210,6 +210,13 @@
     def _serve(self) -> None:
         configure_engine()
         listen = self._cfg.listen
+        limits = ServerLimits(
+            threads=_HTTP_THREADS,
+            max_header_bytes=_MAX_HEADER_BYTES,
+            header_timeout_s=_REQUEST_TIMEOUT_S,
+            body_timeout_s=_REQUEST_TIMEOUT_S,
+            body_memory=self._body_memory,
+        )
         operators = self._adapter.operator_app(self._service)
         directory = self._adapter.directory_app(self._directory)
         for address, app in (
@@ -217,7 +224,7 @@
             (listen.directory, directory),
         ):
             server = add_server(
-                HttpAddress.from_host_port(address), _server_limits(), app
+                HttpAddress.from_host_port(address), limits, app
             )
             self._servers.add(server.httpserver)
         cherrypy.engine.start()
@@ -255,12 +262,3 @@
             _LOG.info('%s: %s', task.__name__, exc.message)
 
     return run
-
-
-def _server_limits() -> ServerLimits:
-    return ServerLimits(
-        threads=_HTTP_THREADS,
-        max_header_bytes=_MAX_HEADER_BYTES,
-        header_timeout_s=_REQUEST_TIMEOUT_S,
-        body_timeout_s=_REQUEST_TIMEOUT_S,
-    )
--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -21,7 +21,7 @@
         method: str,
         target: str,
         headers: Headers,
-        body: bytes,
+        body: bytes | memoryview,
     ) -> None:
         self.method = method
         self.target = target
--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -179,7 +179,7 @@
                 method=req.method,
                 target=target,
                 headers=headers,
-                body=req.body(table.state.limits.body_bytes),
+                body=req.body_view(table.state.limits.body_bytes),
             ),
             metadata=metadata,
             routing=RoutingDecision(
--- a/src/apricotcart/gateway/relay/tickets.py
+++ b/src/apricotcart/gateway/relay/tickets.py
@@ -321,7 +321,10 @@
 
 def digest_of(message: ForwardedRequest, headers: Headers) -> str:
     """Return a digest of a request with given headers."""
-    fields = [message.method.encode(), message.target.encode()]
+    fields: list[bytes | memoryview] = [
+        message.method.encode(),
+        message.target.encode(),
+    ]
     for name, text in headers:
         if name.lower() != _FRAMING:
             fields.append(name.lower().encode())
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -213,7 +213,7 @@
         readiness = self._adapter.readiness_app(self._link.is_serving)
         server = add_server(
             HttpAddress.from_host_port(self._cfg.listen.readiness),
-            _limits(_READINESS_THREADS),
+            self._limits(_READINESS_THREADS),
             readiness,
         )
         self._servers.add(server.httpserver)
@@ -240,12 +240,12 @@
         cfg = self._cfg
         self._add_server(
             HttpAddress.from_host_port(cfg.listen.callers),
-            _limits(_THREADS),
+            self._limits(_THREADS),
             GatewayApplication(**parts),
         )
         self._add_server(
             HttpAddress(host=cfg.host.address, port=cfg.links.last_port),
-            _limits(_RELAY_THREADS, _MAX_TICKET_BYTES),
+            self._limits(_RELAY_THREADS, _MAX_TICKET_BYTES),
             self._relay.application(**parts),
         )
 
@@ -267,14 +267,16 @@
         http.error_log = _log_server_error
         self._servers.add(http)
 
-
-def _limits(threads: int, extra_header_bytes: int = 0) -> ServerLimits:
-    return ServerLimits(
-        threads=threads,
-        max_header_bytes=_MAX_HEADER_BYTES + extra_header_bytes,
-        header_timeout_s=_HEADER_TIMEOUT_S,
-        body_timeout_s=_BODY_TIMEOUT_S,
-    )
+    def _limits(
+        self, threads: int, extra_header_bytes: int = 0
+    ) -> ServerLimits:
+        return ServerLimits(
+            threads=threads,
+            max_header_bytes=_MAX_HEADER_BYTES + extra_header_bytes,
+            header_timeout_s=_HEADER_TIMEOUT_S,
+            body_timeout_s=_BODY_TIMEOUT_S,
+            body_memory=self._body_memory,
+        )
 
 
 def _log_server_error(
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -210,6 +210,12 @@
     'others_reach',
     'view_age_s',
 )
+# A body was refused, or one that took long gave way to others, since the bodies
+# of all callers hold too much.
+BODY_REFUSED: Final = Event('body_refused', 'bytes_in', 'held_bytes', _DURATION)
+BODY_GAVE_WAY: Final = Event(
+    'body_gave_way', 'bytes_in', 'held_bytes', _DURATION
+)
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -279,6 +285,8 @@
     ENDPOINT_NOTICE,
     ENDPOINTS_CUT_OFF,
     ENDPOINTS_REGAINED,
+    BODY_REFUSED,
+    BODY_GAVE_WAY,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
--- a/src/apricotcart/observability/redaction.py
+++ b/src/apricotcart/observability/redaction.py
@@ -43,6 +43,7 @@
         'first_s',
         'framing',
         'host',
+        'held_bytes',
         'idle',
         'incarnation',
         'index',
--- a/src/apricotcart/process/fleet.py
+++ b/src/apricotcart/process/fleet.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 from abc import ABC, abstractmethod
+from functools import cached_property
 from typing import ClassVar, Self
 
 from apricotcart.observability.catalogue import DROPPED_LOG_RECORDS
@@ -20,6 +21,7 @@
 from apricotcart.process.stop_request import StopRequest
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.body_memory import BodyMemory
 from apricotcart.web.server_group import ServerGroup, StopReason
 
 _LOG = logging.getLogger(__name__)
@@ -74,6 +76,11 @@
         self._exit_code = 1
         self._stop_request.stop()
 
+    @cached_property
+    def _body_memory(self) -> BodyMemory:
+        """Memory of the bodies that all servers of the process receive."""
+        return BodyMemory(*self._cfg.body_limits())
+
     @abstractmethod
     def _start(self) -> None:
         """Start serving, and return without waiting for the end."""
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -23,6 +23,10 @@
 _MS_PER_S = 1000
 _BYTES_PER_MB: Final = 1_000_000
 _MAX_BOUND: Final = 1_000_000
+# Share of the machine's memory for bodies of requests, and the memory that is
+# assumed where the settings name none.
+_BODY_SHARE: Final = 0.125
+_DEFAULT_MEMORY_MB: Final = 256
 # Each process needs a port for its peers and one for other processes.
 _MIN_LINK_PORTS: Final = 2
 
@@ -205,6 +209,26 @@
         return int(self.memory_mb * _BYTES_PER_MB)
 
 
+class FleetBodySettings(Section):
+    """Limits on the bodies that a process receives at the same time."""
+
+    title = 'bodies'
+    __slots__ = ('grace_ms', 'max_waiting', 'memory_mb')
+    fields = (
+        Field('memory_mb', NumberKind(1, _MAX_BOUND), optional=True),
+        Field('grace_ms', NumberKind(0, _MAX_BOUND), '2000'),
+        Field('max_waiting', NumberKind(1, _MAX_BOUND), '400'),
+    )
+
+    # Memory in megabytes that all bodies hold together; None for a share of
+    # the memory of the machine.
+    memory_mb: float | None
+    # Time in milliseconds within which an incomplete body gives way to none.
+    grace_ms: float
+    # Number of incomplete bodies beyond which the oldest gives way.
+    max_waiting: float
+
+
 class FleetBoundSettings(Section):
     """Limits and periods that the operators of the platform set."""
 
@@ -261,6 +285,7 @@
     """All settings of a gateway or a coordinator."""
 
     __slots__ = (
+        'bodies',
         'bounds',
         'data',
         'host',
@@ -282,10 +307,24 @@
         self.data = document.read(FleetDataSettings)
         self.platform = document.read(FleetPlatformSettings)
         self.machine = document.read(FleetMachineSettings)
+        self.bodies = document.read(FleetBodySettings)
         self.bounds = document.read(FleetBoundSettings)
         self.log = document.read(LogSettings)
         self.metrics = document.read(MetricsSettings)
 
+    def body_limits(self) -> tuple[int, float, int]:
+        """Return the limits on bodies: bytes, grace in seconds and number."""
+        bodies = self.bodies
+        memory_mb = bodies.memory_mb
+        if memory_mb is None:
+            machine_mb = self.machine.memory_mb or _DEFAULT_MEMORY_MB
+            memory_mb = machine_mb * _BODY_SHARE
+        return (
+            int(memory_mb * _BYTES_PER_MB),
+            bodies.grace_ms / _MS_PER_S,
+            int(bodies.max_waiting),
+        )
+
     @classmethod
     def from_file(cls, path: str, *required_keys: str) -> Self:
         """Read and validate the whole file.
--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import select
 import socket
 from contextlib import ExitStack, suppress
 from typing import Any, Final
@@ -11,12 +13,21 @@
 from cheroot.server import HTTPConnection
 from cherrypy._cpwsgi_server import CPWSGIHTTPRequest
 
+from apricotcart.errors.tree import ApricotcartError
+from apricotcart.timers.clock import boot_clock_s
 from apricotcart.timers.deadline_reader import DeadlineReader
+from apricotcart.web.body_memory import BodyPlace
+from apricotcart.web.body_stream import BodyStream, ChunkedBody, LengthBody
 from apricotcart.web.open_connections import Activity
 from apricotcart.web.request import CONNECTION_KEY
 
 # Connections without an answer that may be under way, or whose end is sent.
 _CLOSED_AT_ONCE: Final = frozenset((Activity.IDLE, Activity.CLOSING))
+_MS_PER_S: Final = 1000
+# The rest of a body that the application did not read is discarded up to this
+# size and time, so that the connection can be kept.
+_MAX_DISCARD_BYTES: Final = 65_536
+_MAX_DISCARD_S: Final = 0.5
 
 
 class InterruptibleReader(DeadlineReader):
@@ -41,6 +52,30 @@
             raise TimeoutError('timed out')
         return size
 
+    def wait_readable(self, longest_s: float) -> bool:
+        """Wait for bytes or the end of the connection.
+
+        Return False if none arrived within a time in seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If the deadline has passed.
+        """
+        wait_s = longest_s
+        if self._deadline is not None:
+            wait_s = min(wait_s, self._deadline - boot_clock_s())
+        if wait_s <= 0 or self._is_ended:
+            raise TimeoutError('timed out')
+        if _has_decrypted_bytes(self._sock):
+            return True
+        self._is_reading = True
+        poller = select.poll()
+        poller.register(self._sock, select.POLLIN)
+        is_readable = bool(poller.poll(math.ceil(wait_s * _MS_PER_S)))
+        self._is_reading = False
+        return is_readable
+
     def end(self) -> None:
         """Let the read in progress and those that follow time out."""
         self._is_ended = True
@@ -50,6 +85,12 @@
         if self._is_reading:
             self._shut_down()
 
+    def shorten_time(self, timeout_s: float) -> None:
+        """Let the reads from now on end after a time or at their deadline."""
+        ends_at = boot_clock_s() + timeout_s
+        if self._deadline is None or ends_at < self._deadline:
+            self._deadline = ends_at
+
     def end_unstarted(self) -> None:
         """End reading as if the peer had closed, if it has sent nothing."""
         if not self._has_received:
@@ -87,14 +128,49 @@
     def respond(self) -> None:
         """Call the application and write its whole response."""
         self.conn.activity = Activity.ANSWERING
-        super().respond()
+        with ExitStack() as stack:
+            stack.callback(self._end_wait)
+            super().respond()
+
+    def body_stream(self) -> BodyStream:
+        """Return the body, whose place is counted by the server."""
+        place = BodyPlace(self.server.body_memory)
+        reader = self.conn.rfile
+        if self.chunked_read:
+            return ChunkedBody(reader, place, self.server.body_turns)
+        length = int(self.inheaders.get(b'Content-Length', 0))
+        return LengthBody(reader, place, length)
 
     def send_headers(self) -> None:
-        """Write the headers; a leaving server closes the connection after."""
+        """Write the headers; a leaving server closes the connection after.
+
+        So does one to which a large or slow body is still under way.
+        """
+        body = self.rfile
+        if isinstance(body, BodyStream) and not body.is_complete:
+            self._discard_rest(body)
         if self.server.is_leaving:
             self.close_connection = True
         super().send_headers()
 
+    def _end_wait(self) -> None:
+        if isinstance(self.rfile, BodyStream):
+            self.rfile.place.complete()
+
+    def _discard_rest(self, body: BodyStream) -> None:
+        """Discard what is left of a body; close the connection if it is much.
+
+        What is left would be taken for the next request.
+        """
+        self.conn.rfile.socket_reader.shorten_time(_MAX_DISCARD_S)
+        if not self.close_connection:
+            with suppress(ApricotcartError, OSError):
+                _discard(body, _MAX_DISCARD_BYTES)
+        body.place.release()
+        if not body.is_complete:
+            self.close_connection = True
+            self.conn.has_unread_body = True
+
 
 class DeadlineConnection(HTTPConnection):
     """Connection whose requests have deadlines.
@@ -105,6 +181,9 @@
         What the connection is doing.
     resets_on_close : bool
         Whether to end with a reset, which tells that an answer is not whole.
+    has_unread_body : bool
+        Whether a part of the last body was not read. A close would then reset
+        the connection, and the peer might lose the answer.
     """
 
     RequestHandlerClass = DeadlineRequest
@@ -115,6 +194,7 @@
         self.rfile = CallerReader(sock, self.rbufsize)
         self.activity = Activity.QUEUED
         self.resets_on_close = False
+        self.has_unread_body = False
         server.open_connections.add(self)
 
     def communicate(self) -> Any:
@@ -124,7 +204,8 @@
 
     def close(self) -> None:
         """Close the socket; a server that leaves waits for the peer first."""
-        lingers = self.server.is_leaving and self._send_end()
+        waits = self.server.is_leaving or self.has_unread_body
+        lingers = waits and self._send_end()
         if lingers and self.server.linger(self):
             return
         with ExitStack() as stack:
@@ -152,6 +233,23 @@
 
     def get_environ(self) -> Any:
         """Return the WSGI environment, including the connection."""
+        self.req.rfile = self.req.body_stream()
         environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
         environ[CONNECTION_KEY] = self.req.conn
         return environ
+
+
+def _discard(body: BodyStream, max_bytes: int) -> None:
+    """Read and discard up to so many bytes of a body."""
+    left = max_bytes
+    while left > 0:
+        discarded = body.read(left)
+        if not discarded:
+            return
+        left -= len(discarded)
+
+
+def _has_decrypted_bytes(sock: Any) -> bool:
+    """Return whether a TLS socket has bytes that no poll reports."""
+    pending = getattr(sock, 'pending', None)
+    return pending is not None and pending() > 0
--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -20,6 +20,10 @@
 
 _LOG = logging.getLogger(__name__)
 _DISCARD_BYTES: Final = 65_536
+# What is received at most from a peer that was refused and goes on sending,
+# and for how long.
+_MAX_CLOSING_BYTES: Final = 16_777_216
+_MAX_CLOSING_S: Final = 5.0
 _WAKE_UP_BYTE: Final = b'w'
 
 
@@ -108,7 +112,9 @@
 
         Return False if the thread that selects has ended.
         """
-        conn.last_used = time.time()
+        expires_after_s = min(self.server.timeout, _MAX_CLOSING_S)
+        conn.last_used = time.time() - self.server.timeout + expires_after_s
+        conn.discarded_bytes = 0
         try:
             self._register(conn.socket, conn)
         except (KeyError, OSError, ValueError):
@@ -117,10 +123,13 @@
 
     def on_closing_readable(self, conn: Any) -> None:
         """Close a connection if the peer did; discard what it sent else."""
-        if _discard_input(conn.socket):
-            conn.close()
-        else:
-            self._register(conn.socket, conn)
+        size = _discard_input(conn.socket)
+        if size is not None:
+            conn.discarded_bytes += size
+            if conn.discarded_bytes <= _MAX_CLOSING_BYTES:
+                self._register(conn.socket, conn)
+                return
+        conn.close()
 
     def _from_server_socket(self, server_socket: Any) -> Any:
         # The listener may be closed by an event before this one.
@@ -177,12 +186,12 @@
     return bool(poller.poll(0))
 
 
-def _discard_input(sock: Any) -> bool:
-    """Read once from a socket; return whether its peer has closed."""
+def _discard_input(sock: Any) -> int | None:
+    """Read once from a socket; return the size, None if its peer closed."""
     try:
         # Not the method of the socket, which would decrypt TLS.
-        return not os.read(sock.fileno(), _DISCARD_BYTES)
+        return len(os.read(sock.fileno(), _DISCARD_BYTES)) or None
     except BlockingIOError:
-        return False
+        return 0
     except OSError:
-        return True
+        return None
--- a/src/apricotcart/web/http_server.py
+++ b/src/apricotcart/web/http_server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+import threading
 from typing import Any
 
 from cheroot.wsgi import Server
 
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.body_memory import BodyMemory
 from apricotcart.web.draining import DrainingConnections, is_readable
 from apricotcart.web.open_connections import Activity, OpenConnections
 from apricotcart.web.server_group import ServerGroup
@@ -22,6 +24,10 @@
         The connections from the accept to the close.
     is_leaving : bool
         Whether each connection is closed after its next answer.
+    body_memory : BodyMemory
+        Memory of the bodies that are received.
+    body_turns : threading.Lock
+        Held while a costly part of a body is decoded.
     """
 
     _connections: Any
@@ -30,6 +36,8 @@
         super().__init__(*args, **options)
         self.open_connections = OpenConnections()
         self.is_leaving = False
+        self.body_memory = BodyMemory()
+        self.body_turns = threading.Lock()
         self._is_draining = False
         self._reads_end_at = math.inf
 
--- a/src/apricotcart/web/request.py
+++ b/src/apricotcart/web/request.py
@@ -8,6 +8,9 @@
 
 import orjson
 
+from apricotcart.web.body_buffer import Body, RequestBody
+from apricotcart.web.body_memory import BodyMemory, BodyPlace
+from apricotcart.web.body_stream import BodyStream
 from apricotcart.web.errors import (
     BodyTooLargeError,
     IncompleteBodyError,
@@ -19,9 +22,6 @@
 
 CONNECTION_KEY = 'apricotcart.connection'
 _READ_CHUNK_BYTES = 65_536
-# A rejected body is read and discarded up to this size, so that a caller that
-# sends its whole body first still receives the error response.
-_MAX_DISCARD_BYTES = 1_048_576
 _HTTP = 'http'
 _BEARER_PREFIX = 'bearer '
 
@@ -42,7 +42,7 @@
         self.environ = environ
         self.method: str = environ['REQUEST_METHOD']
         self.path: str = environ.get('PATH_INFO') or '/'
-        self._body: bytes | None = None
+        self._body: Body | None = None
 
     def header(self, name: str) -> str:
         """Return a header, or an empty string if it is missing."""
@@ -95,6 +95,20 @@
             If the body did not arrive before the body deadline.
         IncompleteBodyError
             If the connection ended before the whole body arrived.
+        BodyMemoryError
+            If the bodies of all callers hold too much memory.
+        """
+        return bytes(self.body_view(max_bytes))
+
+    def body_view(self, max_bytes: int) -> Body:
+        """Return the body without a copy of it.
+
+        Its memory is in use until the last reference to it ends.
+
+        Raises
+        ------
+        ApricotcartError
+            As in `body`.
         """
         if self._body is None:
             self._body = self._read_body(max_bytes)
@@ -128,26 +142,32 @@
             return False
         return _is_peer_closed(conn.socket)
 
-    def _read_body(self, max_bytes: int) -> bytes:
+    def _read_body(self, max_bytes: int) -> Body:
         stream = self.environ['wsgi.input']
         content_length = int(self.header('Content-Length') or 0)
         if content_length > max_bytes:
-            _discard_body(stream)
             raise _too_large_error(max_bytes)
         if content_length == 0 and not self.header('Transfer-Encoding'):
             return b''
-        chunks = []
-        received = 0
-        for chunk in _read_chunks(stream):
-            received += len(chunk)
-            if received > max_bytes:
-                raise _too_large_error(max_bytes)
-            chunks.append(chunk)
-        if received < content_length:
+        body = RequestBody(_place_of(stream))
+        try:
+            _fill(body, stream, max_bytes)
+        except BaseException:
+            body.discard()
+            raise
+        if body.size < content_length:
+            body.discard()
             raise IncompleteBodyError(
-                f'body truncated: got {received} of {content_length} bytes',
+                f'body truncated: got {body.size} of {content_length} bytes',
             )
-        return b''.join(chunks)
+        return body.finish()
+
+
+def _fill(body: RequestBody, stream: Any, max_bytes: int) -> None:
+    for chunk in _read_chunks(stream):
+        if body.size + len(chunk) > max_bytes:
+            raise _too_large_error(max_bytes)
+        body.append(chunk)
 
 
 def _too_large_error(max_bytes: int) -> BodyTooLargeError:
@@ -167,12 +187,13 @@
         yield chunk
 
 
-def _discard_body(stream: Any) -> None:
-    discarded = 0
-    for chunk in _read_chunks(stream):
-        discarded += len(chunk)
-        if discarded > _MAX_DISCARD_BYTES:
-            return
+def _place_of(stream: Any) -> BodyPlace:
+    """Return the place of a body, an unlimited one outside a server."""
+    return (
+        stream.place
+        if isinstance(stream, BodyStream)
+        else BodyPlace(BodyMemory())
+    )
 
 
 def _is_peer_closed(sock: Any) -> bool:
--- a/src/apricotcart/web/server.py
+++ b/src/apricotcart/web/server.py
@@ -9,6 +9,7 @@
 from cherrypy._cpwsgi_server import CPWSGIServer
 
 from apricotcart.web.application import WebApplication
+from apricotcart.web.body_memory import BodyMemory
 from apricotcart.web.deadlines import ConnectionGateway, DeadlineConnection
 from apricotcart.web.http_server import DrainingServer
 
@@ -34,9 +35,13 @@
         Time from the first byte of a request to the end of its headers.
     body_timeout_s : float
         Time from the end of the headers to the end of the body.
+    body_memory : BodyMemory or None
+        Memory of the bodies of all servers of the process; None for one of
+        the default size.
     """
 
     __slots__ = (
+        'body_memory',
         'body_timeout_s',
         'header_timeout_s',
         'max_header_bytes',
@@ -50,7 +55,9 @@
         max_header_bytes: int,
         header_timeout_s: float,
         body_timeout_s: float,
+        body_memory: BodyMemory | None = None,
     ) -> None:
+        self.body_memory = body_memory or BodyMemory()
         self.threads = threads
         self.max_header_bytes = max_header_bytes
         self.header_timeout_s = header_timeout_s
@@ -133,4 +140,5 @@
     http.gateway = ConnectionGateway
     http.header_timeout_s = limits.header_timeout_s
     http.body_timeout_s = limits.body_timeout_s
+    http.body_memory = limits.body_memory
     return http
--- a/tests/web/crowd.py
+++ b/tests/web/crowd.py
@@ -93,14 +93,14 @@
         count: int,
         piece_bytes: int,
     ) -> None:
-        self.answers = [b''] * count
+        self.answers = [b'' for _ in range(count)]
         self._address = address
         self._request = request
         self._piece_bytes = piece_bytes
         self._conns = [
             socket.create_connection(address, _CONNECT_S) for _ in range(count)
         ]
-        self._sent = [0] * count
+        self._sent = [0 for _ in range(count)]
         self._comes_back = False
         self._selector = selectors.DefaultSelector()
         for number in range(count):
--- a/tests/web/test_crowds.py
+++ b/tests/web/test_crowds.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import socket
+import sys
 import time
 from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -63,6 +64,8 @@
     f'Deadline-Ms: {_PATIENCE_S * 1000:.0f}',
     'Content-Length: 0',
 )
+# An address, and the lines of a request to it.
+Question = tuple[tuple[str, int], Sequence[str]]
 _FETCH: Final = ('GET /v1/Config.Fetch HTTP/1.1', 'Host: h')
 _RESOLVE: Final = ('GET /v1/resolve?zone=z HTTP/1.1', 'Host: h')
 
@@ -134,7 +137,7 @@
     path: str,
     body: Body,
     count: int,
-    ordinary: Sequence[tuple[tuple[str, int], Sequence[str]]],
+    ordinary: Sequence[Question],
     *,
     comes_back: bool = False,
 ) -> None:
@@ -158,10 +161,10 @@
         most = count_descriptors(pid)
         most_threads = count_threads(pid)
         answered.extend(_answers(*question) for question in ordinary)
-    print(
+    sys.stdout.write(
         f'peak {before / 1e6:.0f} to {peak_bytes(pid) / 1e6:.0f} MB, '
         f'descriptors {descriptors} to {most}, '
-        f'threads {threads} to {most_threads}'
+        f'threads {threads} to {most_threads}\n'
     )
     assert process.running.poll() is None
     assert all(answered)
