--- a/src/apricotcart/responses/head_grammar.py
+++ b/src/apricotcart/responses/head_grammar.py
@@ -11,10 +11,11 @@
 
 from apricotcart.responses.framing import FramingError
 
-# Source: RFC 9112, sections 2.2 and 4. A line may end with LF alone, and the
-# space before an empty reason may be missing.
+# Source: RFC 9112, sections 2.2 and 4, and RFC 9110, section 15, which defines
+# the statuses from 100 to 599. A line may end with LF alone, and the space
+# before an empty reason may be missing.
 _STATUS_LINE: Final = re.compile(
-    rb'HTTP/1\.[0-9] [1-9][0-9]{2}(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n'
+    rb'HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n'
 )
 # Source: RFC 9112, section 5. Folded lines are obsolete, and invalid here.
 _FIELD_LINE: Final = re.compile(
