Close idle connections when no descriptor is free, and document the limits

Cause: with all descriptors in use the gateway accepted nobody until kept connections reached their idle time-out of 18 s. A late body left its short rest of the deadline as the time-out of the answer's writes. Entry hosts had the default limit on bodies without a setting.

Change: an accept that fails for want of a descriptor closes the 16 connections that have been idle for longest; descriptors_used_up is logged and counted. Requests without a body get no stream of their own.

Measured: test_gateway_outlives_the_end_of_its_descriptors[kept] failed before (no answer in 10 s), [slow-heads] passed before; both pass.

--- a/src/apricotcart/entry/server.py
+++ b/src/apricotcart/entry/server.py
@@ -41,6 +41,7 @@
 from apricotcart.transport.api import RequestClient
 from apricotcart.transport.requests import NngRequestClient
 from apricotcart.transport.tls import TlsFiles, cluster_dns_name
+from apricotcart.web.body_memory import BodyMemory
 from apricotcart.web.server import (
     HttpAddress,
     ServerLimits,
@@ -206,6 +207,7 @@
                 max_header_bytes=cfg.limits.max_header_bytes,
                 header_timeout_s=cfg.limits.header_timeout_s,
                 body_timeout_s=cfg.limits.body_timeout_s,
+                body_memory=BodyMemory(cfg.limits.held_body_bytes),
             ),
         )
         cherrypy.engine.start()
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -216,6 +216,8 @@
 BODY_GAVE_WAY: Final = Event(
     'body_gave_way', 'bytes_in', 'held_bytes', _DURATION
 )
+# No connection could be accepted; the oldest idle ones were closed.
+DESCRIPTORS_USED_UP: Final = Event('descriptors_used_up', 'connections', 'idle')
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -287,6 +289,7 @@
     ENDPOINTS_REGAINED,
     BODY_REFUSED,
     BODY_GAVE_WAY,
+    DESCRIPTORS_USED_UP,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
--- a/src/apricotcart/settings/entry.py
+++ b/src/apricotcart/settings/entry.py
@@ -24,6 +24,7 @@
 
 _MAX_THREADS = 1000
 
+_HELD_BYTES_RANGE = Number(MIB, KIB * MIB, integer=True)
 _BODY_BYTES_RANGE = Number(KIB, 100 * MIB, integer=True)
 _HEADER_BYTES_RANGE = Number(KIB, MIB, integer=True)
 
@@ -72,6 +73,7 @@
     __slots__ = (
         'body_timeout_s',
         'header_timeout_s',
+        'held_body_bytes',
         'max_body_bytes',
         'max_header_bytes',
         'max_queue',
@@ -84,6 +86,7 @@
         Field('max_queue', Number(1, MIB, integer=True), '1000'),
         Field('header_timeout_s', Number(0.1, HOUR_S), '10'),
         Field('body_timeout_s', Number(0.1, HOUR_S), '30'),
+        Field('held_body_bytes', _HELD_BYTES_RANGE, '33554432'),
     )
 
     max_body_bytes: int
@@ -92,6 +95,8 @@
     max_queue: int
     header_timeout_s: float
     body_timeout_s: float
+    # Bytes that the bodies of all requests hold together.
+    held_body_bytes: int
 
 
 class HostsAnswerSettings(Section):
--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -116,6 +116,8 @@
 class DeadlineRequest(CPWSGIHTTPRequest):  # type: ignore[misc]
     """Request with one deadline for its headers and one for its body."""
 
+    rfile: Any
+
     def parse_request(self) -> None:
         """Read the headers before their deadline, then set that of the body."""
         server = self.server
@@ -128,18 +130,17 @@
     def respond(self) -> None:
         """Call the application and write its whole response."""
         self.conn.activity = Activity.ANSWERING
-        with ExitStack() as stack:
-            stack.callback(self._end_wait)
-            super().respond()
+        super().respond()
 
-    def body_stream(self) -> BodyStream:
-        """Return the body, whose place is counted by the server."""
-        place = BodyPlace(self.server.body_memory)
+    def open_body(self) -> None:
+        """Read the body, if there is one, with a place that is counted."""
         reader = self.conn.rfile
         if self.chunked_read:
-            return ChunkedBody(reader, place, self.server.body_turns)
-        length = int(self.inheaders.get(b'Content-Length', 0))
-        return LengthBody(reader, place, length)
+            place = BodyPlace(self.server.body_memory)
+            self.rfile = ChunkedBody(reader, place, self.server.body_turns)
+        elif self.rfile.remaining:
+            place = BodyPlace(self.server.body_memory)
+            self.rfile = LengthBody(reader, place, self.rfile.remaining)
 
     def send_headers(self) -> None:
         """Write the headers; a leaving server closes the connection after.
@@ -151,12 +152,12 @@
             self._discard_rest(body)
         if self.server.is_leaving:
             self.close_connection = True
+        sock = self.conn.socket
+        if sock.gettimeout() != self.server.timeout:
+            # Reading the body has set what was left to its deadline.
+            sock.settimeout(self.server.timeout)
         super().send_headers()
 
-    def _end_wait(self) -> None:
-        if isinstance(self.rfile, BodyStream):
-            self.rfile.place.complete()
-
     def _discard_rest(self, body: BodyStream) -> None:
         """Discard what is left of a body; close the connection if it is much.
 
@@ -233,7 +234,7 @@
 
     def get_environ(self) -> Any:
         """Return the WSGI environment, including the connection."""
-        self.req.rfile = self.req.body_stream()
+        self.req.open_body()
         environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
         environ[CONNECTION_KEY] = self.req.conn
         return environ
--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import math
 import os
@@ -16,6 +17,10 @@
 from cheroot.connections import ConnectionManager
 from cheroot.workers.threadpool import ThreadPool
 
+from apricotcart.observability.decisions import (
+    DESCRIPTORS_USED_UP,
+    log_decision,
+)
 from apricotcart.web.open_connections import Activity
 
 _LOG = logging.getLogger(__name__)
@@ -24,6 +29,12 @@
 # and for how long.
 _MAX_CLOSING_BYTES: Final = 16_777_216
 _MAX_CLOSING_S: Final = 5.0
+_NO_DESCRIPTOR: Final = frozenset((errno.EMFILE, errno.ENFILE))
+# Idle connections that are closed together while no descriptor is free; the
+# requests of the next callers need some for endpoints too.
+_CLOSED_TOGETHER: Final = 16
+# Pause before the next try if none is idle.
+_NO_DESCRIPTOR_PAUSE_S: Final = 0.02
 _WAKE_UP_BYTE: Final = b'w'
 
 
@@ -135,7 +146,27 @@
         # The listener may be closed by an event before this one.
         if server_socket is None:
             return None
-        return super()._from_server_socket(server_socket)  # type: ignore[misc]
+        accept: Any = super()._from_server_socket  # type: ignore[misc]
+        try:
+            return accept(server_socket)
+        except OSError as exc:
+            if exc.errno not in _NO_DESCRIPTOR:
+                raise
+        self._make_room()
+        return None
+
+    def _make_room(self) -> None:
+        """Close the connections that have been idle for longest."""
+        idle = sorted(self._idle(), key=lambda pair: pair[1].last_used)
+        oldest = idle[:_CLOSED_TOGETHER]
+        log_decision(
+            DESCRIPTORS_USED_UP, connections=len(oldest), idle=len(idle)
+        )
+        for fileno, conn in oldest:
+            self._selector.unregister(fileno)
+            conn.close()
+        if not oldest:
+            time.sleep(_NO_DESCRIPTOR_PAUSE_S)
 
     def _register(self, fileobj: Any, conn: Any) -> None:
         self._selector.register(fileobj.fileno(), EVENT_READ, data=conn)
@@ -168,11 +199,18 @@
 
     def _close_idle(self) -> None:
         """Close the kept connections; those with a request are served."""
-        for fileno, conn in list(self._selector.connections):
-            is_idle = getattr(conn, 'activity', None) is Activity.IDLE
-            if is_idle and not is_readable(conn.socket):
-                self._selector.unregister(fileno)
-                conn.close()
+        for fileno, conn in self._idle():
+            self._selector.unregister(fileno)
+            conn.close()
+
+    def _idle(self) -> list[tuple[int, Any]]:
+        """Return the kept connections without a request, by descriptor."""
+        return [
+            (fileno, conn)
+            for fileno, conn in list(self._selector.connections)
+            if getattr(conn, 'activity', None) is Activity.IDLE
+            and not is_readable(conn.socket)
+        ]
 
 
 def is_readable(sock: Any) -> bool:
--- a/tests/web/test_crowds.py
+++ b/tests/web/test_crowds.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 import sys
 import time
@@ -248,3 +249,31 @@
             ((coordinator.ip, DIRECTORY_PORT), _RESOLVE),
         ],
     )
+
+
+@pytest.mark.parametrize(
+    'request_bytes',
+    [
+        pytest.param(b'GET /none HTTP/1.1\r\nHost: h\r\n\r\n', id='kept'),
+        pytest.param(b'GET /none HTTP/1.1\r\nHost: h\r\n', id='slow-heads'),
+    ],
+)
+def test_gateway_outlives_the_end_of_its_descriptors(
+    world: World, request_bytes: bytes
+) -> None:
+    """Guards against connections that take all descriptors and stay idle.
+
+    The ordinary caller waits for less than the idle time-out.
+    """
+    gateway = world.fleet.gateways[0]
+    door = (gateway.ip, CALLER_PORT)
+    pid = _restart(gateway)
+    _until(lambda: _answers(door, _ORDINARY))
+    most = count_descriptors(pid) + _CALLERS // 2
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, most))
+    with crowd_at(door, request_bytes, _CALLERS, _KIB) as crowd:
+        crowd.send(_HEAD_START_S)
+        assert count_descriptors(pid) <= most
+        assert ask(door, _ORDINARY, 2 * _PATIENCE_S) == _OK
+    assert gateway.running.poll() is None
+    assert peak_bytes(pid) < _MEMORY_BYTES
