Drop the bytes of a body at once when it gives way

Cause: a body that gave way was no longer counted, but its bytes stayed until its thread looked for the next ones, up to 0.5 s later. New bodies could take the counted room meanwhile, so that the process held more than the limit.

Change: the thread that needs the room drops them. The test holds a weak reference to the mapping and fails without the change.

--- a/src/apricotcart/web/body_buffer.py
+++ b/src/apricotcart/web/body_buffer.py
@@ -39,12 +39,21 @@
         Number of bytes.
     """
 
-    __slots__ = ('_block', '_clock', '_head', '_place', 'size')
+    __slots__ = (
+        '__weakref__',
+        '_block',
+        '_clock',
+        '_head',
+        '_place',
+        'size',
+    )
 
     def __init__(
         self, place: BodyPlace, clock: Callable[[], float] = boot_clock_s
     ) -> None:
         self._place = place
+        # Without a cycle, which would keep the bytes until it is collected.
+        place.drop = weakref.WeakMethod(self.drop)
         self._clock = clock
         self._head = bytearray()
         self._block: mmap.mmap | None = None
@@ -88,9 +97,13 @@
 
     def discard(self) -> None:
         """Drop what has arrived, and give the place back."""
+        self.drop()
+        self._place.release()
+
+    def drop(self) -> None:
+        """Drop what has arrived."""
         self._block = None
         self._head = bytearray()
-        self._place.release()
 
     def _append_to_block(self, chunk: bytes) -> None:
         block = self._block
--- a/src/apricotcart/web/body_memory.py
+++ b/src/apricotcart/web/body_memory.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import threading
+import weakref
+from collections.abc import Callable
 from typing import Final
 
 from apricotcart.errors.tree import NotRunError
@@ -36,17 +38,20 @@
     ----------
     counted : int
         Bytes that count against the limit.
+    drop : weakref.WeakMethod or None
+        Drops the bytes of the body when it gives way.
     since : float
         When the first part of the body was awaited, in seconds.
     is_refused : bool
         Whether the body has given way or was refused.
     """
 
-    __slots__ = ('_memory', 'counted', 'is_refused', 'since')
+    __slots__ = ('_memory', 'counted', 'drop', 'is_refused', 'since')
 
     def __init__(self, memory: BodyMemory) -> None:
         self._memory = memory
         self.counted = 0
+        self.drop: weakref.WeakMethod[Callable[[], None]] | None = None
         self.since: float = 0
         self.is_refused = False
 
@@ -206,6 +211,10 @@
             duration_s=now - place.since,
         )
         self.release(place)
+        # The thread of the body may notice it much later.
+        drop = place.drop and place.drop()
+        if drop:
+            drop()
 
 
 def refusal() -> BodyMemoryError:
--- a/tests/web/test_body_memory.py
+++ b/tests/web/test_body_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import weakref
 
 import pytest
 
@@ -55,10 +56,15 @@
 def test_stalled_body_gives_way_to_new_ones(
     memory: BodyMemory, clock: Clock
 ) -> None:
-    """Guards against callers that hold the memory as long as they like."""
+    """Guards against callers that hold the memory as long as they like.
+
+    Their bytes are dropped before their thread looks for the next ones.
+    """
     place, stalled = _arriving(memory, clock, _HALF)
     clock.now += _GRACE_S + 1
+    block = weakref.ref(stalled._block)
     _arriving(memory, clock, _HALF)[1].append(_HALF[UNCOUNTED_BYTES:])
+    assert block() is None
     with pytest.raises(BodyMemoryError) as caught:
         place.wait(clock())
     assert caught.value.run_state == NOT_RUN
