Check each idle connection just before it is closed

Cause: the list of idle connections was made before the first one was closed, so that a request that arrived meanwhile would have been reset at a planned stop.

Change: the connections are checked one by one again, as before. A test sends large bodies with a length and in chunks of several sizes through a gateway whose memory for bodies is smaller, and compares what the endpoint gets.

--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -10,6 +10,7 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
 from contextlib import suppress
 from selectors import EVENT_READ
 from typing import Any, Final
@@ -203,14 +204,15 @@
             self._selector.unregister(fileno)
             conn.close()
 
-    def _idle(self) -> list[tuple[int, Any]]:
-        """Return the kept connections without a request, by descriptor."""
-        return [
-            (fileno, conn)
-            for fileno, conn in list(self._selector.connections)
-            if getattr(conn, 'activity', None) is Activity.IDLE
-            and not is_readable(conn.socket)
-        ]
+    def _idle(self) -> Iterator[tuple[int, Any]]:
+        """Yield the kept connections without a request, by descriptor.
+
+        Each is checked just before it is yielded.
+        """
+        for fileno, conn in list(self._selector.connections):
+            is_idle = getattr(conn, 'activity', None) is Activity.IDLE
+            if is_idle and not is_readable(conn.socket):
+                yield fileno, conn
 
 
 def is_readable(sock: Any) -> bool:
--- a/tests/gateway/test_refused_bodies.py
+++ b/tests/gateway/test_refused_bodies.py
@@ -9,6 +9,7 @@
 
 import pytest
 from gateway.conftest import Bench
+from gateway.endpoints import respond_with
 from gateway.served_gateway import ServedGateway, read_to_end
 
 from apricotcart.web.body_memory import BodyMemory
@@ -72,6 +73,34 @@
     assert refused.headers['connection'] == 'close'
 
 
+@pytest.mark.parametrize('chunk_bytes', [0, 1, 7, 1000, 30_000])
+def test_large_body_reaches_the_endpoint_unchanged(
+    served: ServedGateway, chunk_bytes: int
+) -> None:
+    """Guards against a large body that is mixed up, or refused in calm.
+
+    It is larger than the memory for bodies, and arrives in two parts.
+    """
+    endpoint = served.bench.serve(respond_with())[0]
+    body = bytes(number % 251 for number in range(60_000))
+    framing, wire = f'Content-Length: {len(body)}', body
+    if chunk_bytes:
+        framing = 'Transfer-Encoding: chunked'
+        parts = [
+            body[start : start + chunk_bytes]
+            for start in range(0, len(body), chunk_bytes)
+        ]
+        wire = b''.join(b'%x\r\n%s\r\n' % (len(part), part) for part in parts)
+        wire += b'0\r\n\r\n'
+    lines = (framing, 'Attempt-Id: a', 'Connection: close')
+    with _send(served, *lines, body=wire[:20_001]) as conn:
+        time.sleep(_GRACE_S)
+        conn.sendall(wire[20_001:])
+        answer = read_to_end(conn)
+    assert (answer.status, answer.is_complete) == (200, True)
+    assert [request.body for request in endpoint.received] == [body]
+
+
 def test_late_body_with_a_length_is_answered(served: ServedGateway) -> None:
     """Guards against a close without an answer at the body's deadline."""
     served.server.body_timeout_s = _GRACE_S
