--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -22,6 +22,8 @@
 _FINGERPRINT: Final = 'fingerprint'
 _KIND: Final = 'kind'
 _DURATION: Final = 'duration_s'
+_ENDPOINT: Final = 'endpoint'
+_ATTEMPT: Final = 'attempt'
 # Limit on the log lines per event and second; further decisions are counted
 # but not logged.
 _MAX_LINES_PER_S: Final = 300
@@ -52,10 +54,10 @@
     'route',
     _KIND,
     'customer',
-    'endpoint',
+    _ENDPOINT,
     'zone',
     'software',
-    'attempt',
+    _ATTEMPT,
     'queue_wait_s',
     'deadline_s',
     'running',
@@ -71,8 +73,8 @@
 SEND_FAILED: Final = Event(
     'send_failed',
     _REQUEST_ID,
-    'endpoint',
-    'attempt',
+    _ENDPOINT,
+    _ATTEMPT,
     _REASON,
     'detail',
     'framing',
@@ -83,10 +85,10 @@
     _REQUEST_ID,
     'route',
     _KIND,
-    'endpoint',
+    _ENDPOINT,
     'peer',
     'zone',
-    'attempt',
+    _ATTEMPT,
     'status',
     'framing',
     'first_s',
@@ -111,11 +113,11 @@
 STREAM_RESUMED: Final = Event(
     'stream_resumed',
     _REQUEST_ID,
-    'endpoint',
+    _ENDPOINT,
     'peer',
     'zone',
     'software',
-    'attempt',
+    _ATTEMPT,
     _REASON,
 )
 STREAM_ORIGIN_FOUND: Final = Event(
@@ -130,8 +132,8 @@
 STREAM_BROKEN: Final = Event(
     'stream_broken',
     _REQUEST_ID,
-    'endpoint',
-    'attempt',
+    _ENDPOINT,
+    _ATTEMPT,
     _REASON,
     _DURATION,
 )
@@ -146,7 +148,7 @@
     'zone',
     _REASON,
     'reach',
-    'attempt',
+    _ATTEMPT,
     'deadline_s',
 )
 # The duration ends with the headers of the response.
@@ -157,7 +159,7 @@
     'pass_on_failed',
     _REQUEST_ID,
     'peer',
-    'attempt',
+    _ATTEMPT,
     _REASON,
     'detail',
     'run_state',
@@ -170,7 +172,7 @@
     _KIND,
     'customer',
     'sender',
-    'attempt',
+    _ATTEMPT,
     'deadline_s',
 )
 # A second attempt at a request whose first one is late; the duration is that
@@ -179,20 +181,20 @@
     'hedge_sent',
     _REQUEST_ID,
     'route',
-    'endpoint',
+    _ENDPOINT,
     'zone',
-    'attempt',
+    _ATTEMPT,
     _DURATION,
 )
 # Whether the second attempt was answered first; the duration is its own.
 HEDGE_ENDED: Final = Event(
-    'hedge_ended', _REQUEST_ID, 'endpoint', 'zone', 'is_used', _DURATION
+    'hedge_ended', _REQUEST_ID, _ENDPOINT, 'zone', 'is_used', _DURATION
 )
 CRASH_SUSPECTED: Final = Event(
     'crash_suspected',
     _REQUEST_ID,
     _FINGERPRINT,
-    'endpoint',
+    _ENDPOINT,
     'parts',
     _DURATION,
 )
@@ -202,7 +204,7 @@
 SUSPECT_RELEASED: Final = Event('suspect_released', _KIND, 'suspect')
 ENDPOINT_NOTICE: Final = Event(
     'endpoint_notice',
-    'endpoint',
+    _ENDPOINT,
     'is_leaving',
     'limit_per_s',
     'rejections_per_s',
@@ -225,6 +227,14 @@
     'others_reach',
     'view_age_s',
 )
+# A body was refused, or one that took long gave way to others, since the bodies
+# of all callers hold too much.
+BODY_REFUSED: Final = Event('body_refused', 'bytes_in', 'held_bytes', _DURATION)
+BODY_GAVE_WAY: Final = Event(
+    'body_gave_way', 'bytes_in', 'held_bytes', _DURATION
+)
+# No connection could be accepted; the oldest idle ones were closed.
+DESCRIPTORS_USED_UP: Final = Event('descriptors_used_up', 'connections', 'idle')
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
 STATE_IN_FORCE: Final = Event(
     'state_in_force',
@@ -294,6 +304,9 @@
     ENDPOINT_NOTICE,
     ENDPOINTS_CUT_OFF,
     ENDPOINTS_REGAINED,
+    BODY_REFUSED,
+    BODY_GAVE_WAY,
+    DESCRIPTORS_USED_UP,
     CALLER_LEFT,
     STATE_IN_FORCE,
     STATE_ACKNOWLEDGED,
--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import math
 import os
@@ -9,6 +10,7 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator
 from contextlib import suppress
 from selectors import EVENT_READ
 from typing import Any, Final
@@ -16,10 +18,24 @@
 from cheroot.connections import ConnectionManager
 from cheroot.workers.threadpool import ThreadPool
 
+from apricotcart.observability.decisions import (
+    DESCRIPTORS_USED_UP,
+    log_decision,
+)
 from apricotcart.web.open_connections import Activity
 
 _LOG = logging.getLogger(__name__)
 _DISCARD_BYTES: Final = 65_536
+# What is received at most from a peer that was refused and goes on sending,
+# and for how long.
+_MAX_CLOSING_BYTES: Final = 16_777_216
+_MAX_CLOSING_S: Final = 5.0
+_NO_DESCRIPTOR: Final = frozenset((errno.EMFILE, errno.ENFILE))
+# Idle connections that are closed together while no descriptor is free; the
+# requests of the next callers need some for endpoints too.
+_CLOSED_TOGETHER: Final = 16
+# Pause before the next try if none is idle.
+_NO_DESCRIPTOR_PAUSE_S: Final = 0.02
 _WAKE_UP_BYTE: Final = b'w'
 
 
@@ -108,7 +124,9 @@
 
         Return False if the thread that selects has ended.
         """
-        conn.last_used = time.time()
+        expires_after_s = min(self.server.timeout, _MAX_CLOSING_S)
+        conn.last_used = time.time() - self.server.timeout + expires_after_s
+        conn.discarded_bytes = 0
         try:
             self._register(conn.socket, conn)
         except (KeyError, OSError, ValueError):
@@ -117,16 +135,39 @@
 
     def on_closing_readable(self, conn: Any) -> None:
         """Close a connection if the peer did; discard what it sent else."""
-        if _discard_input(conn.socket):
-            conn.close()
-        else:
-            self._register(conn.socket, conn)
+        size = _discard_input(conn.socket)
+        if size is not None:
+            conn.discarded_bytes += size
+            if conn.discarded_bytes <= _MAX_CLOSING_BYTES:
+                self._register(conn.socket, conn)
+                return
+        conn.close()
 
     def _from_server_socket(self, server_socket: Any) -> Any:
         # The listener may be closed by an event before this one.
         if server_socket is None:
             return None
-        return super()._from_server_socket(server_socket)  # type: ignore[misc]
+        accept: Any = super()._from_server_socket  # type: ignore[misc]
+        try:
+            return accept(server_socket)
+        except OSError as exc:
+            if exc.errno not in _NO_DESCRIPTOR:
+                raise
+        self._make_room()
+        return None
+
+    def _make_room(self) -> None:
+        """Close the connections that have been idle for longest."""
+        idle = sorted(self._idle(), key=lambda pair: pair[1].last_used)
+        oldest = idle[:_CLOSED_TOGETHER]
+        log_decision(
+            DESCRIPTORS_USED_UP, connections=len(oldest), idle=len(idle)
+        )
+        for fileno, conn in oldest:
+            self._selector.unregister(fileno)
+            conn.close()
+        if not oldest:
+            time.sleep(_NO_DESCRIPTOR_PAUSE_S)
 
     def _register(self, fileobj: Any, conn: Any) -> None:
         self._selector.register(fileobj.fileno(), EVENT_READ, data=conn)
@@ -159,11 +200,19 @@
 
     def _close_idle(self) -> None:
         """Close the kept connections; those with a request are served."""
+        for fileno, conn in self._idle():
+            self._selector.unregister(fileno)
+            conn.close()
+
+    def _idle(self) -> Iterator[tuple[int, Any]]:
+        """Yield the kept connections without a request, by descriptor.
+
+        Each is checked just before it is yielded.
+        """
         for fileno, conn in list(self._selector.connections):
             is_idle = getattr(conn, 'activity', None) is Activity.IDLE
             if is_idle and not is_readable(conn.socket):
-                self._selector.unregister(fileno)
-                conn.close()
+                yield fileno, conn
 
 
 def is_readable(sock: Any) -> bool:
@@ -177,12 +226,12 @@
     return bool(poller.poll(0))
 
 
-def _discard_input(sock: Any) -> bool:
-    """Read once from a socket; return whether its peer has closed."""
+def _discard_input(sock: Any) -> int | None:
+    """Read once from a socket; return the size, None if its peer closed."""
     try:
         # Not the method of the socket, which would decrypt TLS.
-        return not os.read(sock.fileno(), _DISCARD_BYTES)
+        return len(os.read(sock.fileno(), _DISCARD_BYTES)) or None
     except BlockingIOError:
-        return False
+        return 0
     except OSError:
-        return True
+        return None
