Evacuate zones and limit requests to cold endpoints

Operators could not take a zone out of use, and cold endpoints only cost more, so that many gateways sent to one of them at once.

Evacuations are commands of the replicated log, sent to the gateways with each sync and confirmed by them. What a cold endpoint takes is divided into time slots among the gateways by rank. One module joins the three limits of endpoints.

--- a/src/apricotcart/coordinator/duties.py
+++ b/src/apricotcart/coordinator/duties.py
@@ -8,6 +8,7 @@
 
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.coordinator.authority import DutyAuthority
+from apricotcart.coordinator.closed_zones import ClosedZones
 from apricotcart.coordinator.endpoint_list import EndpointList
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.state import (
@@ -95,6 +96,7 @@
         self._window_s = bounds.usage_window_s
         self._authority = DutyAuthority(bounds.fencing_lease_ms / 1000)
         self._scalers: dict[str, Autoscaler] = {}
+        self._closed_zones = ClosedZones()
         self._desired: DesiredState | None = None
         self._first_window = int(clock.now_s() // bounds.usage_window_s)
 
@@ -177,6 +179,10 @@
         if not self._endpoints.is_fresh():
             return
         instances = self._endpoints.instances()
+        now = boot_clock_s()
+        closed_zones = self._closed_zones.update(
+            self._state.evacuations.evacuated(), now
+        )
         for service in self._services():
             scaler = self._scalers.setdefault(service.name, Autoscaler())
             owned = [
@@ -185,7 +191,7 @@
                 if instance.service == service.name
             ]
             load = self._service_load(service, owned)
-            for order in scaler.decide(boot_clock_s(), service, owned, load):
+            for order in scaler.decide(now, service, owned, load, closed_zones):
                 if not self._send_order(scaler, order):
                     return
 
--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, Self
 
 from apricotcart.codec.record import Record
 
@@ -54,6 +54,65 @@
         self.room = room
 
 
+class ZoneWord(Record):
+    """What gateways learn about one zone.
+
+    Attributes
+    ----------
+    is_evacuated : bool
+        Whether nothing more is to be sent to its endpoints.
+    revision : int
+        Revision of its last change.
+    age_s : float
+        Time since the leader learned of that change, in seconds.
+    """
+
+    __slots__ = ('age_s', 'is_evacuated', 'revision')
+
+    def __init__(
+        self, *, is_evacuated: bool, revision: int, age_s: float
+    ) -> None:
+        self.is_evacuated = is_evacuated
+        self.revision = revision
+        self.age_s = age_s
+
+
+class EvacuatedZones(Record):
+    """Zones that are or were evacuated.
+
+    Attributes
+    ----------
+    zones : dict of str to ZoneWord
+        The zones by name.
+    """
+
+    __slots__ = ('zones',)
+
+    def __init__(self, *, zones: Mapping[str, ZoneWord]) -> None:
+        self.zones = zones
+
+    @property
+    def revision(self) -> int:
+        """Revision of the last change, 0 without any."""
+        return max((word.revision for word in self.zones.values()), default=0)
+
+    def to_wire(self) -> dict[str, Any]:
+        """Return the zones in wire form."""
+        return {
+            'zones': {zone: word.to_wire() for zone, word in self.zones.items()}
+        }
+
+    @classmethod
+    def from_wire(cls, fields: Mapping[str, Any]) -> Self:
+        """Return the zones of a message; it may be empty."""
+        zones = fields.get('zones', {})
+        return cls(
+            zones={
+                zone: ZoneWord.from_wire(word) for zone, word in zones.items()
+            }
+        )
+
+
 class SharedFigures(Record):
     """What the leader tells one gateway about all others.
 
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -8,6 +8,7 @@
 from apricotcart.control.api import ReplicatedState
 from apricotcart.coordinator.endpoint_list import EndpointList
 from apricotcart.coordinator.endpoint_relay import EndpointRelay
+from apricotcart.coordinator.evacuation_service import EvacuationService
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.messages import (
     FETCH,
@@ -56,6 +57,8 @@
         Learns which version each sync leaves at a gateway.
     figures : FigureStores
         Figures that gateways share.
+    evacuations : EvacuationService
+        Begins and ends evacuations of zones.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         clock: SteadyUnixClock,
         copies: StateCopies,
         figures: FigureStores,
+        evacuations: EvacuationService,
     ) -> None:
         self._figures = figures
         self._copies = copies
@@ -86,6 +90,7 @@
             VERSIONS: self._versions,
             **OriginRecords().handlers(),
             **EndpointRelay(endpoints).handlers(),
+            **evacuations.handlers(),
         }
 
     def answer(self, message: WireMessage) -> WireMessage:
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -23,6 +23,8 @@
     FETCH_INTERVAL_S,
     EndpointList,
 )
+from apricotcart.coordinator.evacuation_figures import EvacuationFigures
+from apricotcart.coordinator.evacuation_service import EvacuationService
 from apricotcart.coordinator.formation import load_or_create_identity
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.joining import SeedJoiner
@@ -163,6 +165,13 @@
             self._adapter.document_format(),
             copies,
         )
+        confirmed = StateCopies()
+        self._evacuations = EvacuationService(
+            replicated=self._loop,
+            leader=self._leader,
+            confirmed=confirmed,
+            zones=cfg.platform.zones or (),
+        )
         self._endpoints = EndpointList(platform)
         self._tasks = LeaderTasks(self._loop, self._state, self._endpoints)
         self._requests = CoordinatorRequests(
@@ -173,7 +182,10 @@
             endpoints=self._endpoints,
             clock=self._clock,
             copies=copies,
-            figures=FigureStores(()),
+            figures=FigureStores(
+                (EvacuationFigures(self._state.evacuations, confirmed),)
+            ),
+            evacuations=self._evacuations,
         )
         self._duties = Duties(
             name=cfg.host.name,
@@ -210,7 +222,7 @@
     def _serve(self) -> None:
         configure_engine()
         listen = self._cfg.listen
-        operators = self._adapter.operator_app(self._service)
+        operators = self._adapter.operator_app(self._service, self._evacuations)
         directory = self._adapter.directory_app(self._directory)
         for address, app in (
             (listen.operators, operators),
--- a/src/apricotcart/coordinator/state.py
+++ b/src/apricotcart/coordinator/state.py
@@ -7,6 +7,7 @@
 
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.consensus.api import StateMachine
+from apricotcart.coordinator.evacuations import EvacuationTable
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.resumption.serving_versions import (
     VersionsByService,
@@ -19,6 +20,7 @@
 CLOSE_WINDOW: Final = 'close_window'
 WINDOW_SENT: Final = 'window_sent'
 SET_VERSIONS: Final = 'set_versions'
+EVACUATE: Final = 'evacuate'
 # Closed windows kept; the oldest ones are removed first.
 _MAX_WINDOWS: Final = 24
 
@@ -42,7 +44,7 @@
 
 
 class CoordinatorState(StateMachine):
-    """Desired state, fencing token and closed usage windows.
+    """Desired state, evacuated zones, fencing token and usage windows.
 
     Attributes
     ----------
@@ -56,6 +58,8 @@
         Closed usage windows by number.
     software_versions : dict of str to frozenset of str
         Versions of endpoints that served recently, by service.
+    evacuations : EvacuationTable
+        Availability zones whose endpoints get no requests.
     """
 
     def __init__(self) -> None:
@@ -64,6 +68,7 @@
         self.fencing = FencingCounter()
         self.windows: dict[int, ClosedWindow] = {}
         self.software_versions: VersionsByService = {}
+        self.evacuations = EvacuationTable()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command and return the packed reply."""
@@ -91,6 +96,7 @@
                     service: sorted(versions)
                     for service, versions in self.software_versions.items()
                 },
+                'evacuations': self.evacuations.to_wire(),
             }
         )
 
@@ -108,6 +114,7 @@
         }
         # Snapshots of earlier builds have none.
         self._set_versions(fields.get('software_versions', {}))
+        self.evacuations.load(fields.get('evacuations', {}))
 
     def _dispatch(self, fields: Fields) -> dict[str, Any]:
         kind = fields['kind']
@@ -122,6 +129,8 @@
             return self._mark_reported(fields)
         if kind == SET_VERSIONS:
             return self._set_versions(fields['versions'])
+        if kind == EVACUATE:
+            return self._evacuate(fields)
         raise UnknownCommandError(f'unknown command {kind!r}')
 
     def _replace(self, fields: Fields) -> dict[str, Any]:
@@ -138,6 +147,12 @@
         self.software_versions = versions_from_wire(versions)
         return {'ok': True}
 
+    def _evacuate(self, fields: Fields) -> dict[str, Any]:
+        revision = self.evacuations.change(
+            fields['zone'], is_evacuated=fields['is_evacuated']
+        )
+        return {'ok': True, 'revision': revision}
+
     def _close_window(self, fields: Fields) -> dict[str, Any]:
         # Later closes of a window are ignored, so that all reports of the
         # window have the same counts.
--- a/src/apricotcart/desired/records.py
+++ b/src/apricotcart/desired/records.py
@@ -155,9 +155,26 @@
 
 
 class Service(Record):
-    """A group of interchangeable endpoints that routes refer to."""
+    """A group of interchangeable endpoints that routes refer to.
 
-    __slots__ = ('engine', 'health_path', 'max_conns', 'name', 'scaling')
+    Attributes
+    ----------
+    cold_s : float
+        Time for which an endpoint is cold after its start, in seconds.
+    cold_per_s : float
+        Requests a second that a cold endpoint takes from all hosts together; 0
+        if cold endpoints are only slow.
+    """
+
+    __slots__ = (
+        'cold_per_s',
+        'cold_s',
+        'engine',
+        'health_path',
+        'max_conns',
+        'name',
+        'scaling',
+    )
 
     def __init__(
         self,
@@ -167,7 +184,11 @@
         max_conns: int | None,
         engine: Engine | None = None,
         scaling: Scaling | None = None,
+        cold_s: float = 0,
+        cold_per_s: float = 0,
     ) -> None:
+        self.cold_s = cold_s
+        self.cold_per_s = cold_per_s
         self.name = name
         self.health_path = health_path
         self.max_conns = max_conns
--- a/src/apricotcart/gateway/api.py
+++ b/src/apricotcart/gateway/api.py
@@ -187,9 +187,13 @@
         without ending; None if it says nothing about that.
     is_rejections_unreadable : bool
         Whether it names something else than a number of rejections.
+    cold_s : float or None
+        Time in seconds for which it is still cold, 0 if it is warm; None if it
+        says nothing about that.
     """
 
     __slots__ = (
+        'cold_s',
         'is_leaving',
         'is_limit_unreadable',
         'is_rejections_unreadable',
@@ -207,7 +211,9 @@
         pause_s: float = 0,
         rejections_per_s: int | None = None,
         is_rejections_unreadable: bool = False,
+        cold_s: float | None = None,
     ) -> None:
+        self.cold_s = cold_s
         self.pause_s = pause_s
         self.rejections_per_s = rejections_per_s
         self.is_rejections_unreadable = is_rejections_unreadable
--- a/src/apricotcart/gateway/dispatching/admission.py
+++ b/src/apricotcart/gateway/dispatching/admission.py
@@ -7,12 +7,11 @@
 
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
-from apricotcart.gateway.dispatching.brittle_limits import BrittleLimits
+from apricotcart.gateway.dispatching.endpoint_limits import EndpointLimits
 from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     Requirements,
 )
-from apricotcart.gateway.dispatching.rate_limits import RateLimits
 from apricotcart.resumption.serving_versions import VersionsByService
 
 # Requests that an endpoint without an engine may queue, relative to its slots.
@@ -33,23 +32,20 @@
 
     Attributes
     ----------
-    brittle_limits : BrittleLimits
-        Keeps rejections within what brittle endpoints withstand.
     engines : mapping of str to Engine
         Capacity of the engines, by service; other services have none.
     versions : mapping of str to frozenset of str
         Software versions that the control hosts have committed, by service.
-    rate_limits : RateLimits
-        Keeps requests within the limits that endpoints name.
+    limits : EndpointLimits
+        Keeps requests within what endpoints bear.
     """
 
-    __slots__ = ('brittle_limits', 'engines', 'rate_limits', 'versions')
+    __slots__ = ('engines', 'limits', 'versions')
 
     def __init__(self) -> None:
         self.engines: Mapping[str, Engine] = {}
         self.versions: VersionsByService = {}
-        self.rate_limits = RateLimits()
-        self.brittle_limits = BrittleLimits(self.rate_limits)
+        self.limits = EndpointLimits()
 
     def accepts(
         self,
@@ -93,9 +89,7 @@
         slots = endpoint.instance.slots
         if engine is not None:
             slots = min(slots, engine.slots)
-        return self.rate_limits.allows(
-            endpoint, now
-        ) and self.brittle_limits.allows(endpoint, slots, now)
+        return self.limits.allows(endpoint, slots, now)
 
     def _fits(
         self, endpoint: EndpointState, requirements: Requirements
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -193,6 +193,7 @@
                 limit_per_s=endpoint.notices.limit_per_s,
                 rejections_per_s=endpoint.notices.rejections_per_s,
                 retry_after_s=notice.pause_s,
+                cold_s=notice.cold_s,
                 duration_s=boot_clock_s() - sent_at,
             )
 
--- a/src/apricotcart/gateway/dispatching/endpoint_notices.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_notices.py
@@ -53,15 +53,24 @@
         Time until which it wants no requests from this host, in seconds.
     rejections : LatestWord of int
         Requests of all hosts that it can reject in a second.
+    cold_until : LatestWord of float
+        Time up to which it is cold, in seconds; in the past if it is warm.
     """
 
-    __slots__ = ('is_leaving', 'limit', 'paused_until', 'rejections')
+    __slots__ = (
+        'cold_until',
+        'is_leaving',
+        'limit',
+        'paused_until',
+        'rejections',
+    )
 
     def __init__(self) -> None:
         self.is_leaving = False
         self.limit: LatestWord[float] = LatestWord()
         self.paused_until: float = 0
         self.rejections: LatestWord[int] = LatestWord()
+        self.cold_until: LatestWord[float] = LatestWord()
 
     @property
     def limit_per_s(self) -> float | None:
@@ -78,6 +87,10 @@
         """When the request was sent that last brought a word on rejections."""
         return self.rejections.sent_at
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether it has said that it is still cold."""
+        return now < (self.cold_until.word or 0)
+
     def pause_left_s(self, now: float) -> float:
         """Return the time for which it still wants no requests, in seconds."""
         return max(0, self.paused_until - now)
@@ -104,4 +117,8 @@
             has_changed |= self.rejections.apply(
                 notice.rejections_per_s, sent_at
             )
+        if notice.cold_s is not None:
+            was_cold = self.is_cold(now)
+            self.cold_until.apply(now + notice.cold_s, sent_at)
+            has_changed |= was_cold != self.is_cold(now)
         return has_changed
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -249,7 +249,10 @@
         'rate_grants',
         'rejections',
         'hash_order',
+        'is_evacuated',
         'remote_load',
+        'updated_at',
+        'used_cold_slot',
         'cached_parts',
         'penalty_until',
         'peer_hosts',
@@ -265,6 +268,10 @@
         listed_at: float = 0,
     ) -> None:
         self.is_listed = True
+        # Whether its availability zone is evacuated.
+        self.is_evacuated = False
+        # When the list that shows it was applied, in seconds.
+        self.updated_at = listed_at
         self.listed_at = listed_at
         # Sort key that gives all hosts the same order of endpoints.
         self.hash_order = hash_to_unit(instance.instance_id)
@@ -284,6 +291,8 @@
         self.slot_grants = PeriodCount()
         # Requests of this host in the period of a limit.
         self.rate_grants = PeriodCount()
+        # Last time slot that this host has used while the endpoint was cold.
+        self.used_cold_slot: int | None = None
         self._failures = 0
         self._failed_at: float = 0
 
@@ -332,9 +341,13 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether it is listed, and neither list nor itself says it leaves."""
+        """Whether requests may be sent to it.
+
+        It is listed, its zone is not evacuated, and neither the list nor itself
+        says that it leaves.
+        """
         is_draining = not self.instance.is_ready or self.notices.is_leaving
-        return self.is_listed and not is_draining
+        return self.is_listed and not (is_draining or self.is_evacuated)
 
     @property
     def is_copy_source(self) -> bool:
--- a/src/apricotcart/gateway/dispatching/endpoint_table.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.endpoints.recent_outcomes import OutcomeCounts
@@ -15,10 +15,11 @@
 class EndpointTable:
     """Endpoints by id; an endpoint that stays listed keeps its state."""
 
-    __slots__ = ('_endpoints', '_peer_hosts')
+    __slots__ = ('_endpoints', '_evacuated', '_peer_hosts')
 
     def __init__(self) -> None:
         self._peer_hosts = 0
+        self._evacuated: Collection[str] = ()
         self._endpoints: dict[str, EndpointState] = {}
 
     def replace(self, instances: Iterable[Instance], now: float) -> None:
@@ -37,11 +38,19 @@
             if endpoint is None or endpoint.instance.key != instance.key:
                 endpoint = EndpointState(instance, self._peer_hosts, now)
             endpoint.instance = instance
+            endpoint.updated_at = now
+            endpoint.is_evacuated = instance.zone in self._evacuated
             endpoints[instance.instance_id] = endpoint
         for name, known in self._endpoints.items():
             known.is_listed = endpoints.get(name) is known
         self._endpoints = endpoints
 
+    def evacuate(self, zones: Collection[str]) -> None:
+        """Replace the availability zones whose endpoints get no requests."""
+        self._evacuated = zones
+        for endpoint in self._endpoints.values():
+            endpoint.is_evacuated = endpoint.instance.zone in zones
+
     def update_remote_loads(
         self, loads: Mapping[str, LoadSummary], hosts: int
     ) -> None:
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -22,6 +22,7 @@
     Requirements,
 )
 from apricotcart.gateway.dispatching.endpoint_table import EndpointTable
+from apricotcart.gateway.dispatching.evacuations import Evacuations
 from apricotcart.gateway.dispatching.prefix_homes import (
     estimate_prefill_work,
     find_copy_source,
@@ -71,8 +72,10 @@
     ----------
     table : EndpointTable
         The endpoints and what is known of them.
-    rate_limits : RateLimits
-        Keeps requests within the limits that endpoints name.
+    limits : EndpointLimits
+        Keeps requests within what endpoints bear.
+    evacuations : Evacuations
+        Zones whose endpoints get no requests.
     """
 
     __slots__ = (
@@ -80,7 +83,8 @@
         '_now',
         '_slot_grants',
         '_zone',
-        'rate_limits',
+        'evacuations',
+        'limits',
         'table',
     )
 
@@ -90,7 +94,8 @@
         self.table = EndpointTable()
         self._admission = Admission()
         self._slot_grants = SlotGrants(host)
-        self.rate_limits = self._admission.rate_limits
+        self.limits = self._admission.limits
+        self.evacuations = Evacuations(self.table, self.limits.cold)
 
     def configure(self, engines: Mapping[str, Engine]) -> None:
         """Set the engine capacity of the services by service name."""
@@ -122,13 +127,26 @@
         pauses_s = [endpoint.notices.pause_left_s(now) for endpoint in allowed]
         return StartEstimate(
             pause_s=min(pauses_s, default=0),
-            rate_per_s=self.rate_limits.rate_per_s(allowed),
+            rate_per_s=self.limits.rate_per_s(allowed),
         )
 
     def endpoint(self, name: str) -> EndpointState | None:
         """Return the endpoint with an id."""
         return self.table.get(name)
 
+    def cold_endpoints(self, now: float) -> int:
+        """Return the number of endpoints that are limited since they are cold.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        """
+        return sum(
+            self.limits.cold.is_limited(endpoint, now)
+            for endpoint in self.table.all_endpoints()
+        )
+
     def endpoints(self) -> list[EndpointState]:
         """Return all endpoints."""
         return self.table.all_endpoints()
@@ -151,10 +169,10 @@
             Ids of endpoints that the request must not be sent to again.
         """
         self._now = now
+        if not self.evacuations.may_send(now):
+            return None
         service = requirements.service
-        self._admission.brittle_limits.update_service(
-            service, self.table.of_service(service), now
-        )
+        self.limits.update_service(service, self.table.of_service(service), now)
         eligible = self._eligible_endpoints(requirements)
         homes = _homes_among(requirements, eligible)
         candidates = [
@@ -222,7 +240,7 @@
         address = copy_source.instance.address if copy_source else ''
         placed = PlacedRequest(requirements, prefill_work, address)
         endpoint.local_requests[request_id] = placed
-        self.rate_limits.count_request(endpoint, self._now)
+        self.limits.count_request(endpoint, self._now)
         self._slot_grants.count_request(self._now, endpoint)
         endpoint.unreported_requests += 1
         endpoint.unreported_prefill_tokens += placed.prefill_tokens
@@ -264,10 +282,7 @@
         if engine is None:
             return True
         # The slots of a brittle endpoint are divided already.
-        if (
-            self._admission.brittle_limits.rejections_per_s(endpoint)
-            is not None
-        ):
+        if self.limits.divides_slots(endpoint):
             return True
         return self._slot_grants.allows(
             self._now, endpoint, requirements, engine
@@ -294,10 +309,7 @@
             cost += self._zone_cost(requirements)
         if endpoint.instance.warmup_s > 0:
             cost += _WARMUP_COST_TOKENS
-        cost += (
-            self._admission.brittle_limits.spread(endpoint, now)
-            * _SPREAD_COST_TOKENS
-        )
+        cost += self.limits.spread(endpoint, now) * _SPREAD_COST_TOKENS
         cost += endpoint.outcomes.failure_ratio(now) * _FAILURE_COST_TOKENS
         if now < endpoint.penalty_until:
             cost += _PENALTY_COST_TOKENS
--- a/src/apricotcart/gateway/dispatching/rate_share.py
+++ b/src/apricotcart/gateway/dispatching/rate_share.py
@@ -47,6 +47,10 @@
         self.hosts = max(1, hosts)
         self.unix_offset_s = unix_offset_s
 
+    def has_same_division(self, other: RateShare) -> bool:
+        """Return whether rank and number of hosts are the same."""
+        return (self.rank, self.hosts) == (other.rank, other.hosts)
+
     def period(self, now: float) -> int:
         """Return the number of the period at a time of the host's clock."""
         return math.floor((now + self.unix_offset_s) / PERIOD_S)
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -21,6 +21,7 @@
 from apricotcart.endpoints.recent_outcomes import OutcomeCounts
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
+from apricotcart.gateway.dispatching.cold_limits import ColdLimit
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import LoadSummary
 from apricotcart.gateway.dispatching.endpoint_updates import EndpointUpdater
@@ -156,8 +157,9 @@
         fields = self._leader.call(message, self._timeout_s(), HOST_TIMEOUT_S)
         reply = SyncReply.from_wire(fields['sync'])
         self._reachability.apply(reply.reachability, requested_at)
-        self._apply(reply, requested_at)
+        # Before the state, which lets waiting requests be sent.
         self._figures.on_leader(is_understood=bool(fields.get(SHARES_FIGURES)))
+        self._apply(reply, requested_at)
         self._figures.apply(reply.exchange, requested_at)
 
     def _timeout_s(self) -> float:
@@ -209,7 +211,7 @@
         )
         if abs(self._clock.now_s() - reply.unix_s) > _CLOCK_TOLERANCE_S:
             self._clock.synchronize(reply.unix_s)
-        self._update_rate_share(reply)
+        self._update_rate_share(reply, requested_at)
         self._retry_policy.set_host_count(reply.hosts)
         self._endpoints.set_host_count(reply.hosts)
         self._quarantine.merge(reply.suspects)
@@ -224,10 +226,12 @@
             lambda placement: placement.update_versions(versions),
         )
 
-    def _update_rate_share(self, reply: SyncReply) -> None:
+    def _update_rate_share(self, reply: SyncReply, requested_at: float) -> None:
         share = RateShare(reply.rank, reply.ranked_hosts, self._clock.offset_s)
         self._dispatcher.update_placement(
-            lambda placement: placement.rate_limits.update_share(share),
+            lambda placement: placement.limits.update_share(
+                share, requested_at
+            ),
         )
 
     def _configure(self, table: RoutingTable | None) -> None:
@@ -241,6 +245,17 @@
         self._dispatcher.update_placement(
             lambda placement: placement.configure(engines),
         )
+        bounds = self._cfg.bounds
+        cold_limits = {
+            service.name: ColdLimit.from_service(
+                service, bounds.cold_overshoot, bounds.cold_tolerance
+            )
+            for service in table.state.services
+            if service.cold_per_s > 0
+        }
+        self._dispatcher.update_placement(
+            lambda placement: placement.limits.cold.configure(cold_limits),
+        )
 
 
 def _wire_loads(loads: Mapping[str, LoadSummary]) -> dict[str, Any]:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -27,6 +27,7 @@
 from apricotcart.gateway.dispatching.list_relay import ControlHostRelay
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
+from apricotcart.gateway.evacuated_zones import ZoneObserver
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
@@ -99,8 +100,12 @@
         super().__init__(cfg, adapter)
         self._stop_state = StopState()
         self._clock = SteadyUnixClock.from_host()
-        self._dispatcher = Dispatcher(
-            Placement(cfg.host.zone, cfg.host.name),
+        placement = Placement(cfg.host.zone, cfg.host.name)
+        self._dispatcher = Dispatcher(placement)
+        self._zones = ZoneObserver(
+            self._dispatcher,
+            placement.evacuations,
+            cfg.bounds.evacuation_lease_s,
         )
         self._state = StateCopy(
             adapter.document_format(), cfg.bounds.state_lease_s
@@ -183,7 +188,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
-            figures=FigureExchange(()),
+            figures=FigureExchange((self._zones,)),
         )
 
     def _build_relay(self) -> None:
@@ -200,7 +205,7 @@
     def _start(self) -> None:
         self._watcher.start()
         link = self._link
-        RepeatingTimer('sync', link.interval_s, link.sync).start()
+        RepeatingTimer('sync', self._sync_interval_s, link.sync).start()
         RepeatingTimer(
             'endpoints', CHECK_INTERVAL_S, self._endpoints.refresh_if_stale
         ).start()
@@ -219,6 +224,9 @@
         self._servers.add(server.httpserver)
         cherrypy.engine.start()
 
+    def _sync_interval_s(self) -> float:
+        return self._zones.interval_s(self._link.interval_s())
+
     def _store_origins(self) -> None:
         self._origins.store_new(self._dispatcher.listed_versions())
 
--- a/src/apricotcart/gateway/shared_figures.py
+++ b/src/apricotcart/gateway/shared_figures.py
@@ -39,6 +39,9 @@
             When the sync was sent, in seconds; the figures are no older.
         """
 
+    def on_leader(self, *, is_understood: bool) -> None:  # noqa: B027
+        """Learn whether the leader that answered understands figures."""
+
 
 class FigureExchange:
     """The figures in the syncs of one gateway.
@@ -76,6 +79,8 @@
     def on_leader(self, *, is_understood: bool) -> None:
         """Record whether the leader that answered understands figures."""
         self._is_understood = is_understood
+        for user in self._users:
+            user.on_leader(is_understood=is_understood)
 
     def on_failure(self) -> None:
         """Send none to the next leader, which may be of an earlier build."""
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -192,6 +192,7 @@
     'limit_per_s',
     'rejections_per_s',
     'retry_after_s',
+    'cold_s',
     _DURATION,
 )
 # What decided whether the host believes that it reaches no endpoint while
@@ -221,6 +222,25 @@
 STATE_REFUSED: Final = Event('state_refused', _REASON)
 # A change was acknowledged although a gateway in touch may not have it.
 COPIES_OUTDATED: Final = Event('copies_outdated', 'version')
+# An operator has begun or ended the evacuation of a zone.
+EVACUATION_ACKNOWLEDGED: Final = Event(
+    'evacuation_acknowledged', 'zone', 'is_evacuated'
+)
+EVACUATION_REFUSED: Final = Event('evacuation_refused', _REASON)
+# It was acknowledged although a gateway in touch may not obey it yet.
+EVACUATION_UNCONFIRMED: Final = Event(
+    'evacuation_unconfirmed', 'zone', 'revision'
+)
+# A gateway obeys a change; the zones are those that are evacuated from now on.
+EVACUATIONS_IN_FORCE: Final = Event(
+    'evacuations_in_force', 'revision', 'evacuated', 'returned'
+)
+# A gateway sends nothing, since it may not have heard of an evacuation.
+EVACUATIONS_OUTDATED: Final = Event('evacuations_outdated', 'state_age_s')
+# Endpoints that get requests only at the rate that cold ones take.
+ENDPOINTS_COLD: Final = Event('endpoints_cold', 'count')
+# A figure of the platform or of an endpoint was ignored.
+FIGURE_IGNORED: Final = Event('figure_ignored', _KIND)
 LEADER_FOUND: Final = Event('leader_found', 'leader')
 CONTROL_CALL_FAILED: Final = Event(
     'control_call_failed',
@@ -284,6 +304,13 @@
     STATE_ACKNOWLEDGED,
     STATE_REFUSED,
     COPIES_OUTDATED,
+    EVACUATION_ACKNOWLEDGED,
+    EVACUATION_REFUSED,
+    EVACUATION_UNCONFIRMED,
+    EVACUATIONS_IN_FORCE,
+    EVACUATIONS_OUTDATED,
+    ENDPOINTS_COLD,
+    FIGURE_IGNORED,
     LEADER_FOUND,
     CONTROL_CALL_FAILED,
     LEADER_LOST,
--- a/src/apricotcart/platform/adapter.py
+++ b/src/apricotcart/platform/adapter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from apricotcart.coordinator.evacuation_service import EvacuationService
 from apricotcart.coordinator.services import DesiredStateService
 from apricotcart.desired.api import DocumentFormat
 from apricotcart.gateway.api import HeaderCodec
@@ -43,9 +44,11 @@
         """Return the application that answers readiness checks."""
         return ReadinessApplication(is_ready)
 
-    def operator_app(self, service: DesiredStateService) -> WebApplication:
+    def operator_app(
+        self, service: DesiredStateService, evacuations: EvacuationService
+    ) -> WebApplication:
         """Return the application that serves operators' requests."""
-        return OperatorApplication(service)
+        return OperatorApplication(service, evacuations)
 
     def directory_app(self, directory: ServingHostDirectory) -> WebApplication:
         """Return the application that sends host addresses to callers."""
--- a/src/apricotcart/platform/cloud.py
+++ b/src/apricotcart/platform/cloud.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import logging
+import math
 import re
 from collections.abc import Mapping, Sequence
 from http import HTTPStatus
@@ -14,8 +15,13 @@
 
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import ApricotcartError
+from apricotcart.observability.decisions import (
+    FIGURE_IGNORED,
+    log_decision,
+)
 from apricotcart.platform.fields import FieldReader
 from apricotcart.platform.instance_pages import InstancePage
+from apricotcart.platform.notices import MAX_COLD_S
 from apricotcart.provisioning.fleet_api import (
     EndpointOrder,
     FencedCall,
@@ -31,6 +37,7 @@
 _MAX_PAGES: Final = 400
 # A page has some hundred entries of some hundred bytes.
 _MAX_ANSWER_BYTES: Final = 4_194_304
+_COLD_MS: Final = 'warmup_left_ms'
 _INSTANCE_STATES: Final = ('ready', 'draining')
 _JSON: Final = 'application/json'
 _ID: Final = re.compile('[!-~]{1,200}')
@@ -182,7 +189,7 @@
         zone=reader.text('zone'),
         slots=reader.integer('slots', 1),
         is_ready=state == 'ready',
-        warmup_s=reader.number('warmup_left_ms', 0) / _MS_PER_S,
+        warmup_s=_cold_s(entry),
         is_spot=reader.flag('spot'),
         leaves_s=None if leaves_ms < 0 else leaves_ms / _MS_PER_S,
         software_version=reader.text('version'),
@@ -193,6 +200,23 @@
     return instance
 
 
+def _cold_s(entry: Any) -> float:
+    """Return the time for which an endpoint is cold, 0 if it is unreadable.
+
+    The endpoint can be used without it, so the entry stays valid.
+    """
+    cold_ms = entry.get(_COLD_MS) if isinstance(entry, dict) else None
+    if cold_ms is None:
+        return 0
+    is_number = isinstance(cold_ms, (int, float)) and not isinstance(
+        cold_ms, bool
+    )
+    if not is_number or not math.isfinite(cold_ms) or cold_ms < 0:
+        log_decision(FIGURE_IGNORED, kind=_COLD_MS)
+        return 0
+    return float(min(cold_ms / _MS_PER_S, MAX_COLD_S))
+
+
 def _check_instance(reader: FieldReader, instance: Instance) -> None:
     # The id is sent in a header.
     if _ID.fullmatch(instance.instance_id) is None:
--- a/src/apricotcart/platform/documents.py
+++ b/src/apricotcart/platform/documents.py
@@ -95,6 +95,8 @@
         max_conns=reader.optional_integer('max_conns'),
         engine=_parse_engine(reader) if reader.has('engine') else None,
         scaling=_parse_scaling(reader) if reader.has('scaling') else None,
+        cold_s=max(0, reader.number('warmup_s', 0)),
+        cold_per_s=max(0, reader.number('warmup_per_s', 0)),
     )
 
 
--- a/src/apricotcart/platform/notices.py
+++ b/src/apricotcart/platform/notices.py
@@ -8,10 +8,15 @@
 from typing import Final
 
 from apricotcart.gateway.api import EndpointNotice, Headers
+from apricotcart.observability.decisions import (
+    FIGURE_IGNORED,
+    log_decision,
+)
 
 LIMIT: Final = 'server-limit'
 LEAVING: Final = 'server-leaving'
 BRITTLE: Final = 'server-brittle'
+COLD: Final = 'warmup-ms'
 _PAUSE: Final = 'retry-after'
 _TURNED_AWAY: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
@@ -19,6 +24,9 @@
 # Longest pause that is believed. An endpoint that wants a longer one says so
 # again with its next answer.
 _MAX_PAUSE_S: Final = 300.0
+_MS_PER_S: Final = 1000
+# Longest time for which an endpoint is believed to be cold.
+MAX_COLD_S: Final = 120.0
 _DECIMAL: Final = re.compile('[0-9]+(?:[.][0-9]*)?(?:[eE][+-]?[0-9]+)?')
 
 
@@ -47,6 +55,7 @@
         is_rejections_unreadable=(
             bool(rejections) and rejections_per_s is None
         ),
+        cold_s=_cold_s(headers),
     )
 
 
@@ -58,6 +67,18 @@
     )
 
 
+def _cold_s(headers: Headers) -> float | None:
+    """Return the longest time that is stated, None without a readable one."""
+    texts = _texts_of(headers, COLD)
+    numbers = [_parse_decimal(text) for text in texts]
+    known = [number for number in numbers if number is not None]
+    if len(known) < len(texts):
+        log_decision(FIGURE_IGNORED, kind=COLD)
+    if not known:
+        return None
+    return min(max(known) / _MS_PER_S, MAX_COLD_S)
+
+
 def _pause_s(headers: Headers) -> float:
     """Return the longest time that is stated, 0 without a readable one.
 
--- a/src/apricotcart/provisioning/autoscaling.py
+++ b/src/apricotcart/provisioning/autoscaling.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final
 
 from apricotcart.desired.records import Service
@@ -85,6 +85,7 @@
         service: Service,
         instances: Iterable[Instance],
         load: ServiceLoad,
+        closed_zones: Collection[str] = (),
     ) -> list[EndpointOrder]:
         """Return the orders to send now.
 
@@ -98,14 +99,30 @@
             All endpoints of the service.
         load : ServiceLoad
             Load of the service.
+        closed_zones : collection of str
+            Zones whose endpoints do no work for a while. Nothing is ordered
+            or released there, and the others have all endpoints needed.
         """
         scaling = service.scaling
         if scaling is None:
             return []
         prices = scaling.zone_prices
-        zones = sorted(prices, key=prices.__getitem__)
-        counts = ZoneCounts(zones, instances)
-        min_total = len(zones) * max(scaling.least, _MIN_ENDPOINTS_PER_ZONE)
+        zones = [
+            zone
+            for zone in sorted(prices, key=prices.__getitem__)
+            if zone not in closed_zones
+        ]
+        if not zones:
+            return []
+        counts = ZoneCounts(
+            zones,
+            [
+                instance
+                for instance in instances
+                if instance.zone not in closed_zones
+            ],
+        )
+        min_total = len(prices) * max(scaling.least, _MIN_ENDPOINTS_PER_ZONE)
         needed = max(min_total, _endpoints_needed(service, load))
         self._observe_load(now, load, counts)
         inputs = ScalingInputs(
@@ -194,6 +211,8 @@
         """Yield repeated spot orders for zones that had no capacity."""
         per_zone = math.ceil(inputs.target / len(inputs.zones))
         for zone, retry_at in self._spot_retry_at.items():
+            if zone not in inputs.zones:
+                continue
             limit = inputs.scaling.most - inputs.counts.regular[zone]
             if inputs.now >= retry_at and limit > 0:
                 yield EndpointOrder(
@@ -247,7 +266,9 @@
         return sum(
             max(0, last_order.count - inputs.present_count(zone, is_spot=True))
             for (zone, is_spot), last_order in self._orders.items()
-            if is_spot and inputs.is_booting(last_order)
+            if is_spot
+            and zone in inputs.zones
+            and inputs.is_booting(last_order)
         )
 
     def _is_due(self, inputs: ScalingInputs, order: EndpointOrder) -> bool:
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from pathlib import Path
 from typing import Any, Final, Self
@@ -55,6 +56,20 @@
         )
 
 
+class Names(Kind):
+    """Names as a comma-separated list, or as the keys of a JSON object."""
+
+    __slots__ = ()
+
+    def parse(self, text: str, folder: Path) -> tuple[str, ...]:
+        """Return the names in the given order."""
+        entries = text.split(',')
+        if text.startswith('{'):
+            entries = _object_keys(text)
+        kind = Name()
+        return tuple(kind.parse(entry.strip(), folder) for entry in entries)
+
+
 class Flag(Kind):
     """``true`` or ``false``."""
 
@@ -146,15 +161,18 @@
     """Address of the platform's API, and how late its list is."""
 
     title = 'platform'
-    __slots__ = ('address', 'list_lag_ms')
+    __slots__ = ('address', 'list_lag_ms', 'zones')
     fields = (
         Field('address', SocketAddress()),
         Field('list_lag_ms', NumberKind(0, _MAX_BOUND), '1000'),
+        Field('zones', Names(), optional=True),
     )
 
     address: str
     # Time in milliseconds after which the list of endpoints shows a change.
     list_lag_ms: float
+    # All availability zones, None if they are not known.
+    zones: tuple[str, ...] | None
 
     @property
     def list_lag_s(self) -> float:
@@ -213,6 +231,9 @@
         'answer_ttl_max_s',
         'budget_extra',
         'budget_ratio',
+        'cold_overshoot',
+        'cold_tolerance',
+        'evacuation_ms',
         'fencing_lease_ms',
         'state_apply_ms',
         'state_skew_ms',
@@ -230,6 +251,9 @@
         Field('answer_ttl_max_s', NumberKind(0, _MAX_BOUND), '5'),
         Field('state_apply_ms', NumberKind(0, _MAX_BOUND), '2000'),
         Field('state_skew_ms', NumberKind(0, _MAX_BOUND), '5000'),
+        Field('evacuation_ms', NumberKind(0, _MAX_BOUND), '5000'),
+        Field('cold_overshoot', NumberKind(0, 10), '1'),
+        Field('cold_tolerance', NumberKind(0, _MAX_BOUND), '0'),
     )
 
     # Time in seconds from SIGTERM until the process is killed.
@@ -250,12 +274,23 @@
     state_apply_ms: float
     # Additional time in milliseconds while control hosts fail.
     state_skew_ms: float
+    # Time in milliseconds within which an evacuation is obeyed on every host.
+    evacuation_ms: float
+    # A cold endpoint withstands in one second the requests that it names times
+    # the first number plus the second.
+    cold_overshoot: float
+    cold_tolerance: float
 
     @property
     def state_lease_s(self) -> float:
         """Time in seconds for which an unconfirmed state may be used."""
         return (self.state_apply_ms + self.state_skew_ms) / _MS_PER_S
 
+    @property
+    def evacuation_lease_s(self) -> float:
+        """Time in seconds for which unconfirmed evacuations may be used."""
+        return (self.evacuation_ms + self.state_skew_ms) / _MS_PER_S
+
 
 class FleetConfig:
     """All settings of a gateway or a coordinator."""
@@ -310,3 +345,10 @@
                 document.add_fault('listen', key, 'is missing')
         document.finish()
         return cfg
+
+
+def _object_keys(text: str) -> list[str]:
+    try:
+        return list(json.loads(text))
+    except ValueError as exc:
+        raise FieldError(f'{text!r} is not a JSON object') from exc
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -252,6 +252,7 @@
     service.replace(b'7')
     requests = CoordinatorRequests(
         figures=FigureStores(()),
+        evacuations=Mock(handlers=dict),
         replicated=log,
         state=log.state,
         service=service,
--- a/tests/gateway/dispatching/test_brittle_limits.py
+++ b/tests/gateway/dispatching/test_brittle_limits.py
@@ -154,7 +154,7 @@
 
 def test_placement_applies_the_word_to_all_endpoints_of_the_service() -> None:
     placement = Placement('a')
-    placement.rate_limits.update_share(RateShare(0, 60))
+    placement.limits.rates.update_share(RateShare(0, 60))
     instances = [_endpoint(number).instance for number in range(2)]
     placement.update_instances(instances)
     first, second = placement.endpoints()
--- a/tools/policy/brittle_fleet.py
+++ b/tools/policy/brittle_fleet.py
@@ -107,7 +107,7 @@
         self._sent: dict[str, tuple[float, int]] = {}
         for rank, gateway in enumerate(self.gateways):
             gateway.placement.configure(capacities)
-            gateway.placement.rate_limits.update_share(
+            gateway.placement.limits.rates.update_share(
                 RateShare(rank, hosts, _UNIX_START_S)
             )
 
