--- a/src/apricotcart/coordinator/duties.py
+++ b/src/apricotcart/coordinator/duties.py
@@ -8,7 +8,6 @@
 
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.coordinator.authority import DutyAuthority
-from apricotcart.coordinator.closed_zones import ClosedZones
 from apricotcart.coordinator.endpoint_list import EndpointList
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.state import (
@@ -36,7 +35,7 @@
     FleetPlatform,
     StaleFencingError,
 )
-from apricotcart.provisioning.scaling_inputs import ServiceLoad
+from apricotcart.provisioning.scaling_inputs import ClosedZones, ServiceLoad
 from apricotcart.settings.fleet import FleetBoundSettings
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
 
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from apricotcart.codec.envelope import Sealer
+
 # The platform provides no secret store, so this value is not confidential. It
 # only rejects foreign messages that reach the ports by mistake.
 CLUSTER_SECRET: Final = b'apricotcart fleet'
@@ -22,3 +24,8 @@
 LIST: Final = 'list'
 RECORD_ORIGINS: Final = 'record_origins'
 FIND_ORIGIN: Final = 'find_origin'
+
+
+def cluster_sealer() -> Sealer:
+    """Return the sealer of the messages between the processes."""
+    return Sealer(CLUSTER_SECRET)
--- a/src/apricotcart/coordinator/state.py
+++ b/src/apricotcart/coordinator/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
 from apricotcart.codec.packing import pack, unpack
@@ -25,6 +25,7 @@
 _MAX_WINDOWS: Final = 24
 
 Fields = Mapping[str, Any]
+_Apply = Callable[[Fields], dict[str, Any]]
 
 
 class UnknownCommandError(ApricotcartError):
@@ -118,20 +119,24 @@
 
     def _dispatch(self, fields: Fields) -> dict[str, Any]:
         kind = fields['kind']
-        if kind == REPLACE:
-            return self._replace(fields)
-        if kind == FENCE:
-            granted = self.fencing.issue({'holder': fields['holder']}, 0)
-            return {'ok': True, **granted}
-        if kind == CLOSE_WINDOW:
-            return self._close_window(fields)
-        if kind == WINDOW_SENT:
-            return self._mark_reported(fields)
-        if kind == SET_VERSIONS:
-            return self._set_versions(fields['versions'])
-        if kind == EVACUATE:
-            return self._evacuate(fields)
-        raise UnknownCommandError(f'unknown command {kind!r}')
+        commands: Mapping[str, _Apply] = {
+            REPLACE: self._replace,
+            FENCE: self._fence,
+            CLOSE_WINDOW: self._close_window,
+            WINDOW_SENT: self._mark_reported,
+            SET_VERSIONS: lambda command: self._set_versions(
+                command['versions']
+            ),
+            EVACUATE: self._evacuate,
+        }
+        command = commands.get(kind)
+        if command is None:
+            raise UnknownCommandError(f'unknown command {kind!r}')
+        return command(fields)
+
+    def _fence(self, fields: Fields) -> dict[str, Any]:
+        granted = self.fencing.issue({'holder': fields['holder']}, 0)
+        return {'ok': True, **granted}
 
     def _replace(self, fields: Fields) -> dict[str, Any]:
         # A document that is not newer is acknowledged without a change: it
--- a/src/apricotcart/gateway/dispatching/cold_limits.py
+++ b/src/apricotcart/gateway/dispatching/cold_limits.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from apricotcart.desired.records import Service
@@ -106,6 +106,12 @@
         limit = self.limits.get(endpoint.instance.service)
         return limit is not None and self._is_cold(endpoint, limit, now)
 
+    def count_limited(
+        self, endpoints: Iterable[EndpointState], now: float
+    ) -> int:
+        """Return how many endpoints are limited since they are cold."""
+        return sum(self.is_limited(endpoint, now) for endpoint in endpoints)
+
     def allows(self, endpoint: EndpointState, now: float) -> bool:
         """Return whether this host may send a request to an endpoint."""
         if not self.is_limited(endpoint, now):
@@ -129,7 +135,7 @@
         # The list does not show it again if an endpoint becomes cold anew
         # before it was warm, so a whole time is added.
         cold_s = instance.warmup_s and instance.warmup_s + limit.cold_s
-        if now < endpoint.updated_at + cold_s:
+        if now < endpoint.listing.updated_at + cold_s:
             return True
         returned_at = self.suspected_zones.get(instance.zone)
         return (
@@ -141,23 +147,32 @@
         share = self.share.share
         if share is None:
             return None
-        endpoint_id = endpoint.instance.instance_id
         rate = self.limits[endpoint.instance.service].rate_per_s
-        position = (now + share.unix_offset_s) * rate
-        position += hash_to_unit(endpoint_id)
-        first = math.floor(position - _USABLE_S * rate) + 1
         divisor = self.share.divisor(now)
-        last = math.floor(position)
-        used = endpoint.used_cold_slot
-        # Slots have other numbers after a change of the rate or of the clock.
-        if used is not None and used <= last:
-            first = max(first, used + 1)
-        for slot in range(first, last + 1):
+        endpoint_id = endpoint.instance.instance_id
+        for slot in _usable_slots(endpoint, rate, now + share.unix_offset_s):
             if _is_own_slot(share, endpoint_id, slot, divisor):
                 return slot
         return None
 
 
+def _usable_slots(
+    endpoint: EndpointState, rate_per_s: float, unix_s: float
+) -> range:
+    """Return the slots of all hosts that have begun just before.
+
+    Those up to the last one that this host has used are left out.
+    """
+    position = unix_s * rate_per_s + hash_to_unit(endpoint.instance.instance_id)
+    last = math.floor(position)
+    first = math.floor(position - _USABLE_S * rate_per_s) + 1
+    used = endpoint.used_cold_slot
+    # Slots have other numbers after a change of the rate or of the clock.
+    if used is not None and used <= last:
+        first = max(first, used + 1)
+    return range(first, last + 1)
+
+
 def _is_own_slot(
     share: RateShare, endpoint_id: str, slot: int, divisor: int
 ) -> bool:
--- a/src/apricotcart/gateway/dispatching/endpoint_state.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_state.py
@@ -234,6 +234,28 @@
         return self._count if period == self._period else 0
 
 
+class Listing:
+    """What the list of endpoints says about one of them.
+
+    Attributes
+    ----------
+    first_at, updated_at : float
+        When a list with it was first and last applied, in seconds.
+    is_current : bool
+        Whether the last list has it.
+    is_evacuated : bool
+        Whether its availability zone is evacuated.
+    """
+
+    __slots__ = ('first_at', 'is_current', 'is_evacuated', 'updated_at')
+
+    def __init__(self, first_at: float) -> None:
+        self.first_at = first_at
+        self.updated_at = first_at
+        self.is_current = True
+        self.is_evacuated = False
+
+
 class EndpointState:
     """One endpoint and its load as seen by this host."""
 
@@ -242,16 +264,13 @@
         '_failures',
         'slot_grants',
         'instance',
-        'is_listed',
-        'listed_at',
+        'listing',
         'notices',
         'outcomes',
         'rate_grants',
         'rejections',
         'hash_order',
-        'is_evacuated',
         'remote_load',
-        'updated_at',
         'used_cold_slot',
         'cached_parts',
         'penalty_until',
@@ -267,12 +286,7 @@
         peer_hosts: int = 0,
         listed_at: float = 0,
     ) -> None:
-        self.is_listed = True
-        # Whether its availability zone is evacuated.
-        self.is_evacuated = False
-        # When the list that shows it was applied, in seconds.
-        self.updated_at = listed_at
-        self.listed_at = listed_at
+        self.listing = Listing(listed_at)
         # Sort key that gives all hosts the same order of endpoints.
         self.hash_order = hash_to_unit(instance.instance_id)
         self.instance = instance
@@ -347,7 +361,9 @@
         says that it leaves.
         """
         is_draining = not self.instance.is_ready or self.notices.is_leaving
-        return self.is_listed and not (is_draining or self.is_evacuated)
+        return self.listing.is_current and not (
+            is_draining or self.listing.is_evacuated
+        )
 
     @property
     def is_copy_source(self) -> bool:
--- a/src/apricotcart/gateway/dispatching/endpoint_table.py
+++ b/src/apricotcart/gateway/dispatching/endpoint_table.py
@@ -38,18 +38,18 @@
             if endpoint is None or endpoint.instance.key != instance.key:
                 endpoint = EndpointState(instance, self._peer_hosts, now)
             endpoint.instance = instance
-            endpoint.updated_at = now
-            endpoint.is_evacuated = instance.zone in self._evacuated
+            endpoint.listing.updated_at = now
+            endpoint.listing.is_evacuated = instance.zone in self._evacuated
             endpoints[instance.instance_id] = endpoint
         for name, known in self._endpoints.items():
-            known.is_listed = endpoints.get(name) is known
+            known.listing.is_current = endpoints.get(name) is known
         self._endpoints = endpoints
 
     def evacuate(self, zones: Collection[str]) -> None:
         """Replace the availability zones whose endpoints get no requests."""
         self._evacuated = zones
         for endpoint in self._endpoints.values():
-            endpoint.is_evacuated = endpoint.instance.zone in zones
+            endpoint.listing.is_evacuated = endpoint.instance.zone in zones
 
     def update_remote_loads(
         self, loads: Mapping[str, LoadSummary], hosts: int
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -134,19 +134,6 @@
         """Return the endpoint with an id."""
         return self.table.get(name)
 
-    def cold_endpoints(self, now: float) -> int:
-        """Return the number of endpoints that are limited since they are cold.
-
-        Parameters
-        ----------
-        now : float
-            Time in seconds.
-        """
-        return sum(
-            self.limits.cold.is_limited(endpoint, now)
-            for endpoint in self.table.all_endpoints()
-        )
-
     def endpoints(self) -> list[EndpointState]:
         """Return all endpoints."""
         return self.table.all_endpoints()
--- a/src/apricotcart/gateway/dispatching/prefix_homes.py
+++ b/src/apricotcart/gateway/dispatching/prefix_homes.py
@@ -90,7 +90,7 @@
     warm = [
         endpoint
         for endpoint in others
-        if now >= endpoint.listed_at + _SETTLED_S
+        if now >= endpoint.listing.first_at + _SETTLED_S
     ]
     homes = find_homes(requirements.shared_prefix_id, warm or others)
     return homes[0] if homes else None
--- a/src/apricotcart/gateway/evacuated_zones.py
+++ b/src/apricotcart/gateway/evacuated_zones.py
@@ -111,7 +111,8 @@
             evacuations.replace(zones, now)
         if evacuations.has_suspicions:
             evacuations.forget_suspicions(self._dispatcher.listed_until, now)
-        self._log_cold(placement.cold_endpoints(now))
+        cold = placement.limits.cold
+        self._log_cold(cold.count_limited(placement.endpoints(), now))
 
     def _log_cold(self, count: int) -> None:
         if count != self._cold_endpoints:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -8,12 +8,11 @@
 
 import cherrypy
 
-from apricotcart.codec.envelope import Sealer
 from apricotcart.coordinator.addresses import Ports, ip_of
 from apricotcart.coordinator.any_host_client import AnyHostClient
 from apricotcart.coordinator.leader_client import LeaderClient
 from apricotcart.coordinator.leader_search import LeaderSearch
-from apricotcart.coordinator.messages import CLUSTER_SECRET
+from apricotcart.coordinator.messages import cluster_sealer
 from apricotcart.gateway.application import GatewayApplication
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import (
@@ -111,7 +110,7 @@
             adapter.document_format(), cfg.bounds.state_lease_s
         )
         self._watcher = CallerWatcher()
-        self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
+        self._clients = RedialingClients(cluster_sealer())
         self._build_reachability()
         self._build_sender()
 
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -15,7 +15,13 @@
     RequestMetadata,
     ResponseMetadata,
 )
-from apricotcart.platform.notices import BRITTLE, LEAVING, LIMIT, parse_notice
+from apricotcart.platform.notices import (
+    BRITTLE,
+    COLD,
+    LEAVING,
+    LIMIT,
+    parse_notice,
+)
 from apricotcart.web.errors import RequestError
 
 _MS_PER_S: Final = 1000
@@ -73,7 +79,15 @@
 )
 # Headers of endpoints' answers that are not forwarded to callers.
 _INTERNAL: Final = frozenset(
-    ('server-load', 'not-executed', 'instance-id', LIMIT, LEAVING, BRITTLE)
+    (
+        'server-load',
+        'not-executed',
+        'instance-id',
+        LIMIT,
+        LEAVING,
+        BRITTLE,
+        COLD,
+    )
 )
 
 
--- a/src/apricotcart/provisioning/scaling_inputs.py
+++ b/src/apricotcart/provisioning/scaling_inputs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from apricotcart.codec.record import Record
@@ -15,6 +15,9 @@
 _IDLE_FRACTION: Final = 0.75
 # The platform lists ordered endpoints up to this long after their boot time.
 _LIST_LAG_S: Final = 2.0
+# Time for which a zone stays closed after its evacuation. Its endpoints may be
+# cold, and the others are not released before they can take its work again.
+_REOPENING_S: Final = 10.0
 
 
 class ServiceLoad(Record):
@@ -35,6 +38,37 @@
         self.unread_tokens = unread_tokens
 
 
+class ClosedZones:
+    """Zones in which no endpoints are ordered or released.
+
+    They are the evacuated ones, and those whose evacuation has just ended.
+    """
+
+    __slots__ = ('_closed_at',)
+
+    def __init__(self) -> None:
+        # When a zone was last seen to be evacuated, in seconds.
+        self._closed_at: dict[str, float] = {}
+
+    def update(self, evacuated: Collection[str], now: float) -> frozenset[str]:
+        """Apply the evacuated zones; return those that are closed.
+
+        Parameters
+        ----------
+        evacuated : collection of str
+            Zones that are evacuated now.
+        now : float
+            Time in seconds.
+        """
+        self._closed_at.update(dict.fromkeys(evacuated, now))
+        self._closed_at = {
+            zone: closed_at
+            for zone, closed_at in self._closed_at.items()
+            if now < closed_at + _REOPENING_S
+        }
+        return frozenset(self._closed_at)
+
+
 class ZoneCounts:
     """Number of endpoints of one service by zone.
 
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 from pathlib import Path
 from typing import Any, Final, Self
@@ -16,6 +15,7 @@
     FilePath,
     Kind,
     Name,
+    Names,
     port,
 )
 from apricotcart.settings.kinds import Number as NumberKind
@@ -56,20 +56,6 @@
         )
 
 
-class Names(Kind):
-    """Names as a comma-separated list, or as the keys of a JSON object."""
-
-    __slots__ = ()
-
-    def parse(self, text: str, folder: Path) -> tuple[str, ...]:
-        """Return the names in the given order."""
-        entries = text.split(',')
-        if text.startswith('{'):
-            entries = _object_keys(text)
-        kind = Name()
-        return tuple(kind.parse(entry.strip(), folder) for entry in entries)
-
-
 class Flag(Kind):
     """``true`` or ``false``."""
 
@@ -345,10 +331,3 @@
                 document.add_fault('listen', key, 'is missing')
         document.finish()
         return cfg
-
-
-def _object_keys(text: str) -> list[str]:
-    try:
-        return list(json.loads(text))
-    except ValueError as exc:
-        raise FieldError(f'{text!r} is not a JSON object') from exc
--- a/src/apricotcart/settings/kinds.py
+++ b/src/apricotcart/settings/kinds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import os
 import re
@@ -60,6 +61,20 @@
         return text
 
 
+class Names(Kind):
+    """Names as a comma-separated list, or as the keys of a JSON object."""
+
+    __slots__ = ()
+
+    def parse(self, text: str, folder: Path) -> tuple[str, ...]:
+        """Return the names in the given order."""
+        entries = text.split(',')
+        if text.startswith('{'):
+            entries = _object_keys(text)
+        kind = Name()
+        return tuple(kind.parse(entry.strip(), folder) for entry in entries)
+
+
 class Number(Kind):
     """A number within a closed range."""
 
@@ -125,3 +140,10 @@
 def port(*, allow_zero: bool = False) -> Number:
     """Return the kind of a TCP port; ``allow_zero`` also allows 0."""
     return Number(0 if allow_zero else 1, _MAX_PORT, integer=True)
+
+
+def _object_keys(text: str) -> list[str]:
+    try:
+        return list(json.loads(text))
+    except ValueError as exc:
+        raise FieldError(f'{text!r} is not a JSON object') from exc
--- a/tests/platform/test_cloud.py
+++ b/tests/platform/test_cloud.py
@@ -114,6 +114,27 @@
     assert second.leaves_s == pytest.approx(0.9)
 
 
+def test_instances_without_a_readable_time_to_warm_up_are_kept(
+    client: PlatformClient, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against an endpoint that is lost for one figure."""
+    times = [2500, None, '2', -1, True, 1e300]
+    ApiHandler.pages = [
+        {'instances': [{**_INSTANCE, 'warmup_left_ms': left} for left in times]}
+    ]
+    with caplog.at_level('INFO'):
+        instances = client.instances()
+    assert [instance.warmup_s for instance in instances] == [
+        2.5,
+        0,
+        0,
+        0,
+        0,
+        120,
+    ]
+    assert caplog.text.count('figure_ignored') == 3
+
+
 @pytest.mark.parametrize('pages', [[[]], ['x'], [{'instances': 3}]])
 def test_instances_of_malformed_page_is_empty(
     client: PlatformClient,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -33,6 +33,8 @@
             'name': 'lm',
             'health_path': '/healthz',
             'max_conns': 360,
+            'warmup_s': 3.0,
+            'warmup_per_s': 13.0,
             'engine': {'slots': 64, 'kv_capacity': 746112},
             'scaling': {
                 'min': 1,
@@ -67,6 +69,7 @@
     assert route.splits[0].service == 'lm'
     service = state.services[0]
     assert service.engine is not None and service.engine.kv_tokens == 746112
+    assert (service.cold_s, service.cold_per_s) == (3, 13)
     assert service.scaling is not None and service.scaling.most == 3
     assert state.limits.body_bytes == 1000
     assert state.customers is not None
--- a/tests/provisioning/test_autoscaling.py
+++ b/tests/provisioning/test_autoscaling.py
@@ -6,7 +6,7 @@
 from apricotcart.endpoints.instances import Instance
 from apricotcart.provisioning.autoscaling import Autoscaler
 from apricotcart.provisioning.fleet_api import EndpointOrder
-from apricotcart.provisioning.scaling_inputs import ServiceLoad
+from apricotcart.provisioning.scaling_inputs import ClosedZones, ServiceLoad
 
 _ZONES = ('a', 'b', 'c', 'd')
 _BOOT_S = 4.0
@@ -50,6 +50,7 @@
         self.booting: list[tuple[float, EndpointOrder]] = []
         self.zones_without_spot: set[str] = set()
         self.orders: list[EndpointOrder] = []
+        self.closed: set[str] = set()
 
     def run(self, seconds: float, load: ServiceLoad = _IDLE) -> None:
         end = self.now + seconds
@@ -61,6 +62,7 @@
                 self.service,
                 self._instances(),
                 load,
+                self.closed,
             ):
                 self._send(order)
 
@@ -202,3 +204,26 @@
     world.run(30)
     assert world.total(is_spot=False) == 8
     assert world.total(is_spot=True) == 0
+
+
+def test_nothing_is_ordered_or_released_in_a_closed_zone() -> None:
+    """The other zones take over, and the closed one is as it was after that."""
+    world = World(_service(most=8), regular=0)
+    world.run(40)
+    world.orders.clear()
+    world.closed = {'a'}
+    world.run(20)
+    assert not any(order.zone == 'a' for order in world.orders)
+    assert world.counts[('a', True)] == 2
+    assert world.total(is_spot=True) == 10
+    world.closed = set(_ZONES)
+    world.orders.clear()
+    world.run(5)
+    assert not world.orders
+
+
+def test_zone_stays_closed_for_a_while_after_its_evacuation() -> None:
+    zones = ClosedZones()
+    assert zones.update({'a'}, 0) == {'a'}
+    assert zones.update((), 9.9) == {'a'}
+    assert not zones.update((), 10)
--- a/tests/settings/test_fleet.py
+++ b/tests/settings/test_fleet.py
@@ -75,3 +75,21 @@
 ) -> None:
     monkeypatch.delenv('APRICOTCART_CONFIG', raising=False)
     assert run(['coordinator'])
+
+
+@pytest.mark.parametrize(
+    ('text', 'zones'),
+    [('', None), ('a, b', ('a', 'b')), ('{"a": "r", "b": "r"}', ('a', 'b'))],
+)
+def test_zones_are_read_from_a_list_or_an_object(
+    tmp_path: Path, text: str, zones: tuple[str, ...] | None
+) -> None:
+    path = _write(tmp_path, f'{_VALID}zones = {text}\n')
+    assert FleetConfig.from_file(path).platform.zones == zones
+
+
+@pytest.mark.parametrize('text', ['a,', '{"a"', 'A'])
+def test_unreadable_zones_are_refused(tmp_path: Path, text: str) -> None:
+    path = _write(tmp_path, f'{_VALID}zones = {text}\n')
+    with pytest.raises(SettingsError):
+        FleetConfig.from_file(path)
