--- a/src/apricotcart/coordinator/evacuation_service.py
+++ b/src/apricotcart/coordinator/evacuation_service.py
@@ -13,7 +13,12 @@
     UnknownZoneError,
 )
 from apricotcart.coordinator.leader_client import LeaderClient
-from apricotcart.coordinator.messages import EVACUATE, KIND
+from apricotcart.coordinator.member_builds import MemberBuilds
+from apricotcart.coordinator.messages import (
+    EVACUATE,
+    EVACUATION_SUPPORT,
+    KIND,
+)
 from apricotcart.coordinator.state import EVACUATE as EVACUATE_COMMAND
 from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.errors.tree import (
@@ -60,24 +65,28 @@
         Replicated log on this host.
     leader : LeaderClient
         Forwards requests to the leader.
+    builds : MemberBuilds
+        Tells whether all control hosts understand the command.
     confirmed : StateCopies
         Revisions that the gateways obey, while this host leads.
     zones : collection of str
         All zones; empty if they are not known.
     """
 
-    __slots__ = ('_confirmed', '_leader', '_replicated', '_zones')
+    __slots__ = ('_builds', '_confirmed', '_leader', '_replicated', '_zones')
 
     def __init__(
         self,
         *,
         replicated: ReplicatedState,
         leader: LeaderClient,
+        builds: MemberBuilds,
         confirmed: StateCopies,
         zones: Collection[str] = (),
     ) -> None:
         self._replicated = replicated
         self._leader = leader
+        self._builds = builds
         self._confirmed = confirmed
         self._zones = frozenset(zones)
 
@@ -134,8 +143,10 @@
         NotLeaderError
             If this host does not lead; nothing was committed.
         UnavailableError
-            If the outcome is unknown.
+            If the outcome is unknown, or a control host is of a build without
+            evacuations; nothing was committed then.
         """
+        self._builds.require_evacuations()
         reply = self._replicated.propose(
             {
                 'kind': EVACUATE_COMMAND,
@@ -150,7 +161,10 @@
 
     def handlers(self) -> Mapping[str, Handler]:
         """Return the handlers of the messages of other control hosts."""
-        return {EVACUATE: self._answer}
+        return {
+            EVACUATE: self._answer,
+            EVACUATION_SUPPORT: lambda _: {'ok': True},
+        }
 
     def _answer(self, message: WireMessage) -> WireMessage:
         self.commit(message['zone'], is_evacuated=message['is_evacuated'])
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -20,6 +20,8 @@
 REPLACE: Final = 'replace'
 FETCH: Final = 'fetch'
 EVACUATE: Final = 'evacuate'
+# Asks a control host whether it understands the message before.
+EVACUATION_SUPPORT: Final = 'evacuation_support'
 VERSIONS: Final = 'versions'
 LIST: Final = 'list'
 RECORD_ORIGINS: Final = 'record_origins'
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -9,7 +9,6 @@
 
 import cherrypy
 
-from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.members import Members
 from apricotcart.consensus.messages import Message
@@ -37,7 +36,8 @@
     MEMBERS_INTERVAL_S,
     LeaderTasks,
 )
-from apricotcart.coordinator.messages import CLUSTER_SECRET, KIND, VIEW
+from apricotcart.coordinator.member_builds import MemberBuilds
+from apricotcart.coordinator.messages import KIND, VIEW, cluster_sealer
 from apricotcart.coordinator.peer_links import RedialingPeerLinks
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
@@ -89,7 +89,7 @@
         """
         super().__init__(cfg, adapter)
         self._ports = Ports(cfg.links.first_port)
-        self._sealer = Sealer(CLUSTER_SECRET)
+        self._sealer = cluster_sealer()
         self._clock = SteadyUnixClock.from_host()
         self._state = CoordinatorState()
         self._gateways = GatewayTable()
@@ -169,6 +169,7 @@
         self._evacuations = EvacuationService(
             replicated=self._loop,
             leader=self._leader,
+            builds=MemberBuilds(self._loop, self._clients, self._ports),
             confirmed=confirmed,
             zones=cfg.platform.zones or (),
         )
--- a/tests/coordinator/test_evacuations.py
+++ b/tests/coordinator/test_evacuations.py
@@ -5,11 +5,13 @@
 from collections.abc import Sequence
 from threading import Event, Thread
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.control.api import ReplicatedState
+from apricotcart.coordinator.addresses import Ports
 from apricotcart.coordinator.errors import CallerGoneError, UnknownZoneError
 from apricotcart.coordinator.evacuation_figures import EvacuationFigures
 from apricotcart.coordinator.evacuation_service import EvacuationService
@@ -18,15 +20,18 @@
     GatewayFigures,
     SharedFigures,
 )
+from apricotcart.coordinator.member_builds import MemberBuilds
 from apricotcart.coordinator.messages import KIND
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.errors.tree import (
     ApricotcartError,
+    CodecError,
     NotLeaderError,
     UnavailableError,
 )
 from apricotcart.platform.applications import OperatorApplication
+from apricotcart.transport.requests import error_reply
 from apricotcart.web.request import WebRequest
 
 _WAIT_S = 5
@@ -58,7 +63,9 @@
         return ''
 
     def status(self) -> Any:
-        return {}
+        return {
+            'members': {'voters': ['10.0.0.1.0', '10.0.0.2.0'], 'learners': []}
+        }
 
 
 class FakeLeader:
@@ -94,6 +101,7 @@
         self.service = EvacuationService(
             replicated=self.log,
             leader=leader,
+            builds=Mock(),
             confirmed=self.copies,
             zones=zones,
         )
@@ -238,3 +246,20 @@
     assert host.state.evacuations.evacuated() == {'a'}
     assert host.respond('Evacuations.Finish/a')[0] == 200
     assert not host.state.evacuations.evacuated()
+
+
+def test_command_is_not_committed_before_all_hosts_understand_it() -> None:
+    """A host of the build before would skip it, and lose it if it leads."""
+    clients = Mock()
+    clients.call.side_effect = [
+        {'ok': True},
+        error_reply(CodecError('unknown request')),
+        {'ok': True},
+        UnavailableError('this host is down'),
+    ]
+    builds = MemberBuilds(FakeLog(CoordinatorState()), clients, Ports(7000))
+    with pytest.raises(UnavailableError):
+        builds.require_evacuations()
+    builds.require_evacuations()
+    builds.require_evacuations()
+    assert clients.call.call_count == 4
