--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -9,7 +9,6 @@
 
 import cherrypy
 
-from apricotcart.codec.envelope import Sealer
 from apricotcart.consensus.config import NodeConfig
 from apricotcart.consensus.members import Members
 from apricotcart.consensus.messages import Message
@@ -24,6 +23,8 @@
     FETCH_INTERVAL_S,
     EndpointList,
 )
+from apricotcart.coordinator.evacuation_figures import EvacuationFigures
+from apricotcart.coordinator.evacuation_service import EvacuationService
 from apricotcart.coordinator.formation import load_or_create_identity
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.joining import SeedJoiner
@@ -36,7 +37,8 @@
     MEMBERS_INTERVAL_S,
     LeaderTasks,
 )
-from apricotcart.coordinator.messages import CLUSTER_SECRET, KIND, VIEW
+from apricotcart.coordinator.member_builds import MemberBuilds
+from apricotcart.coordinator.messages import KIND, VIEW, cluster_sealer
 from apricotcart.coordinator.peer_links import RedialingPeerLinks
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
@@ -88,7 +90,7 @@
         """
         super().__init__(cfg, adapter)
         self._ports = Ports(cfg.links.first_port)
-        self._sealer = Sealer(CLUSTER_SECRET)
+        self._sealer = cluster_sealer()
         self._clock = SteadyUnixClock.from_host()
         self._state = CoordinatorState()
         self._gateways = GatewayTable()
@@ -164,6 +166,14 @@
             self._adapter.document_format(),
             copies,
         )
+        confirmed = StateCopies()
+        self._evacuations = EvacuationService(
+            replicated=self._loop,
+            leader=self._leader,
+            builds=MemberBuilds(self._loop, self._clients, self._ports),
+            confirmed=confirmed,
+            zones=cfg.platform.zones or (),
+        )
         self._endpoints = EndpointList(platform)
         self._tasks = LeaderTasks(self._loop, self._state, self._endpoints)
         self._requests = CoordinatorRequests(
@@ -174,7 +184,13 @@
             endpoints=self._endpoints,
             clock=self._clock,
             copies=copies,
-            figures=FigureStores((AnswerTimesStore(),)),
+            figures=FigureStores(
+                (
+                    AnswerTimesStore(),
+                    EvacuationFigures(self._state.evacuations, confirmed),
+                )
+            ),
+            evacuations=self._evacuations,
         )
         self._duties = Duties(
             name=cfg.host.name,
@@ -218,7 +234,7 @@
             body_timeout_s=_REQUEST_TIMEOUT_S,
             body_memory=self._body_memory,
         )
-        operators = self._adapter.operator_app(self._service)
+        operators = self._adapter.operator_app(self._service, self._evacuations)
         directory = self._adapter.directory_app(self._directory)
         for address, app in (
             (listen.operators, operators),
--- a/src/apricotcart/coordinator/state.py
+++ b/src/apricotcart/coordinator/state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.consensus.api import StateMachine
+from apricotcart.coordinator.evacuations import EvacuationTable
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.resumption.serving_versions import (
     VersionsByService,
@@ -19,10 +20,12 @@
 CLOSE_WINDOW: Final = 'close_window'
 WINDOW_SENT: Final = 'window_sent'
 SET_VERSIONS: Final = 'set_versions'
+EVACUATE: Final = 'evacuate'
 # Closed windows kept; the oldest ones are removed first.
 _MAX_WINDOWS: Final = 24
 
 Fields = Mapping[str, Any]
+_Apply = Callable[[Fields], dict[str, Any]]
 
 
 class UnknownCommandError(ApricotcartError):
@@ -42,7 +45,7 @@
 
 
 class CoordinatorState(StateMachine):
-    """Desired state, fencing token and closed usage windows.
+    """Desired state, evacuated zones, fencing token and usage windows.
 
     Attributes
     ----------
@@ -56,6 +59,8 @@
         Closed usage windows by number.
     software_versions : dict of str to frozenset of str
         Versions of endpoints that served recently, by service.
+    evacuations : EvacuationTable
+        Availability zones whose endpoints get no requests.
     """
 
     def __init__(self) -> None:
@@ -64,6 +69,7 @@
         self.fencing = FencingCounter()
         self.windows: dict[int, ClosedWindow] = {}
         self.software_versions: VersionsByService = {}
+        self.evacuations = EvacuationTable()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command and return the packed reply."""
@@ -91,6 +97,7 @@
                     service: sorted(versions)
                     for service, versions in self.software_versions.items()
                 },
+                'evacuations': self.evacuations.to_wire(),
             }
         )
 
@@ -108,21 +115,28 @@
         }
         # Snapshots of earlier builds have none.
         self._set_versions(fields.get('software_versions', {}))
+        self.evacuations.load(fields.get('evacuations', {}))
 
     def _dispatch(self, fields: Fields) -> dict[str, Any]:
         kind = fields['kind']
-        if kind == REPLACE:
-            return self._replace(fields)
-        if kind == FENCE:
-            granted = self.fencing.issue({'holder': fields['holder']}, 0)
-            return {'ok': True, **granted}
-        if kind == CLOSE_WINDOW:
-            return self._close_window(fields)
-        if kind == WINDOW_SENT:
-            return self._mark_reported(fields)
-        if kind == SET_VERSIONS:
-            return self._set_versions(fields['versions'])
-        raise UnknownCommandError(f'unknown command {kind!r}')
+        commands: Mapping[str, _Apply] = {
+            REPLACE: self._replace,
+            FENCE: self._fence,
+            CLOSE_WINDOW: self._close_window,
+            WINDOW_SENT: self._mark_reported,
+            SET_VERSIONS: lambda command: self._set_versions(
+                command['versions']
+            ),
+            EVACUATE: self._evacuate,
+        }
+        command = commands.get(kind)
+        if command is None:
+            raise UnknownCommandError(f'unknown command {kind!r}')
+        return command(fields)
+
+    def _fence(self, fields: Fields) -> dict[str, Any]:
+        granted = self.fencing.issue({'holder': fields['holder']}, 0)
+        return {'ok': True, **granted}
 
     def _replace(self, fields: Fields) -> dict[str, Any]:
         # A document that is not newer is acknowledged without a change: it
@@ -138,6 +152,12 @@
         self.software_versions = versions_from_wire(versions)
         return {'ok': True}
 
+    def _evacuate(self, fields: Fields) -> dict[str, Any]:
+        revision = self.evacuations.change(
+            fields['zone'], is_evacuated=fields['is_evacuated']
+        )
+        return {'ok': True, 'revision': revision}
+
     def _close_window(self, fields: Fields) -> dict[str, Any]:
         # Later closes of a window are ignored, so that all reports of the
         # window have the same counts.
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -8,12 +8,11 @@
 
 import cherrypy
 
-from apricotcart.codec.envelope import Sealer
 from apricotcart.coordinator.addresses import Ports, ip_of
 from apricotcart.coordinator.any_host_client import AnyHostClient
 from apricotcart.coordinator.leader_client import LeaderClient
 from apricotcart.coordinator.leader_search import LeaderSearch
-from apricotcart.coordinator.messages import CLUSTER_SECRET
+from apricotcart.coordinator.messages import cluster_sealer
 from apricotcart.gateway.application import GatewayApplication
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import (
@@ -27,6 +26,7 @@
 from apricotcart.gateway.dispatching.list_relay import ControlHostRelay
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
+from apricotcart.gateway.evacuated_zones import ZoneObserver
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
 from apricotcart.gateway.hedging.assembly import Hedging
 from apricotcart.gateway.link import ControlLink
@@ -99,14 +99,18 @@
         super().__init__(cfg, adapter)
         self._stop_state = StopState()
         self._clock = SteadyUnixClock.from_host()
-        self._dispatcher = Dispatcher(
-            Placement(cfg.host.zone, cfg.host.name),
+        placement = Placement(cfg.host.zone, cfg.host.name)
+        self._dispatcher = Dispatcher(placement)
+        self._zones = ZoneObserver(
+            self._dispatcher,
+            placement.evacuations,
+            cfg.bounds.evacuation_lease_s,
         )
         self._state = StateCopy(
             adapter.document_format(), cfg.bounds.state_lease_s
         )
         self._watcher = CallerWatcher()
-        self._clients = RedialingClients(Sealer(CLUSTER_SECRET))
+        self._clients = RedialingClients(cluster_sealer())
         self._build_reachability()
         self._build_sender()
 
@@ -184,7 +188,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
-            figures=FigureExchange((self._hedging.figures,)),
+            figures=FigureExchange((self._hedging.figures, self._zones)),
         )
 
     def _build_relay(self) -> None:
@@ -205,7 +209,7 @@
         self._hedging.start()
         self._watcher.start()
         link = self._link
-        RepeatingTimer('sync', link.interval_s, link.sync).start()
+        RepeatingTimer('sync', self._sync_interval_s, link.sync).start()
         RepeatingTimer(
             'endpoints', CHECK_INTERVAL_S, self._endpoints.refresh_if_stale
         ).start()
@@ -224,6 +228,9 @@
         self._servers.add(server.httpserver)
         cherrypy.engine.start()
 
+    def _sync_interval_s(self) -> float:
+        return self._zones.interval_s(self._link.interval_s())
+
     def _store_origins(self) -> None:
         self._origins.store_new(self._dispatcher.listed_versions())
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -24,6 +24,7 @@
 _DURATION: Final = 'duration_s'
 _ENDPOINT: Final = 'endpoint'
 _ATTEMPT: Final = 'attempt'
+_ZONE: Final = 'zone'
 # Limit on the log lines per event and second; further decisions are counted
 # but not logged.
 _MAX_LINES_PER_S: Final = 300
@@ -55,7 +56,7 @@
     _KIND,
     'customer',
     _ENDPOINT,
-    'zone',
+    _ZONE,
     'software',
     _ATTEMPT,
     'queue_wait_s',
@@ -87,7 +88,7 @@
     _KIND,
     _ENDPOINT,
     'peer',
-    'zone',
+    _ZONE,
     _ATTEMPT,
     'status',
     'framing',
@@ -115,7 +116,7 @@
     _REQUEST_ID,
     _ENDPOINT,
     'peer',
-    'zone',
+    _ZONE,
     'software',
     _ATTEMPT,
     _REASON,
@@ -145,7 +146,7 @@
     _KIND,
     'customer',
     'peer',
-    'zone',
+    _ZONE,
     _REASON,
     'reach',
     _ATTEMPT,
@@ -182,13 +183,13 @@
     _REQUEST_ID,
     'route',
     _ENDPOINT,
-    'zone',
+    _ZONE,
     _ATTEMPT,
     _DURATION,
 )
 # Whether the second attempt was answered first; the duration is its own.
 HEDGE_ENDED: Final = Event(
-    'hedge_ended', _REQUEST_ID, _ENDPOINT, 'zone', 'is_used', _DURATION
+    'hedge_ended', _REQUEST_ID, _ENDPOINT, _ZONE, 'is_used', _DURATION
 )
 CRASH_SUSPECTED: Final = Event(
     'crash_suspected',
@@ -209,6 +210,7 @@
     'limit_per_s',
     'rejections_per_s',
     'retry_after_s',
+    'cold_s',
     _DURATION,
 )
 # What decided whether the host believes that it reaches no endpoint while
@@ -246,6 +248,25 @@
 STATE_REFUSED: Final = Event('state_refused', _REASON)
 # A change was acknowledged although a gateway in touch may not have it.
 COPIES_OUTDATED: Final = Event('copies_outdated', 'version')
+# An operator has begun or ended the evacuation of a zone.
+EVACUATION_ACKNOWLEDGED: Final = Event(
+    'evacuation_acknowledged', _ZONE, 'is_evacuated'
+)
+EVACUATION_REFUSED: Final = Event('evacuation_refused', _REASON)
+# It was acknowledged although a gateway in touch may not obey it yet.
+EVACUATION_UNCONFIRMED: Final = Event(
+    'evacuation_unconfirmed', _ZONE, 'revision'
+)
+# A gateway obeys a change; the zones are those that are evacuated from now on.
+EVACUATIONS_IN_FORCE: Final = Event(
+    'evacuations_in_force', 'revision', 'evacuated', 'returned'
+)
+# A gateway sends nothing, since it may not have heard of an evacuation.
+EVACUATIONS_OUTDATED: Final = Event('evacuations_outdated', 'state_age_s')
+# Endpoints that get requests only at the rate that cold ones take.
+ENDPOINTS_COLD: Final = Event('endpoints_cold', 'count')
+# A figure of the platform or of an endpoint was ignored.
+FIGURE_IGNORED: Final = Event('figure_ignored', _KIND)
 LEADER_FOUND: Final = Event('leader_found', 'leader')
 CONTROL_CALL_FAILED: Final = Event(
     'control_call_failed',
@@ -262,7 +283,7 @@
 ENDPOINTS_ORDERED: Final = Event(
     'endpoints_ordered',
     'pool',
-    'zone',
+    _ZONE,
     _KIND,
     'count',
     'outcome',
@@ -312,6 +333,13 @@
     STATE_ACKNOWLEDGED,
     STATE_REFUSED,
     COPIES_OUTDATED,
+    EVACUATION_ACKNOWLEDGED,
+    EVACUATION_REFUSED,
+    EVACUATION_UNCONFIRMED,
+    EVACUATIONS_IN_FORCE,
+    EVACUATIONS_OUTDATED,
+    ENDPOINTS_COLD,
+    FIGURE_IGNORED,
     LEADER_FOUND,
     CONTROL_CALL_FAILED,
     LEADER_LOST,
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -9,11 +9,10 @@
 from apricotcart.settings.document import Document, Field, Section
 from apricotcart.settings.fleet_kinds import (
     Flag,
-    Names,
     SocketAddress,
     SocketAddresses,
 )
-from apricotcart.settings.kinds import FilePath, Name, port
+from apricotcart.settings.kinds import FilePath, Name, Names, port
 from apricotcart.settings.kinds import Number as NumberKind
 
 _MS_PER_S = 1000
@@ -108,15 +107,18 @@
     """Address of the platform's API, and how late its list is."""
 
     title = 'platform'
-    __slots__ = ('address', 'list_lag_ms')
+    __slots__ = ('address', 'list_lag_ms', 'zones')
     fields = (
         Field('address', SocketAddress()),
         Field('list_lag_ms', NumberKind(0, _MAX_BOUND), '1000'),
+        Field('zones', Names(), optional=True),
     )
 
     address: str
     # Time in milliseconds after which the list of endpoints shows a change.
     list_lag_ms: float
+    # All availability zones, None if they are not known.
+    zones: tuple[str, ...] | None
 
     @property
     def list_lag_s(self) -> float:
@@ -195,6 +197,9 @@
         'answer_ttl_max_s',
         'budget_extra',
         'budget_ratio',
+        'cold_overshoot',
+        'cold_tolerance',
+        'evacuation_ms',
         'fencing_lease_ms',
         'state_apply_ms',
         'state_skew_ms',
@@ -212,6 +217,9 @@
         Field('answer_ttl_max_s', NumberKind(0, _MAX_BOUND), '5'),
         Field('state_apply_ms', NumberKind(0, _MAX_BOUND), '2000'),
         Field('state_skew_ms', NumberKind(0, _MAX_BOUND), '5000'),
+        Field('evacuation_ms', NumberKind(0, _MAX_BOUND), '5000'),
+        Field('cold_overshoot', NumberKind(0, 10), '1'),
+        Field('cold_tolerance', NumberKind(0, _MAX_BOUND), '0'),
     )
 
     # Time in seconds from SIGTERM until the process is killed.
@@ -232,12 +240,23 @@
     state_apply_ms: float
     # Additional time in milliseconds while control hosts fail.
     state_skew_ms: float
+    # Time in milliseconds within which an evacuation is obeyed on every host.
+    evacuation_ms: float
+    # A cold endpoint withstands in one second the requests that it names times
+    # the first number plus the second.
+    cold_overshoot: float
+    cold_tolerance: float
 
     @property
     def state_lease_s(self) -> float:
         """Time in seconds for which an unconfirmed state may be used."""
         return (self.state_apply_ms + self.state_skew_ms) / _MS_PER_S
 
+    @property
+    def evacuation_lease_s(self) -> float:
+        """Time in seconds for which unconfirmed evacuations may be used."""
+        return (self.evacuation_ms + self.state_skew_ms) / _MS_PER_S
+
 
 class HedgingSettings(Section):
     """Second attempts at requests that are late."""
--- a/src/apricotcart/settings/fleet_kinds.py
+++ b/src/apricotcart/settings/fleet_kinds.py
@@ -48,14 +48,3 @@
     def parse(self, text: str, folder: Path) -> bool:
         """Return the flag as a bool."""
         return Choice('true', 'false').parse(text, folder) == 'true'
-
-
-class Names(Kind):
-    """Comma-separated list of names; empty for none."""
-
-    __slots__ = ()
-
-    def parse(self, text: str, folder: Path) -> tuple[str, ...]:
-        """Return the names in the given order."""
-        words = (word.strip() for word in text.split(','))
-        return tuple(word for word in words if word)
