--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -81,6 +81,8 @@
     ----------
     ip : str
         Loopback address of the process.
+    settings : Path
+        Settings file of the process.
     launcher : sequence of str
         Arguments of the Python interpreter before those of the program.
     """
@@ -89,7 +91,7 @@
         self.role = role
         self.ip = ip
         self.launcher: Sequence[str] = _PROGRAM
-        self._settings = settings
+        self.settings = settings
         self._starts = itertools.count(1)
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -102,7 +104,7 @@
 
     def launch(self) -> None:
         """Start the process without waiting until it serves."""
-        log = self._settings.parent / f'log-{next(self._starts)}.txt'
+        log = self.settings.parent / f'log-{next(self._starts)}.txt'
         with log.open('wb') as output:
             self._process = subprocess.Popen(
                 [
@@ -110,7 +112,7 @@
                     *self.launcher,
                     self.role,
                     '--settings',
-                    str(self._settings),
+                    str(self.settings),
                 ],
                 env={**os.environ, 'PYTHONPATH': _PYTHON_PATH},
                 stdout=output,
