Compress the replies to syncs, and build routing tables faster

Cause: the list of 200 endpoints is 33 KB and their loads 4 KB in a reply. The urgency levels took a step for each pair of route and customer. Change: gateways that understand it get compressed replies, and the list only in these. Levels are built from the distinct priorities of the customers. A block that has not arrived after 0.6 s is asked for again elsewhere.

--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -25,8 +25,10 @@
         Version of the desired state that it has, -1 without.
     fetches_state : bool
         Whether it fetches a large desired state in blocks.
+    reads_deflated : bool
+        Whether it understands a compressed reply.
     state_address : str
-        IP address at which it gives other gateways blocks, or empty.
+        Address at which it gives other gateways blocks of it, or empty.
     evacuation_revision : int
         Revision of the evacuated zones that it obeys, 0 without any.
     room : float or None
@@ -39,6 +41,7 @@
         'endpoint_reports',
         'evacuation_revision',
         'fetches_state',
+        'reads_deflated',
         'room',
         'state_address',
         'state_version',
@@ -53,9 +56,11 @@
         evacuation_revision: int = 0,
         room: float | None = None,
         fetches_state: bool = False,
+        reads_deflated: bool = False,
         state_address: str = '',
     ) -> None:
         self.fetches_state = fetches_state
+        self.reads_deflated = reads_deflated
         self.state_address = state_address
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
@@ -79,7 +84,7 @@
     state_document : bytes or None
         That state, compressed, if it is small and the gateway lacks it.
     state_sources : sequence of str
-        IP addresses of gateways that give others blocks of it.
+        Addresses of gateways that give others blocks of it.
     evacuations : dict
         Evacuated zones and their revision, in wire form; empty without.
     """
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -14,6 +14,8 @@
 # Whether the leader that replied understands the figures of gateways.
 SHARES_FIGURES: Final = 'shares_figures'
 SYNC: Final = 'sync'
+# Reply to a sync in compressed form.
+DEFLATED_SYNC: Final = 'deflated_sync'
 VIEW: Final = 'view'
 REPLACE: Final = 'replace'
 FETCH: Final = 'fetch'
--- a/src/apricotcart/coordinator/newest_state.py
+++ b/src/apricotcart/coordinator/newest_state.py
@@ -29,7 +29,7 @@
     Attributes
     ----------
     address : str
-        Its IP address, empty if it gives no blocks.
+        Its address for requests, empty if it gives no blocks.
     version : int
         Version of the desired state that it has.
     synced_at : float
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from apricotcart.control.api import ReplicatedState
-from apricotcart.coordinator.endpoint_list import EndpointList
+from apricotcart.coordinator.endpoint_list import EndpointList, WireList
 from apricotcart.coordinator.endpoint_relay import EndpointRelay
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.messages import (
@@ -35,6 +35,7 @@
     ANY_VERSION,
     SyncReply,
     SyncRequest,
+    wire_reply,
 )
 from apricotcart.errors.tree import CodecError
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
@@ -126,7 +127,7 @@
         self._replicated.barrier(CONFIRM_TIMEOUT_S)
         now = boot_clock_s()
         self._gateways.on_sync(sync, now)
-        mark, instances = self._endpoints.changes_since(sync.list_mark)
+        mark, instances = self._list_for(sync)
         reply = SyncReply(
             document=self._document_for(sync),
             list_mark=mark,
@@ -150,9 +151,15 @@
             'ok': True,
             TERM: self._term(),
             SHARES_FIGURES: True,
-            'sync': reply.to_wire(),
+            **wire_reply(sync, reply),
         }
 
+    def _list_for(self, sync: SyncRequest) -> tuple[int, WireList | None]:
+        # The next sync, whose reply is compressed, follows at once.
+        if sync.version == ANY_VERSION:
+            return 0, None
+        return self._endpoints.changes_since(sync.list_mark)
+
     def _document_for(self, sync: SyncRequest) -> bytes | None:
         """Return the state if it is newer than what a gateway has.
 
--- a/src/apricotcart/coordinator/sync_messages.py
+++ b/src/apricotcart/coordinator/sync_messages.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
+from apricotcart.codec.packing import pack, unpack
 from apricotcart.codec.record import Record
+from apricotcart.coordinator.messages import DEFLATED_SYNC, SYNC
+from apricotcart.coordinator.state_blocks import inflate
+from apricotcart.transport.api import MAX_MESSAGE_BYTES
 
 # Version in a sync to a leader of which it is not known whether it understands
 # figures. No document is newer, so that the reply has none.
 ANY_VERSION: Final = 9_223_372_036_854_775_807
 
+# Compression of replies, of which the leader sends hundreds in a second.
+_LEVEL: Final = 1
+
 Versions = Mapping[str, Sequence[str]]
 
 
@@ -210,3 +218,29 @@
         self.members = members
         self.unix_s = unix_s
         self.suspects = suspects
+
+
+def wire_reply(sync: SyncRequest, reply: SyncReply) -> dict[str, Any]:
+    """Return the field that holds the reply to a gateway.
+
+    It is compressed if the gateway understands that.
+    """
+    fields = reply.to_wire()
+    if (sync.exchange or {}).get('reads_deflated'):
+        return {DEFLATED_SYNC: zlib.compress(pack(fields), _LEVEL)}
+    return {SYNC: fields}
+
+
+def read_reply(message: Mapping[str, Any]) -> SyncReply:
+    """Return the reply that a message of the leader holds.
+
+    Raises
+    ------
+    CodecError
+        If it is damaged.
+    """
+    deflated = message.get(DEFLATED_SYNC)
+    if deflated is None:
+        return SyncReply.from_wire(message[SYNC])
+    fields = unpack(inflate(deflated, MAX_MESSAGE_BYTES))
+    return SyncReply.from_wire(fields)
--- a/src/apricotcart/desired/urgency.py
+++ b/src/apricotcart/desired/urgency.py
@@ -47,11 +47,12 @@
     def __init__(self, state: DesiredState) -> None:
         ranks: dict[str, set[_Rank]] = {}
         self._latency_targets: dict[str, set[float]] = {}
-        customers = state.customers
+        # Few, while there may be thousands of customers and of routes.
+        priorities = _customer_priorities(state)
         for route in state.routes:
             for split in route.splits:
                 service_ranks = ranks.setdefault(split.service, set())
-                service_ranks.update(_ranks_of(route, customers))
+                service_ranks.update(_ranks_of(route, priorities))
                 if route.pause_s is not None:
                     targets = self._latency_targets.setdefault(
                         split.service, set()
@@ -69,7 +70,7 @@
     ) -> Urgency:
         """Return the urgency of a request."""
         ranks = self._ranks.get(service, [])
-        own = _rank_of(route, customer)
+        own = _rank_of(route, customer.priority if customer else None)
         return Urgency(
             levels_above=sum(rank < own for rank in ranks),
             level=sum(rank > own for rank in ranks),
@@ -83,16 +84,19 @@
         return route.pause_s == min(targets)
 
 
-def _rank_of(route: Route, customer: Customer | None) -> _Rank:
-    if customer is None or customer.priority is None:
+def _rank_of(route: Route, customer_priority: int | None) -> _Rank:
+    if customer_priority is None:
         return (route.priority, route.priority)
-    return (customer.priority, route.priority)
+    return (customer_priority, route.priority)
 
 
-def _ranks_of(
-    route: Route,
-    customers: Iterable[Customer] | None,
-) -> set[_Rank]:
-    if route.is_public or customers is None:
+def _ranks_of(route: Route, priorities: Iterable[int | None]) -> set[_Rank]:
+    if route.is_public:
         return {_rank_of(route, None)}
-    return {_rank_of(route, customer) for customer in customers}
+    return {_rank_of(route, priority) for priority in priorities}
+
+
+def _customer_priorities(state: DesiredState) -> set[int | None]:
+    if state.customers is None:
+        return {None}
+    return {customer.priority for customer in state.customers}
--- a/src/apricotcart/gateway/block_assembly.py
+++ b/src/apricotcart/gateway/block_assembly.py
@@ -19,6 +19,9 @@
 
 # Blocks that are asked for in one request.
 _MAX_CLAIM: Final = 12
+# Time after which a block that has not arrived is asked for again, from another
+# host, since the first one may be silent.
+_CLAIM_S: Final = 0.6
 
 
 class BlockAssembly(BlockSource):
@@ -40,7 +43,8 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._blocks: dict[bytes, bytes] = {}
-        self._claimed: set[bytes] = set()
+        # When blocks were asked for, in seconds.
+        self._claimed: dict[bytes, float] = {}
         self._manifest: Manifest | None = None
 
     @property
@@ -61,7 +65,8 @@
         """Use the blocks of a document that arrived as a whole."""
         cut = CutDocument(-1, document)
         with self._lock:
-            self._blocks.update(cut.blocks)
+            self._manifest = None
+            self._blocks = dict(cut.blocks)
 
     def begin(self, manifest: Manifest) -> None:
         """Complete another manifest, unless it is older.
@@ -77,6 +82,11 @@
             if self._manifest and manifest.version < self._manifest.version:
                 return
             self._manifest = manifest
+            self._blocks = {
+                digest: self._blocks[digest]
+                for digest in manifest.digests
+                if digest in self._blocks
+            }
 
     def drop_manifest(self) -> None:
         """Ask for another manifest, and keep the blocks."""
@@ -88,22 +98,29 @@
         with self._lock:
             return len(self._lacking())
 
-    def claim(self) -> Sequence[bytes]:
-        """Return blocks to ask for, which no other thread asks for."""
+    def claim(self, now: float) -> Sequence[bytes]:
+        """Return blocks to ask for, which no other thread has just asked for.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        """
         with self._lock:
             free = [
                 digest
                 for digest in self._lacking()
-                if digest not in self._claimed
+                if now >= self._claimed.get(digest, 0) + _CLAIM_S
             ]
             claimed = self._rng.sample(free, min(_MAX_CLAIM, len(free)))
-            self._claimed.update(claimed)
+            self._claimed.update(dict.fromkeys(claimed, now))
             return claimed
 
     def release(self, digests: Iterable[bytes]) -> None:
         """Let other threads ask for blocks."""
         with self._lock:
-            self._claimed.difference_update(digests)
+            for digest in digests:
+                self._claimed.pop(digest, None)
 
     def store(self, blocks: Iterable[bytes]) -> int:
         """Store blocks and return the number of those that were lacking."""
@@ -116,7 +133,7 @@
         return stored
 
     def document(self) -> bytes | None:
-        """Return the document once it is complete, and drop other blocks.
+        """Return the document once it is complete.
 
         Raises
         ------
@@ -127,10 +144,8 @@
             manifest = self._manifest
             if manifest is None or self._lacking():
                 return None
-            kept = {digest: self._blocks[digest] for digest in manifest.digests}
-            self._blocks = kept
             try:
-                return join(manifest, kept)
+                return join(manifest, self._blocks)
             except CodecError:
                 self._manifest = None
                 raise
--- a/src/apricotcart/gateway/block_client.py
+++ b/src/apricotcart/gateway/block_client.py
@@ -64,11 +64,11 @@
         self._clients = clients
 
     @property
-    def control_hosts(self) -> tuple[str, ...]:
-        """IP addresses of the control hosts."""
-        return self._hosts.hosts
+    def control_hosts(self) -> list[str]:
+        """Addresses of the control hosts."""
+        return [self._ports.request_address(ip) for ip in self._hosts.hosts]
 
-    def fetch_manifest(self, ip: str) -> Manifest | None:
+    def fetch_manifest(self, address: str) -> Manifest | None:
         """Return the manifest of a host's newest version, None without one.
 
         Raises
@@ -76,10 +76,10 @@
         UnavailableError
             If the host does not answer.
         """
-        fields = self._call(ip, {KIND: STATE_MANIFEST})['manifest']
+        fields = self._call(address, {KIND: STATE_MANIFEST})['manifest']
         return None if fields is None else Manifest.from_wire(fields)
 
-    def fetch_blocks(self, ip: str, req: BlockRequest) -> ReceivedBlocks:
+    def fetch_blocks(self, address: str, req: BlockRequest) -> ReceivedBlocks:
         """Return some of the blocks that are asked for, or none.
 
         Raises
@@ -89,23 +89,15 @@
         CodecError
             If a block is damaged.
         """
-        fields = self._call(ip, {KIND: STATE_BLOCKS, **req.to_wire()})
+        fields = self._call(address, {KIND: STATE_BLOCKS, **req.to_wire()})
         return ReceivedBlocks(BlockReply.from_wire(fields).blocks)
 
     def close_unused(self) -> None:
         """Close the connections until they are needed again."""
         self._clients.close_unused()
 
-    def _call(self, ip: str, message: WireMessage) -> WireMessage:
-        reply = self._clients.call(
-            self._address(ip), message, _MESSAGE_TIMEOUT_S
-        )
+    def _call(self, address: str, message: WireMessage) -> WireMessage:
+        reply = self._clients.call(address, message, _MESSAGE_TIMEOUT_S)
         if not reply.get('ok'):
             raise UnavailableError(str(reply.get('message') or 'refused'))
         return reply
-
-    def _address(self, ip: str) -> str:
-        if ip in self._hosts.hosts:
-            return self._ports.request_address(ip)
-        # Gateways give blocks at the port that they do not use themselves.
-        return self._ports.peer_address(ip)
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -22,6 +22,7 @@
     ANY_VERSION,
     SyncReply,
     SyncRequest,
+    read_reply,
 )
 from apricotcart.endpoints.recent_outcomes import OutcomeCounts
 from apricotcart.errors.tree import ApricotcartError
@@ -181,7 +182,7 @@
         is_first = self._figures.is_understood is None
         message = {KIND: SYNC, **self._request(is_first=is_first).to_wire()}
         fields = self._leader.call(message, self._timeout_s(), HOST_TIMEOUT_S)
-        reply = SyncReply.from_wire(fields['sync'])
+        reply = read_reply(fields)
         self._reachability.apply(reply.reachability, requested_at)
         self._apply(reply, requested_at)
         self._figures.on_leader(is_understood=bool(fields.get(SHARES_FIGURES)))
--- a/src/apricotcart/gateway/shared_figures.py
+++ b/src/apricotcart/gateway/shared_figures.py
@@ -73,7 +73,7 @@
         """
         if not self._is_understood:
             return None
-        figures = GatewayFigures()
+        figures = GatewayFigures(reads_deflated=True)
         for user in self._users:
             user.add_figures(figures, now)
         return figures.to_wire()
--- a/src/apricotcart/gateway/state_fetch.py
+++ b/src/apricotcart/gateway/state_fetch.py
@@ -92,9 +92,9 @@
         self._is_wanted = threading.Event()
         self._progress = FetchProgress()
 
-    def serve_at(self, ip: str) -> None:
+    def serve_at(self, address: str) -> None:
         """Let the leader name this host as a source of blocks."""
-        self._address = ip
+        self._address = address
 
     def add_figures(self, figures: GatewayFigures, now: float) -> None:
         """Tell the leader which version this host has."""
@@ -110,7 +110,9 @@
             self._adopt(inflate(shared.state_document, MAX_DOCUMENT_BYTES))
             return
         self._sources.replace_peers(
-            ip for ip in shared.state_sources if ip != self._address
+            address
+            for address in shared.state_sources
+            if address != self._address
         )
         self._progress.begin(self._state.newest_version, boot_clock_s())
         self._is_wanted.set()
@@ -125,47 +127,49 @@
             return
         now = boot_clock_s()
         self._progress.report(self._assembly.missing(), now)
-        ip = self._sources.choose(self._client.control_hosts, now)
-        if ip is None:
+        address = self._sources.choose(self._client.control_hosts, now)
+        if address is None:
             time.sleep(_PAUSE_S)
             return
         try:
-            has_sent = self._fetch_from(ip)
+            has_sent = self._fetch_from(address)
         except ApricotcartError as exc:
-            _LOG.info('no blocks of the state from %s: %s', ip, exc.message)
-            self._sources.on_failure(ip, boot_clock_s())
+            _LOG.info(
+                'no blocks of the state from %s: %s', address, exc.message
+            )
+            self._sources.on_failure(address, boot_clock_s())
             return
         if has_sent:
-            self._sources.on_blocks(ip)
+            self._sources.on_blocks(address)
         else:
-            self._sources.on_busy(ip, boot_clock_s())
+            self._sources.on_busy(address, boot_clock_s())
 
-    def _fetch_from(self, ip: str) -> bool:
+    def _fetch_from(self, address: str) -> bool:
         """Return whether a host has sent something that was lacking."""
         if self._assembly.version < self._state.newest_version:
-            if not self._fetch_manifest(ip):
+            if not self._fetch_manifest(address):
                 return False
         with ExitStack() as stack:
-            digests = self._assembly.claim()
+            digests = self._assembly.claim(boot_clock_s())
             stack.callback(self._assembly.release, digests)
-            has_sent = bool(digests) and self._fetch_blocks(ip, digests)
+            has_sent = bool(digests) and self._fetch_blocks(address, digests)
         self._adopt_complete()
         return has_sent
 
-    def _fetch_manifest(self, ip: str) -> bool:
-        manifest = self._client.fetch_manifest(ip)
+    def _fetch_manifest(self, address: str) -> bool:
+        manifest = self._client.fetch_manifest(address)
         if manifest is None or manifest.version < self._state.newest_version:
             return False
         self._assembly.begin(manifest)
         return True
 
-    def _fetch_blocks(self, ip: str, digests: Sequence[bytes]) -> bool:
+    def _fetch_blocks(self, address: str, digests: Sequence[bytes]) -> bool:
         req = BlockRequest(
             client=self._client_id,
             digests=digests,
             missing=self._assembly.missing(),
         )
-        received = self._client.fetch_blocks(ip, req)
+        received = self._client.fetch_blocks(address, req)
         self._progress.add(len(received.blocks), received.length)
         return self._assembly.store(received.blocks) > 0
 
--- a/src/apricotcart/gateway/state_parts.py
+++ b/src/apricotcart/gateway/state_parts.py
@@ -59,11 +59,9 @@
         sealer = Sealer(CLUSTER_SECRET)
         rng = random.Random()
         assembly = BlockAssembly(rng)
-        self._address = cfg.host.address
         # Gateways do not use this port themselves.
-        self._server = BlockServer(
-            ports.peer_address(cfg.host.address), assembly, sealer
-        )
+        self._address = ports.peer_address(cfg.host.address)
+        self._server = BlockServer(self._address, assembly, sealer)
         self.fetch = StateFetch(
             client_id=uuid.uuid4().hex,
             state=state,
--- a/src/apricotcart/gateway/state_sources.py
+++ b/src/apricotcart/gateway/state_sources.py
@@ -45,36 +45,40 @@
         Parameters
         ----------
         control_hosts : collection of str
-            IP addresses of the control hosts.
+            Addresses of the control hosts.
         now : float
             Time in seconds.
         """
         with self._lock:
-            known = {*control_hosts, *self._peers}
-            free = sorted(ip for ip in known if self._is_free(ip, now))
+            known = set(control_hosts).union(self._peers)
+            free = sorted(known - self._unavailable(now))
             if not free:
                 return None
-            ip = self._rng.choice(free)
-            self._asked.add(ip)
-            return ip
+            address = self._rng.choice(free)
+            self._asked.add(address)
+            return address
 
-    def on_blocks(self, ip: str) -> None:
+    def on_blocks(self, address: str) -> None:
         """Record that a host has sent blocks."""
         with self._lock:
-            self._asked.discard(ip)
+            self._asked.discard(address)
 
-    def on_busy(self, ip: str, now: float) -> None:
+    def on_busy(self, address: str, now: float) -> None:
         """Record that a host has sent none."""
-        self._postpone(ip, now + _BUSY_S * (1 + self._rng.random()))
+        pause_s = self._rng.uniform(_BUSY_S, 2 * _BUSY_S)
+        self._postpone(address, now + pause_s)
 
-    def on_failure(self, ip: str, now: float) -> None:
+    def on_failure(self, address: str, now: float) -> None:
         """Record that a host did not answer."""
-        self._postpone(ip, now + _FAILED_S)
+        self._postpone(address, now + _FAILED_S)
 
-    def _is_free(self, ip: str, now: float) -> bool:
-        return ip not in self._asked and now >= self._until.get(ip, 0)
+    def _unavailable(self, now: float) -> set[str]:
+        postponed = {
+            address for address, until in self._until.items() if now < until
+        }
+        return self._asked | postponed
 
-    def _postpone(self, ip: str, until: float) -> None:
+    def _postpone(self, address: str, until: float) -> None:
         with self._lock:
-            self._asked.discard(ip)
-            self._until[ip] = until
+            self._asked.discard(address)
+            self._until[address] = until
