--- a/src/apricotcart/gateway/state_fetch.py
+++ b/src/apricotcart/gateway/state_fetch.py
@@ -4,9 +4,9 @@
 
 import logging
 import threading
-import time
 from collections.abc import Callable, Sequence
 from contextlib import ExitStack
+from time import sleep
 from typing import Final
 
 from apricotcart.coordinator.exchange_messages import (
@@ -129,7 +129,7 @@
         self._progress.report(self._assembly.missing(), now)
         address = self._sources.choose(self._client.control_hosts, now)
         if address is None:
-            time.sleep(_PAUSE_S)
+            sleep(_PAUSE_S)
             return
         try:
             has_sent = self._fetch_from(address)
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -12,6 +12,7 @@
 from apricotcart.codec.packing import pack, unpack
 from apricotcart.control.api import ReplicatedState
 from apricotcart.coordinator.endpoint_list import EndpointList
+from apricotcart.coordinator.exchange_messages import GatewayFigures
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.messages import (
     KIND,
@@ -23,7 +24,11 @@
 from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
-from apricotcart.coordinator.sync_messages import SyncRequest
+from apricotcart.coordinator.sync_messages import (
+    ANY_VERSION,
+    SyncRequest,
+    read_reply,
+)
 from apricotcart.desired.api import DocumentFormat
 from apricotcart.desired.errors import (
     InvalidDesiredStateError,
@@ -250,7 +255,51 @@
     service: DesiredStateService, log: FakeLog, copies: StateCopies
 ) -> None:
     service.replace(b'7')
-    requests = CoordinatorRequests(
+    requests = _requests(service, log, copies)
+    copies.update('a', 6)
+    reply = requests.answer({KIND: SYNC, **_sync(6).to_wire()})
+    assert reply['sync']['document'] == b'7'
+    assert reply[TERM] == 3
+    assert copies.wait_for(7, 0)
+    assert not copies.wait_for(8, 0)
+
+
+def test_gateway_that_fetches_counts_with_what_it_really_has(
+    service: DesiredStateService, log: FakeLog, copies: StateCopies
+) -> None:
+    """Guards against acknowledging a change whose transfer has only begun."""
+    service.replace(b'7')
+    requests = _requests(service, log, copies)
+    fetching = GatewayFigures(
+        fetches_state=True, reads_deflated=True, state_version=6
+    )
+    sync = _sync(6)
+    sync.exchange = fetching.to_wire()
+    reply = read_reply(requests.answer({KIND: SYNC, **sync.to_wire()}))
+    assert reply.document is None
+    assert not copies.wait_for(7, 0)
+    sync.version = 7
+    requests.answer({KIND: SYNC, **sync.to_wire()})
+    assert copies.wait_for(7, 0)
+
+
+def test_first_sync_of_a_gateway_brings_and_counts_nothing(
+    service: DesiredStateService, log: FakeLog, copies: StateCopies
+) -> None:
+    """Neither the document nor the list of endpoints fits a slow link."""
+    service.replace(b'7')
+    requests = _requests(service, log, copies)
+    message = {KIND: SYNC, **_sync(ANY_VERSION).to_wire()}
+    reply = read_reply(requests.answer(message))
+    assert reply.document is None
+    assert reply.instances is None
+    assert copies.wait_for(8, 0)
+
+
+def _requests(
+    service: DesiredStateService, log: FakeLog, copies: StateCopies
+) -> CoordinatorRequests:
+    return CoordinatorRequests(
         figures=FigureStores(()),
         replicated=log,
         state=log.state,
@@ -260,21 +309,18 @@
         clock=SteadyUnixClock.from_host(),
         copies=copies,
     )
-    sync = SyncRequest(
+
+
+def _sync(version: int) -> SyncRequest:
+    return SyncRequest(
         host='g',
         incarnation='a',
         address='g:80',
         zone='z',
         is_serving=True,
-        version=6,
+        version=version,
         list_mark=0,
         loads={},
         waiting={},
         usage={},
     )
-    copies.update('a', 6)
-    reply = requests.answer({KIND: SYNC, **sync.to_wire()})
-    assert reply['sync']['document'] == b'7'
-    assert reply[TERM] == 3
-    assert copies.wait_for(7, 0)
-    assert not copies.wait_for(8, 0)
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -9,7 +9,9 @@
 import pytest
 from gateway.conftest import MemoryStore, Versions
 
-from apricotcart.coordinator.sync_messages import SyncReply
+from apricotcart.coordinator.exchange_messages import SharedFigures
+from apricotcart.coordinator.messages import SHARES_FIGURES
+from apricotcart.coordinator.sync_messages import ANY_VERSION, SyncReply
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import UnavailableError
 from apricotcart.gateway import link as link_module
@@ -52,12 +54,16 @@
     def __init__(self, clock: Clock, reply: SyncReply) -> None:
         self.clock = clock
         self.replies = [reply]
+        self.messages: list[Any] = []
+        # Fields of the replies besides that of the sync.
+        self.fields: dict[str, Any] = {}
 
     def call(
         self, message: Any, timeout_s: float, host_timeout_s: float
     ) -> Any:
+        self.messages.append(message)
         if self.replies:
-            return {'sync': self.replies.pop().to_wire()}
+            return {**self.fields, 'sync': self.replies.pop().to_wire()}
         self.clock.now += timeout_s
         raise UnavailableError('no answer')
 
@@ -113,6 +119,22 @@
         return super().instances()
 
 
+class KnownState:
+    """Copy of version 1, which is usable."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.newest_version = 1
+        self.is_usable = True
+        self.observed: list[tuple[int, float]] = []
+
+    def observe(self, newest_version: int, asked_at: float) -> None:
+        self.observed.append((newest_version, asked_at))
+
+    def adopt(self, document: bytes, confirmed_at: float) -> None:
+        self.version = int(document)
+
+
 class Scenario:
     """A gateway's link to a leader that responds to the first sync only."""
 
@@ -131,13 +153,10 @@
             host=SimpleNamespace(name='h', zone='a'),
             listen=SimpleNamespace(callers='10.0.0.1:80'),
         )
-        leader: Any = Leader(clock, reply)
-        state: Any = SimpleNamespace(
-            newest_version=1,
-            is_usable=True,
-            version=1,
-            observe=lambda newest_version, asked_at: None,
-        )
+        self.leader = Leader(clock, reply)
+        leader: Any = self.leader
+        self.state = KnownState()
+        state: Any = self.state
         self.relay = Relay()
         dispatcher = Dispatcher(Placement('a'))
         self.endpoints = EndpointUpdater(
@@ -262,3 +281,44 @@
     scenario.endpoints.refresh_if_stale()
     assert scenario.relay.requests == 1
     assert scenario.endpoints.mark == 7
+
+
+def _reply(**fields: Any) -> SyncReply:
+    return SyncReply(
+        list_mark=0,
+        instances=None,
+        loads={},
+        hosts=1,
+        members=[],
+        unix_s=SteadyUnixClock.from_host().now_s(),
+        **fields,
+    )
+
+
+@pytest.mark.parametrize('shares_figures', [False, True])
+def test_leader_of_an_earlier_build_sends_the_document(
+    clock: Clock, *, shares_figures: bool
+) -> None:
+    """The first sync claims to have any version, and confirms nothing."""
+    scenario = Scenario(clock, Platform(), list_mark=7)
+    scenario.leader.fields = {SHARES_FIGURES: shares_figures}
+    scenario.link.sync()
+    assert scenario.leader.messages[0]['version'] == ANY_VERSION
+    assert not scenario.state.observed
+    assert not scenario.link.interval_s()
+    scenario.leader.replies = [_reply(document=b'2')]
+    scenario.link.sync()
+    assert scenario.leader.messages[1]['version'] == 1
+    assert ('exchange' in scenario.leader.messages[1]) == shares_figures
+    assert scenario.state.observed == [(2, clock.now)]
+
+
+def test_newer_version_does_not_confirm_the_copy(clock: Clock) -> None:
+    scenario = Scenario(clock, Platform(), list_mark=7)
+    scenario.leader.fields = {SHARES_FIGURES: True}
+    scenario.link.sync()
+    exchange = SharedFigures(state_version=5).to_wire()
+    scenario.leader.replies = [_reply(document=None, exchange=exchange)]
+    scenario.link.sync()
+    assert scenario.state.version == 1
+    assert scenario.state.observed == [(5, clock.now)]
