--- a/src/apricotcart/coordinator/newest_state.py
+++ b/src/apricotcart/coordinator/newest_state.py
@@ -17,6 +17,9 @@
 
 # Compressed bytes of a state that is sent with the reply of a sync.
 MAX_SMALL_BYTES: Final = 4096
+# Length of a document that is not compressed at all, since syncs would wait for
+# it and it would hardly become small enough.
+_MAX_DOCUMENT_BYTES: Final = 65_536
 # A gateway without a sync for this long is not named as a source.
 _SOURCE_TTL_S: Final = 1.0
 # Gateways that are named as sources to another one.
@@ -89,17 +92,20 @@
         own = self._sources.get(incarnation)
         if version < 0 or own is None or own.version >= version:
             return
-        deflated = self._compressed(self._state.document)
-        if len(deflated) <= MAX_SMALL_BYTES:
-            shared.state_document = deflated
-        else:
+        shared.state_document = self._small_document()
+        if shared.state_document is None:
             shared.state_sources = self._select_sources(version, now)
 
-    def _compressed(self, document: bytes) -> bytes:
+    def _small_document(self) -> bytes | None:
+        document = self._state.document
+        if len(document) > _MAX_DOCUMENT_BYTES:
+            return None
         with self._lock:
             if self._document is not document:
                 self._deflated = deflate(document)
                 self._document = document
+            if len(self._deflated) > MAX_SMALL_BYTES:
+                return None
             return self._deflated
 
     def _select_sources(self, version: int, now: float) -> Sequence[str]:
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -40,6 +40,9 @@
 # their syncs, and a round trip. One that has just been lost delays changes by
 # this much until it is no longer waited for.
 _COPIES_TIMEOUT_S: Final = 0.4
+# Bandwidth of a slow link between two hosts. A document gets the time that it
+# takes there on top of the limits.
+_LINK_BYTES_PER_S: Final = 312_500
 
 
 class DesiredStateService:
@@ -102,8 +105,11 @@
                 'version': version,
                 'document': document,
             }
+            transfer_s = _transfer_s(document)
             self._leader.call_until_answered(
-                message, _FORWARD_TIMEOUT_S, _FORWARD_HOST_TIMEOUT_S
+                message,
+                _FORWARD_TIMEOUT_S + transfer_s,
+                _FORWARD_HOST_TIMEOUT_S + transfer_s,
             )
         log_decision(STATE_ACKNOWLEDGED, version=version)
         return version
@@ -122,8 +128,12 @@
             document = self.read()
         except NotLeaderError as exc:
             self._leader.follow_hint(exc)
+            # The leader's document is most likely as long as this host's.
+            transfer_s = _transfer_s(self._state.document)
             reply = self._leader.call(
-                {KIND: FETCH}, _FORWARD_READ_TIMEOUT_S, HOST_TIMEOUT_S
+                {KIND: FETCH},
+                _FORWARD_READ_TIMEOUT_S + transfer_s,
+                HOST_TIMEOUT_S + transfer_s,
             )
             document = reply['document']
         if not document:
@@ -142,7 +152,7 @@
         """
         self._replicated.propose(
             {'kind': REPLACE_COMMAND, 'version': version, 'document': document},
-            _COMMIT_TIMEOUT_S,
+            _COMMIT_TIMEOUT_S + _transfer_s(document),
         )
         if not self._copies.wait_for(version, _COPIES_TIMEOUT_S):
             log_decision(COPIES_OUTDATED, version=version)
@@ -164,3 +174,7 @@
         except InvalidDesiredStateError as exc:
             log_decision(STATE_REFUSED, reason=exc.message)
             raise
+
+
+def _transfer_s(document: bytes) -> float:
+    return len(document) / _LINK_BYTES_PER_S
