Let gateways give each other blocks while they fetch themselves

Cause: only gateways with the whole state were named as sources. With few of them, all began at the same time and finished at the same time, so that none gave any other one a block. A gateway that reaches no other one would have waited 2 s for each. The test took 503, which an unknown route gets during a transfer, for a state in force. Change: gateways that still fetch are sources too; their blocks differ. One that does not answer within 0.6 s keeps a gateway from asking others for 2 s. The test waits for the 404 of a route that the change removes. The test with unreachable gateways fails without the pause.

--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -84,7 +84,7 @@
     state_document : bytes or None
         That state, compressed, if it is small and the gateway lacks it.
     state_sources : sequence of str
-        Addresses of gateways that give others blocks of it.
+        Addresses of gateways that give others the blocks that they have.
     evacuations : dict
         Evacuated zones and their revision, in wire form; empty without.
     """
--- a/src/apricotcart/coordinator/newest_state.py
+++ b/src/apricotcart/coordinator/newest_state.py
@@ -94,7 +94,7 @@
             return
         shared.state_document = self._small_document()
         if shared.state_document is None:
-            shared.state_sources = self._select_sources(version, now)
+            shared.state_sources = self._select_sources(own, now)
 
     def _small_document(self) -> bytes | None:
         document = self._state.document
@@ -108,7 +108,8 @@
                 return None
             return self._deflated
 
-    def _select_sources(self, version: int, now: float) -> Sequence[str]:
+    def _select_sources(self, own: _Source, now: float) -> Sequence[str]:
+        """Return some gateways, which have different blocks while they fetch."""
         with self._lock:
             self._sources = {
                 incarnation: source
@@ -118,6 +119,6 @@
             addresses = [
                 source.address
                 for source in self._sources.values()
-                if source.address and source.version >= version
+                if source.address and source is not own
             ]
         return self._rng.sample(addresses, min(_SOURCES, len(addresses)))
--- a/src/apricotcart/gateway/block_client.py
+++ b/src/apricotcart/gateway/block_client.py
@@ -20,6 +20,8 @@
 # Timeout of one message of at most a few ten KiB. A transfer as a whole has
 # none: it continues with the blocks that have not arrived.
 _MESSAGE_TIMEOUT_S: Final = 2.0
+# The same for another gateway, since control hosts have all blocks.
+_PEER_TIMEOUT_S: Final = 0.6
 
 
 class ReceivedBlocks:
@@ -97,7 +99,9 @@
         self._clients.close_unused()
 
     def _call(self, address: str, message: WireMessage) -> WireMessage:
-        reply = self._clients.call(address, message, _MESSAGE_TIMEOUT_S)
+        is_peer = address not in self.control_hosts
+        timeout_s = _PEER_TIMEOUT_S if is_peer else _MESSAGE_TIMEOUT_S
+        reply = self._clients.call(address, message, timeout_s)
         if not reply.get('ok'):
             raise UnavailableError(str(reply.get('message') or 'refused'))
         return reply
--- a/src/apricotcart/gateway/state_sources.py
+++ b/src/apricotcart/gateway/state_sources.py
@@ -26,17 +26,18 @@
         Selects a host.
     """
 
-    __slots__ = ('_asked', '_lock', '_peers', '_rng', '_until')
+    __slots__ = ('_asked', '_lock', '_peers', '_peers_from', '_rng', '_until')
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._lock = threading.Lock()
         self._peers: tuple[str, ...] = ()
+        self._peers_from: float = 0
         self._asked: set[str] = set()
         self._until: dict[str, float] = {}
 
     def replace_peers(self, addresses: Iterable[str]) -> None:
-        """Set the gateways that have the newest version."""
+        """Set the gateways that may have blocks of the newest version."""
         self._peers = tuple(addresses)
 
     def choose(self, control_hosts: Collection[str], now: float) -> str | None:
@@ -50,7 +51,9 @@
             Time in seconds.
         """
         with self._lock:
-            known = set(control_hosts).union(self._peers)
+            known = set(control_hosts)
+            if now >= self._peers_from:
+                known.update(self._peers)
             free = sorted(known - self._unavailable(now))
             if not free:
                 return None
@@ -69,7 +72,13 @@
         self._postpone(address, now + pause_s)
 
     def on_failure(self, address: str, now: float) -> None:
-        """Record that a host did not answer."""
+        """Record that a host did not answer.
+
+        After a gateway, no other one is asked either: this host may reach
+        none of them, and each would take the time of a message.
+        """
+        if address in self._peers:
+            self._peers_from = now + _FAILED_S
         self._postpone(address, now + _FAILED_S)
 
     def _unavailable(self, now: float) -> set[str]:
--- a/tests/gateway/test_state_fetch.py
+++ b/tests/gateway/test_state_fetch.py
@@ -232,3 +232,20 @@
     assert not scenario.state.is_usable
     with pytest.raises(NotReadyError):
         scenario.state.table()
+
+
+def test_unreachable_gateways_hardly_delay_a_transfer(
+    scenario: Scenario,
+) -> None:
+    """Each of them would take the time of a message."""
+    peers = [f'peer-{number}' for number in range(6)]
+    for number, peer in enumerate(peers):
+        figures = GatewayFigures(state_address=peer, state_version=1)
+        scenario.leader.on_figures(str(number), figures, scenario.clock.now)
+    scenario.network.silent = set(peers)
+    scenario.commit(1, document_of(1, _ROUTES))
+    scenario.sync()
+    began_at = scenario.clock.now
+    scenario.run(900)
+    assert scenario.adopted == [1]
+    assert scenario.clock.now < began_at + _APPLY_S
--- a/tests/soak/test_large_states.py
+++ b/tests/soak/test_large_states.py
@@ -14,6 +14,7 @@
 
 from soak.background import BackgroundLoop
 from soak.fleet import (
+    CALLER_PORT,
     FIRST_LINK_PORT,
     OPERATOR_PORT,
     READINESS_PORT,
@@ -98,10 +99,13 @@
         return time.monotonic() - started_at
 
     def in_force_s(self, gateway: ManagedProcess, path: str) -> float:
-        """Return the time until a gateway knows a route."""
+        """Return the time until a gateway knows that a route is gone.
+
+        It answers 503 while it may be there in a newer state.
+        """
         started_at = time.monotonic()
         while time.monotonic() < started_at + 20:
-            if self._knows(gateway.ip, path):
+            if self._status(f'http://{gateway.ip}:{CALLER_PORT}{path}') == 404:
                 break
             time.sleep(_POLL_S)
         return time.monotonic() - started_at
@@ -143,10 +147,6 @@
     def _is_ready(self, ip: str) -> bool:
         return self._status(f'http://{ip}:{READINESS_PORT}/v1/readyz') == 200
 
-    def _knows(self, ip: str, path: str) -> bool:
-        # An unknown route gets 404, one without endpoints 503.
-        return self._status(f'http://{ip}:7000{path}') not in {0, 404}
-
     def _status(self, url: str) -> int:
         try:
             return self._pool.request(
@@ -190,12 +190,13 @@
     slow_fleet: SlowFleet,
 ) -> None:
     """Guards against a change that costs as much as the whole state."""
-    slow_fleet.replace(large_state(1))
+    former = large_state(1)
+    slow_fleet.replace(former)
     gateways = slow_fleet.fleet.gateways
     assert slow_fleet.ready_s(gateways) < _START_S
     changed = large_state(2, seed=2)
     slow_fleet.replace(changed)
-    path = changed['routes'][-1]['path_prefix']
+    path = former['routes'][-1]['path_prefix']
     for gateway in gateways:
         assert slow_fleet.in_force_s(gateway, path) < _CHANGE_S
     passed = [link.bytes_passed for link in slow_fleet.links]
