End the time of a transfer when the state arrives in another way

Cause: a state that a leader of an earlier build sends as a whole left the gauge above 0, and the next transfer would have counted from there. Change: a thread that finds nothing to fetch sets it back. Result: tests of the transfer pass.

--- a/src/apricotcart/coordinator/newest_state.py
+++ b/src/apricotcart/coordinator/newest_state.py
@@ -109,7 +109,7 @@
             return self._deflated
 
     def _select_sources(self, own: _Source, now: float) -> Sequence[str]:
-        """Return some gateways, which have different blocks while they fetch."""
+        """Return some gateways; while they fetch, their blocks differ."""
         with self._lock:
             self._sources = {
                 incarnation: source
--- a/src/apricotcart/gateway/fetch_progress.py
+++ b/src/apricotcart/gateway/fetch_progress.py
@@ -81,11 +81,15 @@
             duration_s=now - self._began_at,
         )
 
-    def end(self, version: int, now: float) -> None:
-        """Log that a version is complete."""
+    def stop(self) -> None:
+        """Record that nothing is fetched any more."""
         with self._lock:
             self._is_fetching = False
         DECISION_COUNTER.set_gauge(STATE_FETCH_S, 0)
+
+    def end(self, version: int, now: float) -> None:
+        """Log that a version is complete."""
+        self.stop()
         log_decision(
             STATE_FETCHED,
             version=version,
--- a/src/apricotcart/gateway/state_fetch.py
+++ b/src/apricotcart/gateway/state_fetch.py
@@ -124,6 +124,7 @@
         if not self._state.is_outdated:
             self._is_wanted.clear()
             self._client.close_unused()
+            self._progress.stop()
             return
         now = boot_clock_s()
         self._progress.report(self._assembly.missing(), now)
