--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -22,7 +22,13 @@
     endpoint_reports : dict
         What endpoints last said to it about their load, by endpoint.
     state_version : int
-        Version of the desired state that it has or is fetching, -1 without.
+        Version of the desired state that it has, -1 without.
+    fetches_state : bool
+        Whether it fetches a large desired state in blocks.
+    reads_deflated : bool
+        Whether it understands a compressed reply.
+    state_address : str
+        Address at which it gives other gateways blocks of it, or empty.
     evacuation_revision : int
         Revision of the evacuated zones that it obeys, 0 without any.
     room : float or None
@@ -37,7 +43,10 @@
         'customer_loads',
         'endpoint_reports',
         'evacuation_revision',
+        'fetches_state',
+        'reads_deflated',
         'room',
+        'state_address',
         'state_version',
     )
 
@@ -50,8 +59,14 @@
         evacuation_revision: int = 0,
         room: float | None = None,
         answer_times: Mapping[str, Mapping[int, float]] | None = None,
+        fetches_state: bool = False,
+        reads_deflated: bool = False,
+        state_address: str = '',
     ) -> None:
         self.answer_times = answer_times or {}
+        self.fetches_state = fetches_state
+        self.reads_deflated = reads_deflated
+        self.state_address = state_address
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
@@ -130,6 +145,10 @@
         The newest report of each endpoint to any gateway, with its age.
     state_version : int
         Newest version of the desired state, -1 without one.
+    state_document : bytes or None
+        That state, compressed, if it is small and the gateway lacks it.
+    state_sources : sequence of str
+        Addresses of gateways that give others the blocks that they have.
     evacuations : dict
         Evacuated zones and their revision, in wire form; empty without.
     answer_times : dict
@@ -141,6 +160,8 @@
         'customer_loads',
         'endpoint_reports',
         'evacuations',
+        'state_document',
+        'state_sources',
         'state_version',
     )
 
@@ -152,8 +173,12 @@
         state_version: int = -1,
         evacuations: Mapping[str, Any] | None = None,
         answer_times: Mapping[str, Mapping[int, float]] | None = None,
+        state_document: bytes | None = None,
+        state_sources: Sequence[str] = (),
     ) -> None:
         self.answer_times = answer_times or {}
+        self.state_document = state_document
+        self.state_sources = state_sources
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -16,6 +16,8 @@
 # Whether the leader that replied understands the figures of gateways.
 SHARES_FIGURES: Final = 'shares_figures'
 SYNC: Final = 'sync'
+# Reply to a sync in compressed form.
+DEFLATED_SYNC: Final = 'deflated_sync'
 VIEW: Final = 'view'
 REPLACE: Final = 'replace'
 FETCH: Final = 'fetch'
@@ -24,6 +26,8 @@
 EVACUATION_SUPPORT: Final = 'evacuation_support'
 VERSIONS: Final = 'versions'
 LIST: Final = 'list'
+STATE_MANIFEST: Final = 'state_manifest'
+STATE_BLOCKS: Final = 'state_blocks'
 RECORD_ORIGINS: Final = 'record_origins'
 FIND_ORIGIN: Final = 'find_origin'
 
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from apricotcart.control.api import ReplicatedState
-from apricotcart.coordinator.endpoint_list import EndpointList
+from apricotcart.coordinator.endpoint_list import EndpointList, WireList
 from apricotcart.coordinator.endpoint_relay import EndpointRelay
 from apricotcart.coordinator.evacuation_service import EvacuationService
 from apricotcart.coordinator.hosts import GatewayTable
@@ -28,7 +28,16 @@
 from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
-from apricotcart.coordinator.sync_messages import SyncReply, SyncRequest
+from apricotcart.coordinator.state_transfer import (
+    CommittedBlocks,
+    StateTransfer,
+)
+from apricotcart.coordinator.sync_messages import (
+    ANY_VERSION,
+    SyncReply,
+    SyncRequest,
+    wire_reply,
+)
 from apricotcart.errors.tree import CodecError
 from apricotcart.timers.clock import SteadyUnixClock, boot_clock_s
 from apricotcart.transport.api import RequestHandler, WireMessage
@@ -91,6 +100,7 @@
             **OriginRecords().handlers(),
             **EndpointRelay(endpoints).handlers(),
             **evacuations.handlers(),
+            **StateTransfer(CommittedBlocks(state)).handlers(),
         }
 
     def answer(self, message: WireMessage) -> WireMessage:
@@ -122,12 +132,9 @@
         self._replicated.barrier(CONFIRM_TIMEOUT_S)
         now = boot_clock_s()
         self._gateways.on_sync(sync, now)
-        mark, instances = self._endpoints.changes_since(sync.list_mark)
-        version = self._state.version
-        is_newer = version > sync.version
-        self._copies.update(sync.incarnation, max(version, sync.version))
+        mark, instances = self._list_for(sync)
         reply = SyncReply(
-            document=self._state.document if is_newer else None,
+            document=self._document_for(sync),
             list_mark=mark,
             list_age_s=self._endpoints.age_s(),
             instances=instances,
@@ -149,9 +156,30 @@
             'ok': True,
             TERM: self._term(),
             SHARES_FIGURES: True,
-            'sync': reply.to_wire(),
+            **wire_reply(sync, reply),
         }
 
+    def _list_for(self, sync: SyncRequest) -> tuple[int, WireList | None]:
+        # The next sync, whose reply is compressed, follows at once.
+        if sync.version == ANY_VERSION:
+            return 0, None
+        return self._endpoints.changes_since(sync.list_mark)
+
+    def _document_for(self, sync: SyncRequest) -> bytes | None:
+        """Return the state if it is newer than what a gateway has.
+
+        Gateways that fetch it in blocks get none.
+        """
+        if sync.version == ANY_VERSION:
+            return None
+        version = self._state.version
+        if (sync.exchange or {}).get('fetches_state'):
+            self._copies.update(sync.incarnation, sync.version)
+            return None
+        # An earlier build applies what the reply brings.
+        self._copies.update(sync.incarnation, max(version, sync.version))
+        return self._state.document if version > sync.version else None
+
     def _view(self, _: WireMessage) -> WireMessage:
         self._replicated.barrier(CONFIRM_TIMEOUT_S)
         hosts = self._gateways.serving(boot_clock_s())
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -39,6 +39,7 @@
 )
 from apricotcart.coordinator.member_builds import MemberBuilds
 from apricotcart.coordinator.messages import KIND, VIEW, cluster_sealer
+from apricotcart.coordinator.newest_state import NewestState
 from apricotcart.coordinator.peer_links import RedialingPeerLinks
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
@@ -188,6 +189,7 @@
                 (
                     AnswerTimesStore(),
                     EvacuationFigures(self._state.evacuations, confirmed),
+                    NewestState(self._state, random.Random()),
                 )
             ),
             evacuations=self._evacuations,
