Reserve engines for streams by the demand of all gateways

Cause: a fixed quarter of the engines was reserved for latency-critical streams, and gateways that hear of each other 0.3 s late sent their streams to the same engine of the few.

Change: gateways send the number of their streams and of other requests with each sync. Each host of more than nine prefers a few of the reserved engines in a period.

--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -28,6 +28,9 @@
     room : float or None
         Share of its own capacity that is free, between 0 and 1; None if it
         does not know.
+    stream_demands : dict
+        Its running and queued requests by service: streams with the lowest
+        latency target, and others.
     """
 
     __slots__ = (
@@ -36,6 +39,7 @@
         'evacuation_revision',
         'room',
         'state_version',
+        'stream_demands',
     )
 
     def __init__(
@@ -46,7 +50,9 @@
         state_version: int = -1,
         evacuation_revision: int = 0,
         room: float | None = None,
+        stream_demands: Mapping[str, Sequence[int]] | None = None,
     ) -> None:
+        self.stream_demands = stream_demands or {}
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
@@ -68,6 +74,9 @@
         Newest version of the desired state, -1 without one.
     evacuations : dict
         Evacuated zones and their revision, in wire form; empty without.
+    stream_demands : dict
+        Running and queued requests of all gateways by service: streams with
+        the lowest latency target, and others. Empty if not known.
     """
 
     __slots__ = (
@@ -75,6 +84,7 @@
         'endpoint_reports',
         'evacuations',
         'state_version',
+        'stream_demands',
     )
 
     def __init__(
@@ -84,7 +94,9 @@
         endpoint_reports: Mapping[str, Sequence[float]] | None = None,
         state_version: int = -1,
         evacuations: Mapping[str, Any] | None = None,
+        stream_demands: Mapping[str, Sequence[int]] | None = None,
     ) -> None:
+        self.stream_demands = stream_demands or {}
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -42,6 +42,7 @@
 from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
+from apricotcart.coordinator.stream_demands import StreamDemands
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.membership.answers import ServingHost, ServingHostDirectory
 from apricotcart.platform.adapter import PlatformAdapter
@@ -173,7 +174,7 @@
             endpoints=self._endpoints,
             clock=self._clock,
             copies=copies,
-            figures=FigureStores(()),
+            figures=FigureStores((StreamDemands(),)),
         )
         self._duties = Duties(
             name=cfg.host.name,
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -59,11 +59,15 @@
         Recent outcomes by endpoint.
     waiting : dict of str to LoadSummary
         Queued requests by service.
+    running, queued : list of Requirements
+        What each running and each queued request requires.
     """
 
-    __slots__ = ('loads', 'outcomes', 'waiting')
+    __slots__ = ('loads', 'outcomes', 'queued', 'running', 'waiting')
 
     def __init__(self) -> None:
+        self.running: list[Requirements] = []
+        self.queued: list[Requirements] = []
         self.loads: dict[str, LoadSummary] = {}
         self.outcomes: dict[str, OutcomeCounts] = {}
         self.waiting: dict[str, LoadSummary] = {}
@@ -250,10 +254,10 @@
         now = boot_clock_s()
         report = LoadReport()
         with self._lock:
-            queued = self._queue.queued_requirements()
+            report.queued = self._queue.queued_requirements()
             for endpoint in self._placement.endpoints():
                 _add_endpoint(report, endpoint, now)
-        for requirements in queued:
+        for requirements in report.queued:
             load = report.waiting.setdefault(
                 requirements.service, LoadSummary()
             )
@@ -286,11 +290,17 @@
     name = endpoint.instance.instance_id
     if endpoint.local_requests:
         report.loads[name] = _load_of(endpoint)
+        report.running += running_on(endpoint)
     outcomes = endpoint.outcomes.local(now)
     if not outcomes.is_empty:
         report.outcomes[name] = outcomes
 
 
+def running_on(endpoint: EndpointState) -> list[Requirements]:
+    """Return what the requests of this host on an endpoint require."""
+    return [placed.requirements for placed in endpoint.local_requests.values()]
+
+
 def _load_of(endpoint: EndpointState) -> LoadSummary:
     load = LoadSummary()
     for placed in endpoint.local_requests.values():
--- a/src/apricotcart/gateway/dispatching/placement.py
+++ b/src/apricotcart/gateway/dispatching/placement.py
@@ -29,6 +29,7 @@
     is_copy_worthwhile,
 )
 from apricotcart.gateway.dispatching.rate_limits import StartEstimate
+from apricotcart.gateway.dispatching.reservation import Reservation
 from apricotcart.gateway.dispatching.slot_grants import SlotGrants
 from apricotcart.resumption.serving_versions import VersionsByService
 
@@ -38,9 +39,6 @@
 # Cost of sending a request to another availability zone in prefill tokens: the
 # round trip and the price of the traffic.
 ZONE_COST_TOKENS: Final = 500
-# Ratio of the engines of a service that are reserved for the streams with the
-# lowest inter-token latency target.
-_LATENCY_CRITICAL_ENGINE_RATIO: Final = 0.25
 # Weight of prefilling a shared prefix again. It costs more than its time, since
 # it evicts other prefixes: a request is queued behind up to this many times its
 # shared tokens instead.
@@ -73,6 +71,8 @@
         The endpoints and what is known of them.
     rate_limits : RateLimits
         Keeps requests within the limits that endpoints name.
+    reservation : Reservation
+        Number of engines reserved for latency-critical streams.
     """
 
     __slots__ = (
@@ -81,6 +81,7 @@
         '_slot_grants',
         '_zone',
         'rate_limits',
+        'reservation',
         'table',
     )
 
@@ -89,7 +90,8 @@
         self._now: float = 0
         self.table = EndpointTable()
         self._admission = Admission()
-        self._slot_grants = SlotGrants(host)
+        self.reservation = Reservation()
+        self._slot_grants = SlotGrants(host, self.reservation)
         self.rate_limits = self._admission.rate_limits
 
     def configure(self, engines: Mapping[str, Engine]) -> None:
@@ -242,19 +244,17 @@
     ) -> list[EndpointState]:
         """Return the endpoints that serve requests of this kind."""
         endpoints = self.table.of_service(requirements.service)
-        if (
-            requirements.service not in self._admission.engines
-            or len(endpoints) < 2
-        ):
+        engine = self._admission.engines.get(requirements.service)
+        if engine is None or len(endpoints) < 2:
             return endpoints
         endpoints.sort(key=lambda endpoint: endpoint.hash_order)
-        critical_count = max(
-            1, round(len(endpoints) * _LATENCY_CRITICAL_ENGINE_RATIO)
+        reserved = self.reservation.reserved_engines(
+            requirements.service, len(endpoints), engine, self._now
         )
         return (
-            endpoints[:critical_count]
+            endpoints[:reserved]
             if requirements.is_latency_critical
-            else endpoints[critical_count:]
+            else endpoints[reserved:]
         )
 
     def _has_slot_grant(
--- a/src/apricotcart/gateway/dispatching/slot_grants.py
+++ b/src/apricotcart/gateway/dispatching/slot_grants.py
@@ -11,10 +11,17 @@
     Requirements,
 )
 from apricotcart.gateway.dispatching.hashing import hash_to_unit
+from apricotcart.gateway.dispatching.reservation import Reservation
 
 # Period for which free slots are divided among the hosts. It is about the age
 # of the load that the other hosts report.
 _GRANT_PERIOD_S: Final = 0.4
+# Engines that one host considers for latency-critical streams in a period,
+# while all are empty. Most hosts would send theirs to the same engine if each
+# considered all, and a host that considers one would not balance their load.
+_STREAM_CHOICES: Final = 3
+# Up to this many other hosts, each estimates what the others place.
+_FEW_HOSTS: Final = 8
 
 
 class SlotGrants:
@@ -22,19 +29,23 @@
 
     The hosts divide the free slots by a hash for each period, since otherwise
     all of them would fill an engine that has just become free. Short urgent
-    requests are exempt since they free their slot soon, and so are the streams
-    with the lowest latency target, which cannot wait for a grant.
+    requests are exempt since they free their slot soon. The streams with the
+    lowest latency target cannot wait for a grant: each host prefers a few of
+    their engines, which differ between hosts and periods.
 
     Parameters
     ----------
     host : str
         Name of this host.
+    reservation : Reservation
+        Number of engines reserved for latency-critical streams.
     """
 
-    __slots__ = ('_host',)
+    __slots__ = ('_host', '_reservation')
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, reservation: Reservation) -> None:
         self._host = host
+        self._reservation = reservation
 
     def allows(
         self,
@@ -45,7 +56,7 @@
     ) -> bool:
         """Return whether this host may use a free slot for a request."""
         if requirements.is_latency_critical:
-            return True
+            return self._is_candidate(now, endpoint, requirements, engine)
         if requirements.level and requirements.is_short:
             return True
         free_slots = engine.slots * requirements.slot_ratio - endpoint.requests
@@ -63,6 +74,22 @@
         """Count a request that was placed on an endpoint."""
         endpoint.slot_grants.increment(_period_of(now))
 
+    def _is_candidate(
+        self,
+        now: float,
+        endpoint: EndpointState,
+        requirements: Requirements,
+        engine: Engine,
+    ) -> bool:
+        if endpoint.peer_hosts <= _FEW_HOSTS:
+            return True
+        reserved = self._reservation.last_count(requirements.service)
+        free_ratio = 1 - endpoint.requests / engine.slots
+        chance = hash_to_unit(
+            self._host, endpoint.instance.instance_id, str(_period_of(now))
+        )
+        return chance * reserved < free_ratio * _STREAM_CHOICES
+
 
 def _period_of(now: float) -> int:
     return int(now / _GRANT_PERIOD_S)
--- /dev/null
+++ b/src/apricotcart/gateway/figure_users.py
@@ -0,0 +1,18 @@
+"""Parts of a gateway that share figures with the other gateways."""
+
+from __future__ import annotations
+
+from apricotcart.gateway.dispatching.dispatcher import Dispatcher
+from apricotcart.gateway.dispatching.shared_demand import SharedDemand
+from apricotcart.gateway.shared_figures import FigureExchange
+
+
+def build_exchange(dispatcher: Dispatcher) -> FigureExchange:
+    """Return the exchange of figures of one gateway.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Request queue and placement of the gateway.
+    """
+    return FigureExchange((SharedDemand(dispatcher),))
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -28,6 +28,7 @@
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
+from apricotcart.gateway.figure_users import build_exchange
 from apricotcart.gateway.forwarding import Forwarder
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.listener import (
@@ -42,7 +43,6 @@
 from apricotcart.gateway.relay.assembly import Relay
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
-from apricotcart.gateway.shared_figures import FigureExchange
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.stop_state import StopState
 from apricotcart.gateway.stopping import stop_calls
@@ -183,7 +183,7 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
-            figures=FigureExchange(()),
+            figures=build_exchange(self._dispatcher),
         )
 
     def _build_relay(self) -> None:
--- a/tools/policy/gateway_fleet.py
+++ b/tools/policy/gateway_fleet.py
@@ -15,12 +15,19 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
+from apricotcart.coordinator.exchange_messages import (
+    GatewayFigures,
+    SharedFigures,
+)
 from apricotcart.coordinator.hosts import GatewayTable
+from apricotcart.coordinator.shared_figures import FigureStore
+from apricotcart.coordinator.stream_demands import StreamDemands
 from apricotcart.coordinator.sync_messages import SyncRequest
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
 from apricotcart.endpoints.recent_outcomes import OutcomeCounts
 from apricotcart.gateway.api import PromptPart
+from apricotcart.gateway.dispatching.dispatcher import running_on
 from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     LoadSummary,
@@ -33,6 +40,7 @@
     RequestQueue,
     queue_timeout_s,
 )
+from apricotcart.gateway.dispatching.shared_demand import count_streams
 
 SYNC_INTERVAL_S: Final = 0.3
 _TICK_S: Final = 0.05
@@ -258,6 +266,7 @@
         self._events: list[_Event] = []
         self._arrivals: dict[str, _Arrival] = {}
         self._table = GatewayTable()
+        self._stores: Sequence[FigureStore] = (StreamDemands(),)
         self.gateways = [
             SimulatedGateway(f'g{number}', _ZONES[number % len(_ZONES)])
             for number in range(hosts)
@@ -423,9 +432,26 @@
         self._table.on_sync(request, self.now)
         loads = self._table.loads_excluding(gateway.name, self.now)
         failing = self._table.failing_excluding(gateway.name, self.now)
-        self._later(_DELAY_S, self._apply, gateway, loads, failing)
+        shared = self._exchange(gateway)
+        self._later(_DELAY_S, self._apply, gateway, loads, failing, shared)
         self._later(SYNC_INTERVAL_S, self._sync, gateway)
 
+    def _exchange(self, gateway: SimulatedGateway) -> SharedFigures:
+        running = [
+            requirements
+            for endpoint in gateway.placement.endpoints()
+            for requirements in running_on(endpoint)
+        ]
+        queued = gateway.queue.queued_requirements()
+        figures = GatewayFigures(
+            stream_demands=count_streams([*running, *queued]),
+        )
+        shared = SharedFigures()
+        for store in self._stores:
+            store.on_figures(gateway.name, figures, self.now)
+            store.add_shared(gateway.name, shared, self.now)
+        return shared
+
     def _sync_request(self, gateway: SimulatedGateway) -> SyncRequest:
         endpoints = gateway.placement.endpoints()
         return SyncRequest(
@@ -456,8 +482,10 @@
         gateway: SimulatedGateway,
         loads: Mapping[str, Sequence[int]],
         failing: Mapping[str, Sequence[int]],
+        shared: SharedFigures,
     ) -> None:
         placement = gateway.placement
+        placement.reservation.update(shared.stream_demands, self.now)
         placement.update_remote_loads(
             {name: LoadSummary(*totals) for name, totals in loads.items()},
             len(self.gateways),
