Queue at gateways through the core of the entry hosts, fair between customers

Cause: gateways ordered requests by urgency and arrival, so that a customer that sends many times its usual took the room of all others.

Change: the request queue uses scheduling.queues, which is generic over what is queued. Customers are served in the order of their running tokens over all gateways, which are joined by the leader; a customer that runs its max-min share gives way while another one waits for its own. Refusals say whether the customer's share or the queue timeout was the reason.

--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, Final
 
 from apricotcart.codec.record import Record
 
-# Tokens of running and of queued requests, by customer.
+# Levels of urgency, the least urgent first.
+LOAD_LEVELS: Final = 3
+# Figures of a customer: tokens of its running and of its queued requests, for
+# each level.
+LOAD_FIGURES: Final = 2 * LOAD_LEVELS
+# Figures by customer.
 CustomerLoads = Mapping[str, Sequence[int]]
 
 
@@ -17,8 +22,8 @@
     Attributes
     ----------
     customer_loads : dict
-        Tokens of its running and of its queued requests, by service and
-        customer.
+        Tokens of its running and of its queued requests at each level, by
+        service and customer.
     endpoint_reports : dict
         What endpoints last said to it about their load, by endpoint.
     state_version : int
@@ -66,8 +71,8 @@
     Attributes
     ----------
     customer_loads : dict
-        Tokens of running and of queued requests at the other gateways, by
-        service and customer.
+        Tokens of running and of queued requests at each level at the other
+        gateways, by service and customer.
     endpoint_reports : dict
         The newest report of each endpoint to any gateway, with its age.
     state_version : int
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -18,6 +18,7 @@
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.suspension import wait_for_room
 from apricotcart.coordinator.addresses import ControlHosts, Ports, ip_of
+from apricotcart.coordinator.customer_loads import JoinedCustomerLoads
 from apricotcart.coordinator.duties import DUTY_INTERVAL_S, Duties
 from apricotcart.coordinator.endpoint_list import (
     FETCH_INTERVAL_S,
@@ -174,7 +175,7 @@
             endpoints=self._endpoints,
             clock=self._clock,
             copies=copies,
-            figures=FigureStores((StreamDemands(),)),
+            figures=FigureStores((StreamDemands(), JoinedCustomerLoads())),
         )
         self._duties = Duties(
             name=cfg.host.name,
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -16,10 +16,12 @@
     Requirements,
 )
 from apricotcart.gateway.dispatching.placement import Placement
-from apricotcart.gateway.dispatching.request_queue import (
+from apricotcart.gateway.dispatching.queued_request import (
     Assigned,
     Decision,
     QueuedRequest,
+)
+from apricotcart.gateway.dispatching.request_queue import (
     RequestQueue,
 )
 from apricotcart.gateway.errors import BusyError, CallerLeftError
@@ -35,6 +37,9 @@
 
 # Interval at which the queue is processed without other events.
 TICK_INTERVAL_S: Final = 0.05
+# Why a request was refused.
+CUSTOMER_SHARE: Final = 'customer_share'
+QUEUE_TIMEOUT: Final = 'queue_timeout'
 
 
 class Outcome(enum.Enum):
@@ -106,6 +111,8 @@
     listed_until : float
         Up to when the list of endpoints has every change, in seconds;
         infinite until a list of a known age is in use.
+    joined_loads : JoinedLoads
+        Load of each customer over all hosts, which `update_placement` changes.
     loads_updated_at : float
         When the other hosts' load was last applied, in seconds.
     """
@@ -115,6 +122,7 @@
         '_placement',
         '_queue',
         '_pending',
+        'joined_loads',
         'listed_until',
         'loads_updated_at',
     )
@@ -123,6 +131,7 @@
         self._lock = threading.Lock()
         self._placement = placement
         self._queue = RequestQueue(placement)
+        self.joined_loads = self._queue.joined_loads
         self._pending: dict[str, PendingDecision] = {}
         self.loads_updated_at = boot_clock_s()
         self.listed_until = math.inf
@@ -278,9 +287,16 @@
         raise CallerLeftError('the caller closed its connection while queued')
     if isinstance(decision, Assigned):
         return decision.endpoint
+    if decision.is_over_share:
+        raise BusyError(
+            'the customer used its share while others waited',
+            retry_after_s=decision.retry_after_s,
+            detail=CUSTOMER_SHARE,
+        )
     raise BusyError(
         'no endpoint had free capacity before the queue timeout',
         retry_after_s=decision.retry_after_s,
+        detail=QUEUE_TIMEOUT,
     )
 
 
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -1,30 +1,40 @@
 """Queues requests by priority and refuses them after a timeout.
 
-In a burst that exceeds the capacity of the endpoints, the most urgent and among
-equals the oldest request is placed first. A request that cannot start before
-its queue timeout is refused with the time after which to retry.
+In a burst that exceeds the capacity of the endpoints, the most urgent request
+is placed first, among equals that of the customer with the fewest tokens
+running on all gateways, and of one customer the oldest. A customer that runs
+its fair share gives way while others wait at any gateway. A request that cannot
+start before its queue timeout is refused with the time after which to retry.
 """
 
 from __future__ import annotations
 
+import heapq
+import sys
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Final
 
 from apricotcart.gateway.dispatching.endpoint_state import (
     EndpointState,
     Requirements,
 )
+from apricotcart.gateway.dispatching.joined_loads import (
+    JoinedLoads,
+    count_loads,
+)
 from apricotcart.gateway.dispatching.placement import Placement
+from apricotcart.gateway.dispatching.queued_request import (
+    Assigned,
+    Decision,
+    Group,
+    QueuedRequest,
+    Refused,
+)
+from apricotcart.gateway.dispatching.rate_limits import StartEstimate
+from apricotcart.scheduling.customer_shares import CustomerShares
+from apricotcart.scheduling.queues import LaneKey, PoolQueue, TierQueue
 
-# Queue timeout as a ratio of the target time to first byte; a longer wait
-# leaves no time for the prefill.
-_QUEUE_TIMEOUT_RATIO: Final = 0.5
-# Upper bound of the queue timeout.
-_QUEUE_TIMEOUT_MAX_S: Final = 2.0
-# Upper bound for the least urgent requests, whose responses are still useful
-# when they are late.
-_LOW_PRIORITY_QUEUE_TIMEOUT_S: Final = 4.0
 # Bounds of the time after which a refused request may be retried.
 _RETRY_AFTER_MIN_S: Final = 0.2
 _RETRY_AFTER_MAX_S: Final = 3.0
@@ -33,62 +43,8 @@
 # Its upper bound while all endpoints name a limit.
 _LIMITED_RETRY_AFTER_MAX_S: Final = 10.0
 
-# Service, whether it has the lowest latency target, and whether it is short.
-_Group = tuple[str, bool, bool]
-
-
-class QueuedRequest:
-    """A request that waits for an endpoint.
-
-    Attributes
-    ----------
-    rank : tuple
-        Order in the queue, lowest first.
-    refuse_at : float
-        When the queue timeout expires, in seconds.
-    excluded : set of str
-        Ids of endpoints that it must not be sent to.
-    """
-
-    __slots__ = ('excluded', 'requirements', 'rank', 'refuse_at', 'request_id')
-
-    def __init__(
-        self,
-        *,
-        request_id: str,
-        requirements: Requirements,
-        rank: tuple[int, float],
-        refuse_at: float,
-        excluded: set[str],
-    ) -> None:
-        self.request_id = request_id
-        self.requirements = requirements
-        self.rank = rank
-        self.refuse_at = refuse_at
-        self.excluded = excluded
-
-
-class Assigned:
-    """Decision that assigns an endpoint to a request."""
-
-    __slots__ = ('request_id', 'endpoint')
-
-    def __init__(self, request_id: str, endpoint: EndpointState) -> None:
-        self.request_id = request_id
-        self.endpoint = endpoint
-
-
-class Refused:
-    """Decision that refuses a request for now."""
-
-    __slots__ = ('request_id', 'retry_after_s')
-
-    def __init__(self, request_id: str, retry_after_s: float) -> None:
-        self.request_id = request_id
-        self.retry_after_s = retry_after_s
-
-
-Decision = Assigned | Refused
+# Service, and the only version that may run a request.
+_Allowed = tuple[str, str | None]
 
 
 class RequestQueue:
@@ -98,13 +54,30 @@
     ----------
     placement : Placement
         Chooses endpoints.
+
+    Attributes
+    ----------
+    joined_loads : JoinedLoads
+        Load of each customer over all gateways.
     """
 
-    __slots__ = ('_placement', '_queued')
+    __slots__ = (
+        '_expiry',
+        '_held',
+        '_placement',
+        '_pools',
+        '_queued',
+        'joined_loads',
+    )
 
     def __init__(self, placement: Placement) -> None:
         self._placement = placement
         self._queued: dict[str, QueuedRequest] = {}
+        self._pools: dict[str, PoolQueue[QueuedRequest]] = {}
+        self._expiry: list[tuple[float, str]] = []
+        # Customers that gave way to others in the last pass, by service.
+        self._held: set[tuple[str, str]] = set()
+        self.joined_loads = JoinedLoads()
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -112,11 +85,20 @@
 
     def add(self, request: QueuedRequest) -> None:
         """Add a request to the queue."""
+        service = request.requirements.service
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = PoolQueue(sys.maxsize, _weight_of)
+            self._pools[service] = pool
+        pool.add(request, 0)
         self._queued[request.request_id] = request
+        heapq.heappush(self._expiry, (request.refuse_at, request.request_id))
 
     def remove(self, request_id: str) -> None:
         """Remove a request from the queue if it is there."""
-        self._queued.pop(request_id, None)
+        request = self._queued.pop(request_id, None)
+        if request is not None:
+            self._pools[request.requirements.service].remove(request)
 
     def queued_requirements(self) -> list[Requirements]:
         """Return the requirements of the queued requests."""
@@ -124,92 +106,170 @@
 
     def decide(self, now: float) -> Iterator[Decision]:
         """Yield the decisions that can be made now, most urgent first."""
-        queue = sorted(self._queued.values(), key=lambda queued: queued.rank)
-        blocked: set[_Group] = set()
-        waiting: Counter[str] = Counter()
-        for request in queue:
-            decision: Decision | None = self._assignment(now, request, blocked)
-            service = request.requirements.service
-            if decision is None:
-                decision = self._refusal(now, request, waiting[service])
-            if decision is None:
-                waiting[service] += 1
+        self._held.clear()
+        for service, pool in self._pools.items():
+            if not pool.size:
                 continue
-            self.remove(request.request_id)
-            yield decision
+            shares = self._shares(now, service)
+            blocked: set[Group] = set()
+            for _, queue in list(pool.backlogged()):
+                yield from self._assign(now, queue, shares, blocked)
+        yield from self._refuse(now)
 
-    def _assignment(
+    def _assign(
         self,
         now: float,
-        request: QueuedRequest,
-        blocked: set[_Group],
-    ) -> Assigned | None:
-        # Streams with the lowest latency target have dedicated engines, and
-        # short requests must not wait for the capacity a long one needs.
+        queue: TierQueue[QueuedRequest],
+        shares: CustomerShares,
+        blocked: set[Group],
+    ) -> Iterator[Assigned]:
+        """Yield assignments of one tier until no lane gets any more."""
+        failed: set[LaneKey] = set()
+        _order_customers(queue, shares)
+        request = _next_request(queue, blocked, failed)
+        while request is not None:
+            endpoint = self._choose(now, request, shares)
+            if endpoint is None:
+                failed.add(request.lane_key)
+                if request.speaks_for_group:
+                    # A less urgent request must not overtake it.
+                    blocked.add(request.group)
+            else:
+                self._place(request, endpoint)
+                _charge(queue, shares, request.requirements)
+                yield Assigned(request.request_id, endpoint)
+            request = _next_request(queue, blocked, failed)
+
+    def _choose(
+        self, now: float, request: QueuedRequest, shares: CustomerShares
+    ) -> EndpointState | None:
         requirements = request.requirements
-        group = (
-            requirements.service,
-            requirements.is_latency_critical,
-            requirements.is_short,
+        if shares.is_exceeded(requirements.customer, requirements.level):
+            self._held.add((requirements.service, requirements.customer))
+            return None
+        return self._placement.choose(now, requirements, request.excluded)
+
+    def _place(self, request: QueuedRequest, endpoint: EndpointState) -> None:
+        self._placement.place(
+            request.request_id, endpoint, request.requirements
         )
-        endpoint = None
-        # A less urgent request must not overtake one without an endpoint.
-        if group not in blocked:
-            endpoint = self._placement.choose(
-                now, requirements, request.excluded
-            )
-        if endpoint is not None:
-            self._placement.place(request.request_id, endpoint, requirements)
-            return Assigned(request.request_id, endpoint)
-        # One that few endpoints may run says nothing about the others.
-        if not request.excluded and requirements.software_version is None:
-            blocked.add(group)
-        return None
+        self.remove(request.request_id)
+
+    def _shares(self, now: float, service: str) -> CustomerShares:
+        endpoints = self._placement.table.of_service(service)
+        running = [
+            placed.requirements
+            for endpoint in endpoints
+            for placed in endpoint.local_requests.values()
+        ]
+        own = count_loads(running, self.queued_requirements())
+        return self.joined_loads.shares(now, service, own, endpoints)
+
+    def _refuse(self, now: float) -> Iterator[Refused]:
+        """Yield refusals of requests that cannot start in time.
+
+        Where endpoints ask for a pause or name a limit, those that would wait
+        too long for it are refused at once.
+        """
+        estimates = self._estimates(now)
+        for request in self._pop_expired(now):
+            yield self._refusal(request, estimates[_allowed_by(request)])
+        if any(map(_is_limiting, estimates.values())):
+            yield from self._refuse_limited(now, estimates)
+
+    def _pop_expired(self, now: float) -> Iterator[QueuedRequest]:
+        while self._expiry and self._expiry[0][0] <= now:
+            refuse_at, request_id = heapq.heappop(self._expiry)
+            request = self._queued.get(request_id)
+            if request is not None and request.refuse_at == refuse_at:
+                self.remove(request_id)
+                yield request
+
+    def _estimates(self, now: float) -> dict[_Allowed, StartEstimate]:
+        estimates: dict[_Allowed, StartEstimate] = {}
+        for request in self._queued.values():
+            allowed = _allowed_by(request)
+            if allowed not in estimates:
+                estimates[allowed] = self._placement.start_estimate(
+                    request.requirements, now
+                )
+        return estimates
+
+    def _refuse_limited(
+        self, now: float, estimates: dict[_Allowed, StartEstimate]
+    ) -> Iterator[Refused]:
+        ahead: Counter[str] = Counter()
+        for request in sorted(self._queued.values(), key=_rank_of):
+            service = request.requirements.service
+            estimate = estimates[_allowed_by(request)]
+            if now + estimate.wait_s(ahead[service]) < request.refuse_at:
+                ahead[service] += 1
+                continue
+            self.remove(request.request_id)
+            yield self._refusal(request, estimate, ahead[service])
 
     def _refusal(
-        self, now: float, request: QueuedRequest, ahead: int
-    ) -> Refused | None:
-        """Refuse a request that cannot start before its queue timeout.
-
-        Parameters
-        ----------
-        now : float
-            Time in seconds.
-        request : QueuedRequest
-            A request that no endpoint was assigned to.
-        ahead : int
-            Requests for the same service that wait before it.
-        """
-        estimate = self._placement.start_estimate(request.requirements, now)
-        if now + estimate.wait_s(ahead) < request.refuse_at:
-            return None
-        retry_after_s = compute_retry_after_s(len(self))
+        self, request: QueuedRequest, estimate: StartEstimate, ahead: int = 0
+    ) -> Refused:
+        retry_after_s = compute_retry_after_s(len(self) + 1)
         if estimate.rate_per_s is not None:
             retry_after_s = compute_limited_retry_after_s(
                 ahead + 1, estimate.rate_per_s
             )
-        return Refused(request.request_id, max(estimate.pause_s, retry_after_s))
+        customer = (request.requirements.service, request.customer)
+        return Refused(
+            request.request_id,
+            max(estimate.pause_s, retry_after_s),
+            is_over_share=customer in self._held,
+        )
 
 
-def queue_timeout_s(
-    target_s: float, remaining_s: float, level: int = 1
-) -> float:
-    """Return how long a request may be queued, in seconds.
+def _weight_of(customer: str) -> float:
+    return 1
 
-    Parameters
-    ----------
-    target_s : float
-        Target time to first byte in seconds.
-    remaining_s : float
-        Time to the deadline in seconds.
-    level : int
-        Number of less urgent levels.
-    """
-    if not level:
-        return min(remaining_s / 3, _LOW_PRIORITY_QUEUE_TIMEOUT_S)
-    return min(
-        target_s * _QUEUE_TIMEOUT_RATIO, remaining_s / 3, _QUEUE_TIMEOUT_MAX_S
-    )
+
+def _rank_of(request: QueuedRequest) -> tuple[int, float]:
+    return request.rank
+
+
+def _allowed_by(request: QueuedRequest) -> _Allowed:
+    return request.requirements.service, request.requirements.software_version
+
+
+def _is_limiting(estimate: StartEstimate) -> bool:
+    return estimate.pause_s > 0 or estimate.rate_per_s is not None
+
+
+def _next_request(
+    queue: TierQueue[QueuedRequest],
+    blocked: Collection[Group],
+    failed: Collection[LaneKey],
+) -> QueuedRequest | None:
+    for lane in queue.lanes_in_order():
+        request = lane.first()
+        if request is None or request.lane_key in failed:
+            continue
+        if request.group not in blocked:
+            return request
+    return None
+
+
+def _order_customers(
+    queue: TierQueue[QueuedRequest], shares: CustomerShares
+) -> None:
+    for customer, requests in queue.customers.items():
+        level = next(iter(requests.values())).requirements.level
+        queue.update_virtual_time(customer, shares.use(customer, level))
+
+
+def _charge(
+    queue: TierQueue[QueuedRequest],
+    shares: CustomerShares,
+    requirements: Requirements,
+) -> None:
+    customer, level = requirements.customer, requirements.level
+    shares.add_running(customer, level, requirements.tokens)
+    queue.update_virtual_time(customer, shares.use(customer, level))
 
 
 def compute_retry_after_s(queued: int) -> float:
--- a/src/apricotcart/gateway/dispatching/reservation.py
+++ b/src/apricotcart/gateway/dispatching/reservation.py
@@ -60,8 +60,8 @@
     ) -> int:
         """Return how many engines of a service are reserved.
 
-        All are while only streams are sent. A request without an engine may
-        then use any.
+        The default ratio is while only streams are sent: none need to be kept
+        from other requests, and streams use any engine when theirs are full.
 
         Parameters
         ----------
@@ -77,6 +77,8 @@
         streams, others = 0, 0
         if now <= self._updated_at + _DEMAND_TTL_S:
             streams, others = self._demands.get(service, (0, 0))
+        if not others:
+            streams = 0
         weight = _DEFAULT_WEIGHT * engines * engine.slots
         even = streams + weight * _DEFAULT_RATIO
         even *= engines / (streams + others + weight)
@@ -84,8 +86,6 @@
         kept = min(most_kept, _engines_for(others, engine))
         count = max(_engines_for(streams, engine), round(even))
         count = max(1, min(count, engines - max(1, kept)))
-        if streams and not others:
-            count = engines
         self._counts[service] = count
         return count
 
--- a/src/apricotcart/gateway/dispatching/shared_demand.py
+++ b/src/apricotcart/gateway/dispatching/shared_demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import partial
 
 from apricotcart.coordinator.exchange_messages import (
     GatewayFigures,
@@ -10,6 +11,8 @@
 )
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import Requirements
+from apricotcart.gateway.dispatching.joined_loads import count_loads
+from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.shared_figures import FigureUser
 
 
@@ -30,6 +33,7 @@
     def add_figures(self, figures: GatewayFigures, now: float) -> None:
         """Set the demand of this host."""
         report = self._dispatcher.load_report()
+        figures.customer_loads = count_loads(report.running, report.queued)
         figures.stream_demands = count_streams(
             [*report.running, *report.queued]
         )
@@ -37,9 +41,15 @@
     def apply_figures(self, shared: SharedFigures, requested_at: float) -> None:
         """Use the demand of all gateways."""
         self._dispatcher.update_placement(
-            lambda placement: placement.reservation.update(
-                shared.stream_demands, requested_at
-            ),
+            partial(self._apply, shared, requested_at)
+        )
+
+    def _apply(
+        self, shared: SharedFigures, requested_at: float, placement: Placement
+    ) -> None:
+        placement.reservation.update(shared.stream_demands, requested_at)
+        self._dispatcher.joined_loads.update(
+            shared.customer_loads, requested_at
         )
 
 
--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -10,7 +10,7 @@
 from apricotcart.gateway.crash_quarantine import CrashQuarantine
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher, Outcome
 from apricotcart.gateway.dispatching.endpoint_state import EndpointState
-from apricotcart.gateway.dispatching.request_queue import (
+from apricotcart.gateway.dispatching.queued_request import (
     QueuedRequest,
     queue_timeout_s,
 )
--- a/src/apricotcart/gateway/refusals.py
+++ b/src/apricotcart/gateway/refusals.py
@@ -29,6 +29,7 @@
         request_id=metadata.attempt_id,
         status=exc.http_status,
         reason=exc.code,
+        detail=exc.context.get('detail'),
         fingerprint=exc.context.get('fingerprint'),
         resumes=metadata.resumes or None,
         software=exc.context.get('software'),
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -99,6 +99,7 @@
     _REQUEST_ID,
     'status',
     _REASON,
+    'detail',
     _FINGERPRINT,
     'resumes',
     'software',
--- a/src/apricotcart/scheduling/dispatching.py
+++ b/src/apricotcart/scheduling/dispatching.py
@@ -64,7 +64,7 @@
 
 
 def _dispatch_from_tier(
-    tables: Tables, now: float, pool: Pool, queue: TierQueue
+    tables: Tables, now: float, pool: Pool, queue: TierQueue[Entry]
 ) -> Decision | None:
     for lane in queue.lanes_in_order():
         entry = lane.first()
--- a/src/apricotcart/scheduling/entries.py
+++ b/src/apricotcart/scheduling/entries.py
@@ -9,6 +9,7 @@
 from apricotcart.errors.tree import MAY_HAVE_RUN, NOT_RUN
 
 if TYPE_CHECKING:
+    from apricotcart.scheduling.queues import LaneKey
     from apricotcart.scheduling.records import QueuedRequest, ServiceClass
 
 # Cost of a prompt token in output tokens. Prefill processes prompt tokens in
@@ -90,6 +91,27 @@
         """Return the tokens used so far, with prompt tokens at a lower cost."""
         return self.tokens + PROMPT_TOKEN_COST * self.req.prompt_tokens
 
+    @property
+    def customer(self) -> str:
+        """Customer that is charged for the request."""
+        return self.req.customer
+
+    @property
+    def order(self) -> float:
+        """Equal for all: a customer's requests keep the order of arrival."""
+        return 0
+
+    @property
+    def lane_key(self) -> LaneKey:
+        """Key of the requests that suit the same endpoints."""
+        req = self.req
+        return self.late, (
+            req.model,
+            self.cheap_allowed,
+            self.suspect,
+            req.excluded_endpoints,
+        )
+
     @property
     def request_id(self) -> str:
         """Identity of the request."""
--- a/src/apricotcart/scheduling/pools.py
+++ b/src/apricotcart/scheduling/pools.py
@@ -34,6 +34,8 @@
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 60.0
 
+_NumberedTier = tuple[int, TierQueue['Entry']]
+
 
 class DecayingRate:
     """Events per second over an exponentially decaying window."""
@@ -79,7 +81,7 @@
         self, name: str, max_queue: int, weight_of: Callable[[str], float]
     ) -> None:
         self.name = name
-        self.queue = PoolQueue(max_queue, weight_of)
+        self.queue: PoolQueue[Entry] = PoolQueue(max_queue, weight_of)
         self.in_flight: dict[int, int] = {}
         self.min_shares: dict[int, float] = {}
         self.dirty = False
@@ -108,7 +110,7 @@
             self._virtual_times[tier] = virtual_times
         return virtual_times
 
-    def tiers_in_order(self, now: float) -> list[tuple[int, TierQueue]]:
+    def tiers_in_order(self, now: float) -> list[_NumberedTier]:
         """Return the backlogged tiers in the order of dispatch.
 
         A tier that is due comes first; the others follow in tier order.
--- a/src/apricotcart/scheduling/queues.py
+++ b/src/apricotcart/scheduling/queues.py
@@ -1,37 +1,57 @@
-"""Bounded queues of one pool, by tier, endpoint requirements and customer."""
+"""Bounded queues of one pool, by tier, endpoint requirements and customer.
+
+The entry hosts and the gateways queue their requests here. Both serve the
+customer with the least virtual time first; what counts into it is theirs.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Hashable, Iterator
+from typing import Generic, Protocol, TypeVar
 
 from apricotcart.scheduling.index import PriorityIndex
 
-if TYPE_CHECKING:
-    from apricotcart.scheduling.entries import Entry
+# Whether the request is late, and all that its choice of endpoints depends on.
+LaneKey = tuple[bool, Hashable]
 
-_Fifo = OrderedDict[str, 'Entry']
-_LaneKey = tuple[bool, str, bool, bool, tuple[str, ...]]
 
+class Queued(Protocol):
+    """A request that can be queued."""
 
-def _lane_key(entry: Entry) -> _LaneKey:
-    """Return the key of the lane for requests that suit the same endpoints.
+    @property
+    def request_id(self) -> str:
+        """Identity of the request."""
 
-    A request without a suitable free endpoint must not block those behind it
-    that have one.
-    """
-    req = entry.req
-    return (
-        entry.late,
-        req.model,
-        entry.cheap_allowed,
-        entry.suspect,
-        req.excluded_endpoints,
-    )
+    @property
+    def customer(self) -> str:
+        """Customer that is charged for it."""
+
+    @property
+    def tier(self) -> int:
+        """Number of its tier; the lowest is served first."""
+
+    @property
+    def order(self) -> float:
+        """Position among the requests of its customer, lowest first.
+
+        Those with the same one are served in the order in which they are added.
+        """
+
+    @property
+    def lane_key(self) -> LaneKey:
+        """Key of the requests that suit the same endpoints.
+
+        A request without a suitable free endpoint must not block those behind
+        it that have one.
+        """
+
+
+QueuedT = TypeVar('QueuedT', bound=Queued)
+_NumberedTier = tuple[int, 'TierQueue[QueuedT]']
 
 
-class Lane:
+class Lane(Generic[QueuedT]):
     """Requests of one tier with the same requirements, by customer.
 
     ``order`` ranks the customers with a backlog by their virtual time.
@@ -40,29 +60,32 @@
     __slots__ = ('queues', 'order')
 
     def __init__(self) -> None:
-        self.queues: dict[str, _Fifo] = {}
+        self.queues: dict[str, OrderedDict[str, QueuedT]] = {}
         self.order = PriorityIndex()
 
-    def add(self, entry: Entry, virtual_time: float) -> None:
+    def add(self, entry: QueuedT, virtual_time: float) -> None:
         """Append the entry to its customer's queue."""
-        customer = entry.req.customer
+        customer = entry.customer
         queue = self.queues.get(customer)
         if queue is None:
             queue = OrderedDict()
             self.queues[customer] = queue
             self.order.set_priority(customer, virtual_time)
+        last = next(reversed(queue.values()), entry)
         queue[entry.request_id] = entry
+        if last.order > entry.order:
+            _sort(queue)
 
-    def remove(self, entry: Entry) -> None:
+    def remove(self, entry: QueuedT) -> None:
         """Remove the entry."""
-        customer = entry.req.customer
+        customer = entry.customer
         queue = self.queues[customer]
         queue.pop(entry.request_id)
         if not queue:
             self.queues.pop(customer)
             self.order.discard(customer)
 
-    def first(self) -> Entry | None:
+    def first(self) -> QueuedT | None:
         """Return the oldest request of the customer to serve next."""
         customer = self.order.first()
         if customer is None:
@@ -75,36 +98,36 @@
         return float('inf') if entry is None else entry[0]
 
 
-class TierQueue:
+class TierQueue(Generic[QueuedT]):
     """Requests of one tier, in lanes by their requirements."""
 
     __slots__ = ('lanes', 'customers', 'backlogs', 'size')
 
     def __init__(self) -> None:
-        self.lanes: dict[_LaneKey, Lane] = {}
-        self.customers: dict[str, _Fifo] = {}
+        self.lanes: dict[LaneKey, Lane[QueuedT]] = {}
+        self.customers: dict[str, OrderedDict[str, QueuedT]] = {}
         # The customer with the longest backlog per weight comes first.
         self.backlogs = PriorityIndex()
         self.size = 0
 
-    def add(self, entry: Entry, virtual_time: float, weight: float) -> None:
+    def add(self, entry: QueuedT, virtual_time: float, weight: float) -> None:
         """Append the entry."""
-        lane = self.lanes.setdefault(_lane_key(entry), Lane())
+        lane = self.lanes.setdefault(entry.lane_key, Lane())
         lane.add(entry, virtual_time)
-        customer = entry.req.customer
+        customer = entry.customer
         queue = self.customers.setdefault(customer, OrderedDict())
         queue[entry.request_id] = entry
         self.backlogs.set_priority(customer, -len(queue) / weight)
         self.size += 1
 
-    def remove(self, entry: Entry, weight: float) -> None:
+    def remove(self, entry: QueuedT, weight: float) -> None:
         """Remove the entry."""
-        key = _lane_key(entry)
+        key = entry.lane_key
         lane = self.lanes[key]
         lane.remove(entry)
         if not lane.queues:
             self.lanes.pop(key)
-        customer = entry.req.customer
+        customer = entry.customer
         queue = self.customers[customer]
         queue.pop(entry.request_id)
         self.size -= 1
@@ -120,7 +143,7 @@
             if customer in lane.queues:
                 lane.order.set_priority(customer, virtual_time)
 
-    def lanes_in_order(self) -> list[Lane]:
+    def lanes_in_order(self) -> list[Lane[QueuedT]]:
         """Return the lanes in the order of dispatch.
 
         Requests that already miss their first-token target come after those
@@ -133,7 +156,7 @@
             self.lanes[key] for key in sorted(self.lanes, key=self._lane_rank)
         ]
 
-    def newest_of_longest_backlog(self) -> Entry | None:
+    def newest_of_longest_backlog(self) -> QueuedT | None:
         """Return the newest request of the customer with the longest backlog.
 
         The length of the backlog is relative to the customer's weight.
@@ -143,11 +166,13 @@
             return None
         return next(reversed(self.customers[customer].values()))
 
-    def _lane_rank(self, key: _LaneKey) -> tuple[bool, float]:
-        return key[0], self.lanes[key].virtual_time()
+    def _lane_rank(self, key: LaneKey) -> tuple[bool, float, float]:
+        lane = self.lanes[key]
+        entry = lane.first()
+        return key[0], lane.virtual_time(), entry.order if entry else 0
 
 
-class PoolQueue:
+class PoolQueue(Generic[QueuedT]):
     """All queued requests of one pool.
 
     Parameters
@@ -164,24 +189,24 @@
         self, max_queue: int, weight_of: Callable[[str], float]
     ) -> None:
         self.max_queue = max_queue
-        self.tiers: dict[int, TierQueue] = {}
+        self.tiers: dict[int, TierQueue[QueuedT]] = {}
         self.size = 0
         self._weight_of = weight_of
 
-    def add(self, entry: Entry, virtual_time: float) -> None:
+    def add(self, entry: QueuedT, virtual_time: float) -> None:
         """Append the entry to its tier."""
         tier = self.tiers.get(entry.tier)
         if tier is None:
             tier = TierQueue()
             self.tiers[entry.tier] = tier
             self.tiers = dict(sorted(self.tiers.items()))
-        tier.add(entry, virtual_time, self._weight_of(entry.req.customer))
+        tier.add(entry, virtual_time, self._weight_of(entry.customer))
         self.size += 1
 
-    def remove(self, entry: Entry) -> None:
+    def remove(self, entry: QueuedT) -> None:
         """Remove the entry."""
         tier = self.tiers[entry.tier]
-        tier.remove(entry, self._weight_of(entry.req.customer))
+        tier.remove(entry, self._weight_of(entry.customer))
         self.size -= 1
 
     def size_of(self, tier: int) -> int:
@@ -194,15 +219,20 @@
         queue = self.tiers.get(tier)
         return queue is not None and customer in queue.customers
 
-    def backlogged(self) -> Iterator[tuple[int, TierQueue]]:
+    def backlogged(self) -> Iterator[_NumberedTier[QueuedT]]:
         """Yield the tiers with a backlog, highest tier first."""
         for number, tier in self.tiers.items():
             if tier.size:
                 yield number, tier
 
-    def next_to_shed(self) -> Entry | None:
+    def next_to_shed(self) -> QueuedT | None:
         """Return the request to shed first, from the lowest tier."""
         for tier in reversed(self.tiers.values()):
             if tier.size:
                 return tier.newest_of_longest_backlog()
         return None
+
+
+def _sort(queue: OrderedDict[str, QueuedT]) -> None:
+    for entry in sorted(queue.values(), key=lambda entry: entry.order):
+        queue.move_to_end(entry.request_id)
--- a/tests/gateway/dispatching/test_request_queue.py
+++ b/tests/gateway/dispatching/test_request_queue.py
@@ -6,13 +6,15 @@
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.dispatching.endpoint_state import Requirements
 from apricotcart.gateway.dispatching.placement import Placement
-from apricotcart.gateway.dispatching.request_queue import (
+from apricotcart.gateway.dispatching.queued_request import (
     Assigned,
     QueuedRequest,
     Refused,
+    queue_timeout_s,
+)
+from apricotcart.gateway.dispatching.request_queue import (
     RequestQueue,
     compute_retry_after_s,
-    queue_timeout_s,
 )
 
 
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -19,8 +19,10 @@
 from gateway.served_gateway import ServedGateway
 
 from apricotcart.gateway.dispatching.endpoint_state import Requirements
-from apricotcart.gateway.dispatching.request_queue import (
+from apricotcart.gateway.dispatching.queued_request import (
     QueuedRequest,
+)
+from apricotcart.gateway.dispatching.request_queue import (
     RequestQueue,
 )
 from apricotcart.gateway.exchanges import endpoint_exchange
--- a/tools/policy/gateway_fleet.py
+++ b/tools/policy/gateway_fleet.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
+from apricotcart.coordinator.customer_loads import JoinedCustomerLoads
 from apricotcart.coordinator.exchange_messages import (
     GatewayFigures,
     SharedFigures,
@@ -33,13 +34,16 @@
     LoadSummary,
     Requirements,
 )
+from apricotcart.gateway.dispatching.joined_loads import count_loads
 from apricotcart.gateway.dispatching.placement import Placement
-from apricotcart.gateway.dispatching.request_queue import (
+from apricotcart.gateway.dispatching.queued_request import (
     Assigned,
     QueuedRequest,
-    RequestQueue,
     queue_timeout_s,
 )
+from apricotcart.gateway.dispatching.request_queue import (
+    RequestQueue,
+)
 from apricotcart.gateway.dispatching.shared_demand import count_streams
 
 SYNC_INTERVAL_S: Final = 0.3
@@ -223,7 +227,9 @@
         return (self.at, self.number) < (other.at, other.number)
 
 
-class _Arrival:
+class Arrival:
+    """A request and when it arrived."""
+
     __slots__ = ('arrived_at', 'excluded', 'kind', 'requirements')
 
     def __init__(
@@ -264,9 +270,12 @@
         self._rng = random.Random(seed)
         self._ids = itertools.count()
         self._events: list[_Event] = []
-        self._arrivals: dict[str, _Arrival] = {}
+        self._arrivals: dict[str, Arrival] = {}
         self._table = GatewayTable()
-        self._stores: Sequence[FigureStore] = (StreamDemands(),)
+        self._stores: Sequence[FigureStore] = (
+            StreamDemands(),
+            JoinedCustomerLoads(),
+        )
         self.gateways = [
             SimulatedGateway(f'g{number}', _ZONES[number % len(_ZONES)])
             for number in range(hosts)
@@ -303,6 +312,10 @@
         running = sum(engine.running for engine in self.engines.values())
         return running / (len(self.engines) * self._slots)
 
+    def new_arrival(self, kind: RequestKind) -> Arrival:
+        """Return a request that arrives now."""
+        return Arrival(self.now, kind, kind.requirements(self._rng))
+
     def _build_engine(self) -> SimulatedEngine:
         number = len(self.engines)
         instance = Instance(
@@ -328,12 +341,12 @@
     def _arrive(self, kind: RequestKind) -> None:
         self._later(self._rng.expovariate(kind.rate_per_s), self._arrive, kind)
         gateway = self._rng.choice(self.gateways)
-        arrival = _Arrival(self.now, kind, kind.requirements(self._rng))
+        arrival = self.new_arrival(kind)
         self._enqueue(gateway, f'r{next(self._ids)}', arrival)
         self._decide(gateway)
 
     def _enqueue(
-        self, gateway: SimulatedGateway, name: str, arrival: _Arrival
+        self, gateway: SimulatedGateway, name: str, arrival: Arrival
     ) -> None:
         kind = arrival.kind
         timeout_s = queue_timeout_s(
@@ -391,10 +404,14 @@
         arrival = self._arrivals[name]
         first_s = self.now - arrival.arrived_at
         self.tally.first_s[arrival.kind.name].append(first_s)
+        self._on_first(name, first_s)
         endpoint.local_requests[name].is_prefilled = True
         decode_s = arrival.requirements.output_tokens / _TOKENS_PER_S
         self._later(decode_s, self._finish, gateway, name, endpoint)
 
+    def _on_first(self, name: str, first_s: float) -> None:
+        """Record the time to the first token of a request."""
+
     def _finish(
         self, gateway: SimulatedGateway, name: str, endpoint: EndpointState
     ) -> None:
@@ -444,6 +461,7 @@
         ]
         queued = gateway.queue.queued_requirements()
         figures = GatewayFigures(
+            customer_loads=count_loads(running, queued),
             stream_demands=count_streams([*running, *queued]),
         )
         shared = SharedFigures()
@@ -486,6 +504,7 @@
     ) -> None:
         placement = gateway.placement
         placement.reservation.update(shared.stream_demands, self.now)
+        gateway.queue.joined_loads.update(shared.customer_loads, self.now)
         placement.update_remote_loads(
             {name: LoadSummary(*totals) for name, totals in loads.items()},
             len(self.gateways),
