--- a/tests/gateway/dispatching/test_request_queue.py
+++ b/tests/gateway/dispatching/test_request_queue.py
@@ -4,7 +4,10 @@
 
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
-from apricotcart.gateway.dispatching.endpoint_state import Requirements
+from apricotcart.gateway.dispatching.endpoint_state import (
+    LoadSummary,
+    Requirements,
+)
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.dispatching.queued_request import (
     Assigned,
@@ -192,3 +195,37 @@
         )
     decided = [decision.request_id for decision in queue.decide(0)]
     assert decided == ['running', 'brief']
+
+
+def _tokens(name: str, customer: str) -> QueuedRequest:
+    return QueuedRequest(
+        request_id=name,
+        requirements=Requirements(
+            service='app', prompt_tokens=10, customer=customer
+        ),
+        rank=(0, 0),
+        refuse_at=2,
+        excluded=set(),
+    )
+
+
+def test_customer_that_runs_its_share_elsewhere_gives_way() -> None:
+    """Guards against gateways whose own queue has one customer only.
+
+    The requests of the others wait at another gateway, and its figures are
+    used only for a few seconds.
+    """
+    placement, queue = _queue(1)
+    loads = {'app': {'hot': [50, 90, 0, 0, 0, 0], 'a': [10, 20, 0, 0, 0, 0]}}
+    placement.update_remote_loads({'i': LoadSummary(1, 60, 0)}, 2)
+    queue.joined_loads.update(loads, 0)
+    queue.add(_tokens('hot', 'hot'))
+    assert not list(queue.decide(0))
+    queue.add(_tokens('a', 'a'))
+    assert [decision.request_id for decision in queue.decide(1)] == ['a']
+    refused = list(queue.decide(2))[0]
+    assert isinstance(refused, Refused)
+    assert refused.is_over_share
+    queue.joined_loads.update(loads, -5)
+    queue.add(_tokens('later', 'hot'))
+    assert isinstance(next(queue.decide(1.9)), Assigned)
--- a/tests/gateway/dispatching/test_reservation.py
+++ b/tests/gateway/dispatching/test_reservation.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from apricotcart.coordinator.customer_loads import JoinedCustomerLoads
 from apricotcart.coordinator.exchange_messages import (
     GatewayFigures,
     SharedFigures,
@@ -75,3 +76,14 @@
     for step in range(200):
         demand = _share(store, 'a', [8, 8], step / 10)
     assert demand['lm'][0] < 15
+
+
+def test_customer_loads_are_those_of_the_other_recent_gateways() -> None:
+    """A gateway would count its own twice, and stopped ones for ever."""
+    store = JoinedCustomerLoads()
+    for name, at in (('gone', 0), ('a', 9), ('b', 9.5)):
+        loads = {'lm': {'x': [1, 2, 0, 0, 0, 0]}}
+        store.on_figures(name, GatewayFigures(customer_loads=loads), at)
+    shared = SharedFigures()
+    store.add_shared('b', shared, 9.5)
+    assert shared.customer_loads == {'lm': {'x': [1, 2, 0, 0, 0, 0]}}
--- a/tools/policy/contended_fleet.py
+++ b/tools/policy/contended_fleet.py
@@ -235,7 +235,9 @@
     ]
 
 
-def measure(*, is_fair: bool, seed: int, hosts: int = 75) -> dict[str, float]:
+def measure(
+    *, is_fair: bool, seed: int, hosts: int = 75, engines: int = 45
+) -> dict[str, float]:
     """Return the figures of one order, with and without the hot customer.
 
     Parameters
@@ -244,13 +246,17 @@
         Whether gateways know the customer of a request.
     seed : int
         Seed of the run.
-    hosts : int
-        Number of gateways.
+    hosts, engines : int
+        Number of gateways and of engines.
     """
     runs = []
     for has_hot in (False, True):
         fleet = ContendedFleet(
-            has_hot=has_hot, is_fair=is_fair, hosts=hosts, seed=seed
+            has_hot=has_hot,
+            is_fair=is_fair,
+            hosts=hosts,
+            engines=engines,
+            seed=seed,
         )
         fleet.run(_END_S)
         runs.append(fleet)
