--- a/src/apricotcart/gateway/dispatching/joined_loads.py
+++ b/src/apricotcart/gateway/dispatching/joined_loads.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from heapq import nlargest
 from typing import Final
 
@@ -28,6 +28,48 @@
 _Counts = dict[str, list[int]]
 
 
+class LocalLoads:
+    """Running and queued tokens of this gateway by service and customer."""
+
+    __slots__ = ('_counts',)
+
+    def __init__(self) -> None:
+        self._counts: dict[str, _Counts] = {}
+
+    def add_running(self, requirements: Requirements) -> None:
+        """Count a running request."""
+        self._add(requirements, 2 * requirements.level, requirements.tokens)
+
+    def add_queued(self, requirements: Requirements) -> None:
+        """Count a queued request."""
+        self._add(requirements, 2 * requirements.level + 1, requirements.tokens)
+
+    def remove_queued(self, requirements: Requirements) -> None:
+        """Subtract a request that has left the queue."""
+        position = 2 * requirements.level + 1
+        counts = self._add(requirements, position, -requirements.tokens)
+        if not any(counts):
+            self._counts[requirements.service].pop(requirements.customer)
+
+    def of_service(self, service: str) -> _Counts:
+        """Return the tokens at each level by customer."""
+        return self._counts.get(service, {})
+
+    def largest(self) -> dict[str, _Counts]:
+        """Return the tokens of the customers with the largest loads."""
+        return {
+            service: _largest(loads) for service, loads in self._counts.items()
+        }
+
+    def _add(
+        self, requirements: Requirements, position: int, tokens: int
+    ) -> list[int]:
+        service = self._counts.setdefault(requirements.service, {})
+        counts = service.setdefault(requirements.customer, _no_load())
+        counts[position] += tokens
+        return counts
+
+
 def count_loads(
     running: Iterable[Requirements], queued: Iterable[Requirements]
 ) -> dict[str, _Counts]:
@@ -35,13 +77,12 @@
 
     Only the customers with the largest load are counted.
     """
-    counts: dict[str, _Counts] = {}
-    for offset, group in enumerate((running, queued)):
-        for request in group:
-            service = counts.setdefault(request.service, {})
-            count = service.setdefault(request.customer, _no_load())
-            count[2 * request.level + offset] += request.tokens
-    return {service: _largest(loads) for service, loads in counts.items()}
+    loads = LocalLoads()
+    for request in running:
+        loads.add_running(request)
+    for waiting in queued:
+        loads.add_queued(waiting)
+    return loads.largest()
 
 
 class JoinedLoads:
@@ -70,8 +111,8 @@
         self,
         now: float,
         service: str,
-        own: Mapping[str, _Counts],
-        endpoints: Iterable[EndpointState],
+        queued: LocalLoads,
+        endpoints: Collection[EndpointState],
     ) -> CustomerShares:
         """Return the shares of the customers of a service.
 
@@ -81,36 +122,37 @@
             Time in seconds.
         service : str
             Name of the service.
-        own : mapping
-            Loads of this gateway as `count_loads` returns them.
-        endpoints : iterable of EndpointState
+        queued : LocalLoads
+            Load of the requests that this gateway has queued.
+        endpoints : collection of EndpointState
             Endpoints of the service.
         """
-        joined = self._join(now, own, service)
+        running = LocalLoads()
+        for endpoint in endpoints:
+            for placed in endpoint.local_requests.values():
+                running.add_running(placed.requirements)
+        joined: _Counts = {}
+        _add_counts(joined, queued.of_service(service))
+        _add_counts(joined, running.of_service(service))
+        _add_counts(joined, self._recent(now, service))
         loads = {
             customer: CustomerLoad(counts[::2], sum(counts[1::2]))
             for customer, counts in joined.items()
         }
-        running = sum(sum(load.running) for load in loads.values())
-        return CustomerShares(loads, int(running / _used_ratio(endpoints)))
+        tokens = sum(sum(load.running) for load in loads.values())
+        return CustomerShares(loads, int(tokens / _used_ratio(endpoints)))
 
-    def _join(
-        self,
-        now: float,
-        own: Mapping[str, _Counts],
-        service: str,
-    ) -> _Counts:
-        joined = {
-            customer: list(counts)
-            for customer, counts in own.get(service, {}).items()
-        }
+    def _recent(self, now: float, service: str) -> CustomerLoads:
         if now > self._updated_at + _LOAD_TTL_S:
-            return joined
-        for customer, remote in self._remote.get(service, {}).items():
-            counts = joined.setdefault(customer, _no_load())
-            for position, tokens in enumerate(remote):
-                counts[position] += tokens
-        return joined
+            return {}
+        return self._remote.get(service, {})
+
+
+def _add_counts(joined: _Counts, added: CustomerLoads) -> None:
+    for customer, counts in added.items():
+        total = joined.setdefault(customer, _no_load())
+        for position, tokens in enumerate(counts):
+            total[position] += tokens
 
 
 def _no_load() -> list[int]:
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -21,7 +21,7 @@
 )
 from apricotcart.gateway.dispatching.joined_loads import (
     JoinedLoads,
-    count_loads,
+    LocalLoads,
 )
 from apricotcart.gateway.dispatching.placement import Placement
 from apricotcart.gateway.dispatching.queued_request import (
@@ -64,6 +64,8 @@
     __slots__ = (
         '_expiry',
         '_held',
+        '_kinds',
+        '_loads',
         '_placement',
         '_pools',
         '_queued',
@@ -74,6 +76,9 @@
         self._placement = placement
         self._queued: dict[str, QueuedRequest] = {}
         self._pools: dict[str, PoolQueue[QueuedRequest]] = {}
+        # Queued requests by what decides which endpoints may run them.
+        self._kinds: dict[_Allowed, dict[str, QueuedRequest]] = {}
+        self._loads = LocalLoads()
         self._expiry: list[tuple[float, str]] = []
         # Customers that gave way to others in the last pass, by service.
         self._held: set[tuple[str, str]] = set()
@@ -91,6 +96,9 @@
             pool = PoolQueue(sys.maxsize, _weight_of)
             self._pools[service] = pool
         pool.add(request, 0)
+        self._loads.add_queued(request.requirements)
+        kind = self._kinds.setdefault(_allowed_by(request), {})
+        kind[request.request_id] = request
         self._queued[request.request_id] = request
         heapq.heappush(self._expiry, (request.refuse_at, request.request_id))
 
@@ -99,6 +107,11 @@
         request = self._queued.pop(request_id, None)
         if request is not None:
             self._pools[request.requirements.service].remove(request)
+            self._loads.remove_queued(request.requirements)
+            kind = self._kinds[_allowed_by(request)]
+            kind.pop(request_id)
+            if not kind:
+                self._kinds.pop(_allowed_by(request))
 
     def queued_requirements(self) -> list[Requirements]:
         """Return the requirements of the queued requests."""
@@ -157,13 +170,7 @@
 
     def _shares(self, now: float, service: str) -> CustomerShares:
         endpoints = self._placement.table.of_service(service)
-        running = [
-            placed.requirements
-            for endpoint in endpoints
-            for placed in endpoint.local_requests.values()
-        ]
-        own = count_loads(running, self.queued_requirements())
-        return self.joined_loads.shares(now, service, own, endpoints)
+        return self.joined_loads.shares(now, service, self._loads, endpoints)
 
     def _refuse(self, now: float) -> Iterator[Refused]:
         """Yield refusals of requests that cannot start in time.
@@ -186,14 +193,12 @@
                 yield request
 
     def _estimates(self, now: float) -> dict[_Allowed, StartEstimate]:
-        estimates: dict[_Allowed, StartEstimate] = {}
-        for request in self._queued.values():
-            allowed = _allowed_by(request)
-            if allowed not in estimates:
-                estimates[allowed] = self._placement.start_estimate(
-                    request.requirements, now
-                )
-        return estimates
+        return {
+            allowed: self._placement.start_estimate(
+                next(iter(requests.values())).requirements, now
+            )
+            for allowed, requests in self._kinds.items()
+        }
 
     def _refuse_limited(
         self, now: float, estimates: dict[_Allowed, StartEstimate]
--- a/src/apricotcart/gateway/dispatching/slot_grants.py
+++ b/src/apricotcart/gateway/dispatching/slot_grants.py
@@ -41,11 +41,14 @@
         Number of engines reserved for latency-critical streams.
     """
 
-    __slots__ = ('_host', '_reservation')
+    __slots__ = ('_chances', '_chances_period', '_host', '_reservation')
 
     def __init__(self, host: str, reservation: Reservation) -> None:
         self._host = host
         self._reservation = reservation
+        # Results of the hash in the current period, by endpoint.
+        self._chances: dict[str, float] = {}
+        self._chances_period = -1
 
     def allows(
         self,
@@ -63,9 +66,7 @@
         fair_share = free_slots / (endpoint.peer_hosts + 1)
         granted_slots = math.floor(fair_share)
         period = _period_of(now)
-        chance = hash_to_unit(
-            self._host, endpoint.instance.instance_id, str(period)
-        )
+        chance = self._chance(now, endpoint)
         if chance < fair_share - granted_slots:
             granted_slots += 1
         return endpoint.slot_grants.count(period) < granted_slots
@@ -85,11 +86,21 @@
             return True
         reserved = self._reservation.last_count(requirements.service)
         free_ratio = 1 - endpoint.requests / engine.slots
-        chance = hash_to_unit(
-            self._host, endpoint.instance.instance_id, str(_period_of(now))
-        )
+        chance = self._chance(now, endpoint)
         return chance * reserved < free_ratio * _STREAM_CHOICES
 
+    def _chance(self, now: float, endpoint: EndpointState) -> float:
+        period = _period_of(now)
+        if period != self._chances_period:
+            self._chances.clear()
+            self._chances_period = period
+        name = endpoint.instance.instance_id
+        chance = self._chances.get(name)
+        if chance is None:
+            chance = hash_to_unit(self._host, name, str(period))
+            self._chances[name] = chance
+        return chance
+
 
 def _period_of(now: float) -> int:
     return int(now / _GRANT_PERIOD_S)
