Spread the times after which refused requests return

Cause: requests that a gateway refuses together got nearly the same Retry-After.

Measured: twenty requests refused together get times that differ by over a fifth (test).

--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+import random
 import threading
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
@@ -105,6 +106,8 @@
     ----------
     placement : Placement
         Chooses endpoints.
+    rng : random.Random or None
+        Spreads the times of retries; None for the same time for all.
 
     Attributes
     ----------
@@ -127,10 +130,12 @@
         'loads_updated_at',
     )
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(
+        self, placement: Placement, rng: random.Random | None = None
+    ) -> None:
         self._lock = threading.Lock()
         self._placement = placement
-        self._queue = RequestQueue(placement)
+        self._queue = RequestQueue(placement, rng)
         self.joined_loads = self._queue.joined_loads
         self._pending: dict[str, PendingDecision] = {}
         self.loads_updated_at = boot_clock_s()
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import heapq
+import random
 import sys
 from collections import Counter
 from collections.abc import Collection, Iterator
@@ -40,6 +41,9 @@
 _RETRY_AFTER_MAX_S: Final = 3.0
 # Added to that time for each queued request.
 _RETRY_AFTER_PER_REQUEST_S: Final = 0.05
+# Ratio by which it is extended at random, so that callers that are refused
+# together do not return together.
+_RETRY_AFTER_SPREAD: Final = 0.5
 # Its upper bound while all endpoints name a limit.
 _LIMITED_RETRY_AFTER_MAX_S: Final = 10.0
 
@@ -54,6 +58,8 @@
     ----------
     placement : Placement
         Chooses endpoints.
+    rng : random.Random or None
+        Spreads the times of retries; None for the same time for all.
 
     Attributes
     ----------
@@ -69,10 +75,14 @@
         '_placement',
         '_pools',
         '_queued',
+        '_rng',
         'joined_loads',
     )
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(
+        self, placement: Placement, rng: random.Random | None = None
+    ) -> None:
+        self._rng = rng
         self._placement = placement
         self._queued: dict[str, QueuedRequest] = {}
         self._pools: dict[str, PoolQueue[QueuedRequest]] = {}
@@ -224,10 +234,15 @@
         customer = (request.requirements.service, request.customer)
         return Refused(
             request.request_id,
-            max(estimate.pause_s, retry_after_s),
+            max(estimate.pause_s, retry_after_s) * self._spread(),
             is_over_share=customer in self._held,
         )
 
+    def _spread(self) -> float:
+        if self._rng is None:
+            return 1
+        return 1 + _RETRY_AFTER_SPREAD * self._rng.random()
+
 
 def _weight_of(customer: str) -> float:
     return 1
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -100,7 +100,7 @@
         self._stop_state = StopState()
         self._clock = SteadyUnixClock.from_host()
         self._dispatcher = Dispatcher(
-            Placement(cfg.host.zone, cfg.host.name),
+            Placement(cfg.host.zone, cfg.host.name), random.Random()
         )
         self._state = StateCopy(
             adapter.document_format(), cfg.bounds.state_lease_s
--- a/tests/gateway/dispatching/test_request_queue.py
+++ b/tests/gateway/dispatching/test_request_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from apricotcart.desired.records import Engine
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.dispatching.endpoint_state import (
@@ -229,3 +231,21 @@
     queue.joined_loads.update(loads, -5)
     queue.add(_tokens('later', 'hot'))
     assert isinstance(next(queue.decide(1.9)), Assigned)
+
+
+def test_requests_refused_together_do_not_return_together() -> None:
+    """Guards against callers that fill the queue again at the same time."""
+    placement, _ = _queue(1)
+    placement.update_instances([])
+    queue = RequestQueue(placement, random.Random(1))
+    for number in range(20):
+        queue.add(_request(f'r{number}', 0, 0, 1))
+    refused = [
+        decision
+        for decision in queue.decide(1)
+        if isinstance(decision, Refused)
+    ]
+    times_s = [decision.retry_after_s for decision in refused]
+    assert min(times_s) >= compute_retry_after_s(1)
+    assert max(times_s) > 1.2 * min(times_s)
+    assert len(set(times_s)) > 10
