Take four fifths of the slots as what customers share

Cause: the shares were those of all slots, but levels leave slots to more urgent ones and gateways hear of free slots late, so that a hot customer filled what the others waited for.

--- a/src/apricotcart/gateway/dispatching/joined_loads.py
+++ b/src/apricotcart/gateway/dispatching/joined_loads.py
@@ -22,6 +22,10 @@
 
 # Number of customers of a service that one gateway reports.
 _MAX_CUSTOMERS: Final = 100
+# Ratio of the slots that fill while requests wait: each level leaves slots to the
+# more urgent ones, and gateways hear of a free slot late. Shares of all slots
+# would let a customer fill those that others need.
+_USABLE_RATIO: Final = 0.8
 # The load of the other gateways counts for this long, in seconds.
 _LOAD_TTL_S: Final = 3.0
 
@@ -167,10 +171,10 @@
 
 
 def _used_ratio(endpoints: Iterable[EndpointState]) -> float:
-    """Return the ratio of slots in use, at least a small one."""
+    """Return the ratio of usable slots in use, at least a small one."""
     used = 0
     slots = 0
     for endpoint in endpoints:
         used += endpoint.requests
         slots += endpoint.instance.slots
-    return min(1, max(used, 1) / max(slots, 1))
+    return min(1, max(used, 1) / max(slots * _USABLE_RATIO, 1))
