--- a/src/apricotcart/gateway/dispatching/joined_loads.py
+++ b/src/apricotcart/gateway/dispatching/joined_loads.py
@@ -22,7 +22,7 @@
 
 # Number of customers of a service that one gateway reports.
 _MAX_CUSTOMERS: Final = 100
-# Ratio of the slots that fill while requests wait: each level leaves slots to the
+# Ratio of the slots that fill while requests wait: each level leaves slots to
 # more urgent ones, and gateways hear of a free slot late. Shares of all slots
 # would let a customer fill those that others need.
 _USABLE_RATIO: Final = 0.8
@@ -155,7 +155,7 @@
 def _add_counts(joined: _Counts, added: CustomerLoads) -> None:
     for customer, counts in added.items():
         total = joined.setdefault(customer, _no_load())
-        for position, tokens in enumerate(counts):
+        for position, tokens in enumerate(counts[:LOAD_FIGURES]):
             total[position] += tokens
 
 
@@ -177,4 +177,5 @@
     for endpoint in endpoints:
         used += endpoint.requests
         slots += endpoint.instance.slots
-    return min(1, max(used, 1) / max(slots * _USABLE_RATIO, 1))
+    usable = max(1, slots * _USABLE_RATIO)
+    return min(1, max(used, 1) / usable)
