--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from typing import Any, Self
+from typing import Any, Final, Self
 
 from apricotcart.codec.record import Record
 
-# Tokens of running and of queued requests, by customer.
+# Levels of urgency, the least urgent first.
+LOAD_LEVELS: Final = 3
+# Figures of a customer: tokens of its running and of its queued requests, for
+# each level.
+LOAD_FIGURES: Final = 2 * LOAD_LEVELS
+# Figures by customer.
 CustomerLoads = Mapping[str, Sequence[int]]
 
 
@@ -17,8 +22,8 @@
     Attributes
     ----------
     customer_loads : dict
-        Tokens of its running and of its queued requests, by service and
-        customer.
+        Tokens of its running and of its queued requests at each level, by
+        service and customer.
     endpoint_reports : dict
         What endpoints last said to it about their load, by endpoint.
     state_version : int
@@ -36,6 +41,9 @@
         does not know.
     answer_times : dict
         Answers by kind of request and by bucket of the time that they took.
+    stream_demands : dict
+        Its running and queued requests by service: streams with the lowest
+        latency target, and others.
     """
 
     __slots__ = (
@@ -48,6 +56,7 @@
         'room',
         'state_address',
         'state_version',
+        'stream_demands',
     )
 
     def __init__(
@@ -62,11 +71,13 @@
         fetches_state: bool = False,
         reads_deflated: bool = False,
         state_address: str = '',
+        stream_demands: Mapping[str, Sequence[int]] | None = None,
     ) -> None:
         self.answer_times = answer_times or {}
         self.fetches_state = fetches_state
         self.reads_deflated = reads_deflated
         self.state_address = state_address
+        self.stream_demands = stream_demands or {}
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
@@ -139,8 +150,8 @@
     Attributes
     ----------
     customer_loads : dict
-        Tokens of running and of queued requests at the other gateways, by
-        service and customer.
+        Tokens of running and of queued requests at each level at the other
+        gateways, by service and customer.
     endpoint_reports : dict
         The newest report of each endpoint to any gateway, with its age.
     state_version : int
@@ -153,6 +164,9 @@
         Evacuated zones and their revision, in wire form; empty without.
     answer_times : dict
         Answers by kind of request and by bucket of the time that they took.
+    stream_demands : dict
+        Running and queued requests of all gateways by service: streams with
+        the lowest latency target, and others. Empty if not known.
     """
 
     __slots__ = (
@@ -163,6 +177,7 @@
         'state_document',
         'state_sources',
         'state_version',
+        'stream_demands',
     )
 
     def __init__(
@@ -175,10 +190,12 @@
         answer_times: Mapping[str, Mapping[int, float]] | None = None,
         state_document: bytes | None = None,
         state_sources: Sequence[str] = (),
+        stream_demands: Mapping[str, Sequence[int]] | None = None,
     ) -> None:
         self.answer_times = answer_times or {}
         self.state_document = state_document
         self.state_sources = state_sources
+        self.stream_demands = stream_demands or {}
         self.customer_loads = customer_loads or {}
         self.endpoint_reports = endpoint_reports or {}
         self.state_version = state_version
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -17,7 +17,6 @@
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.suspension import wait_for_room
 from apricotcart.coordinator.addresses import ControlHosts, Ports, ip_of
-from apricotcart.coordinator.answer_times import AnswerTimesStore
 from apricotcart.coordinator.duties import DUTY_INTERVAL_S, Duties
 from apricotcart.coordinator.endpoint_list import (
     FETCH_INTERVAL_S,
@@ -25,6 +24,7 @@
 )
 from apricotcart.coordinator.evacuation_figures import EvacuationFigures
 from apricotcart.coordinator.evacuation_service import EvacuationService
+from apricotcart.coordinator.figure_stores import build_stores
 from apricotcart.coordinator.formation import load_or_create_identity
 from apricotcart.coordinator.hosts import GatewayTable
 from apricotcart.coordinator.joining import SeedJoiner
@@ -39,11 +39,9 @@
 )
 from apricotcart.coordinator.member_builds import MemberBuilds
 from apricotcart.coordinator.messages import KIND, VIEW, cluster_sealer
-from apricotcart.coordinator.newest_state import NewestState
 from apricotcart.coordinator.peer_links import RedialingPeerLinks
 from apricotcart.coordinator.requests import CoordinatorRequests
 from apricotcart.coordinator.services import DesiredStateService
-from apricotcart.coordinator.shared_figures import FigureStores
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
 from apricotcart.errors.tree import ApricotcartError
@@ -185,12 +183,9 @@
             endpoints=self._endpoints,
             clock=self._clock,
             copies=copies,
-            figures=FigureStores(
-                (
-                    AnswerTimesStore(),
-                    EvacuationFigures(self._state.evacuations, confirmed),
-                    NewestState(self._state, random.Random()),
-                )
+            figures=build_stores(
+                self._state,
+                EvacuationFigures(self._state.evacuations, confirmed),
             ),
             evacuations=self._evacuations,
         )
--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+import random
 import threading
 from collections.abc import Callable, Collection, Iterable
 from typing import Final, TypeVar
@@ -16,10 +17,12 @@
     Requirements,
 )
 from apricotcart.gateway.dispatching.placement import Placement
-from apricotcart.gateway.dispatching.request_queue import (
+from apricotcart.gateway.dispatching.queued_request import (
     Assigned,
     Decision,
     QueuedRequest,
+)
+from apricotcart.gateway.dispatching.request_queue import (
     RequestQueue,
 )
 from apricotcart.gateway.errors import BusyError, CallerLeftError
@@ -36,6 +39,9 @@
 Answer = TypeVar('Answer')
 # Interval at which the queue is processed without other events.
 TICK_INTERVAL_S: Final = 0.05
+# Why a request was refused.
+CUSTOMER_SHARE: Final = 'customer_share'
+QUEUE_TIMEOUT: Final = 'queue_timeout'
 
 
 class Outcome(enum.Enum):
@@ -60,11 +66,15 @@
         Recent outcomes by endpoint.
     waiting : dict of str to LoadSummary
         Queued requests by service.
+    running, queued : list of Requirements
+        What each running and each queued request requires.
     """
 
-    __slots__ = ('loads', 'outcomes', 'waiting')
+    __slots__ = ('loads', 'outcomes', 'queued', 'running', 'waiting')
 
     def __init__(self) -> None:
+        self.running: list[Requirements] = []
+        self.queued: list[Requirements] = []
         self.loads: dict[str, LoadSummary] = {}
         self.outcomes: dict[str, OutcomeCounts] = {}
         self.waiting: dict[str, LoadSummary] = {}
@@ -97,12 +107,16 @@
     ----------
     placement : Placement
         Chooses endpoints.
+    rng : random.Random or None
+        Spreads the times of retries; None for the same time for all.
 
     Attributes
     ----------
     listed_until : float
         Up to when the list of endpoints has every change, in seconds;
         infinite until a list of a known age is in use.
+    joined_loads : JoinedLoads
+        Load of each customer over all hosts, which `update_placement` changes.
     loads_updated_at : float
         When the other hosts' load was last applied, in seconds.
     """
@@ -112,14 +126,18 @@
         '_placement',
         '_queue',
         '_pending',
+        'joined_loads',
         'listed_until',
         'loads_updated_at',
     )
 
-    def __init__(self, placement: Placement) -> None:
+    def __init__(
+        self, placement: Placement, rng: random.Random | None = None
+    ) -> None:
         self._lock = threading.Lock()
         self._placement = placement
-        self._queue = RequestQueue(placement)
+        self._queue = RequestQueue(placement, rng)
+        self.joined_loads = self._queue.joined_loads
         self._pending: dict[str, PendingDecision] = {}
         self.loads_updated_at = boot_clock_s()
         self.listed_until = math.inf
@@ -270,10 +288,10 @@
         now = boot_clock_s()
         report = LoadReport()
         with self._lock:
-            queued = self._queue.queued_requirements()
+            report.queued = self._queue.queued_requirements()
             for endpoint in self._placement.endpoints():
                 _add_endpoint(report, endpoint, now)
-        for requirements in queued:
+        for requirements in report.queued:
             load = report.waiting.setdefault(
                 requirements.service, LoadSummary()
             )
@@ -294,9 +312,16 @@
         raise CallerLeftError('the caller closed its connection while queued')
     if isinstance(decision, Assigned):
         return decision.endpoint
+    if decision.is_over_share:
+        raise BusyError(
+            'the customer used its share while others waited',
+            retry_after_s=decision.retry_after_s,
+            detail=CUSTOMER_SHARE,
+        )
     raise BusyError(
         'no endpoint had free capacity before the queue timeout',
         retry_after_s=decision.retry_after_s,
+        detail=QUEUE_TIMEOUT,
     )
 
 
@@ -306,11 +331,17 @@
     name = endpoint.instance.instance_id
     if endpoint.local_requests:
         report.loads[name] = _load_of(endpoint)
+        report.running += running_on(endpoint)
     outcomes = endpoint.outcomes.local(now)
     if not outcomes.is_empty:
         report.outcomes[name] = outcomes
 
 
+def running_on(endpoint: EndpointState) -> list[Requirements]:
+    """Return what the requests of this host on an endpoint require."""
+    return [placed.requirements for placed in endpoint.local_requests.values()]
+
+
 def _load_of(endpoint: EndpointState) -> LoadSummary:
     load = LoadSummary()
     for placed in endpoint.local_requests.values():
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -27,6 +27,7 @@
 from apricotcart.gateway.endpoint_upstream import EndpointUpstream
 from apricotcart.gateway.evacuated_zones import ZoneObserver
 from apricotcart.gateway.exchanges.connection_pool import ConnectionPool
+from apricotcart.gateway.figure_users import build_exchange
 from apricotcart.gateway.hedging.assembly import Hedging
 from apricotcart.gateway.link import ControlLink
 from apricotcart.gateway.listener import (
@@ -41,7 +42,6 @@
 from apricotcart.gateway.relay.assembly import Relay
 from apricotcart.gateway.retry_policy import RetryPolicy
 from apricotcart.gateway.sender import Sender
-from apricotcart.gateway.shared_figures import FigureExchange
 from apricotcart.gateway.state import StateCopy
 from apricotcart.gateway.state_parts import StateParts
 from apricotcart.gateway.stop_state import StopState
@@ -100,7 +100,7 @@
         self._stop_state = StopState()
         self._clock = SteadyUnixClock.from_host()
         placement = Placement(cfg.host.zone, cfg.host.name)
-        self._dispatcher = Dispatcher(placement)
+        self._dispatcher = Dispatcher(placement, random.Random())
         self._zones = ZoneObserver(
             self._dispatcher,
             placement.evacuations,
@@ -193,8 +193,11 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reachability=self._synced_reach,
-            figures=FigureExchange(
-                (self._hedging.figures, self._zones, self._state_parts.fetch)
+            figures=build_exchange(
+                self._dispatcher,
+                self._hedging.figures,
+                self._zones,
+                self._state_parts.fetch,
             ),
         )
 
--- a/tests/gateway/test_evacuated_zones.py
+++ b/tests/gateway/test_evacuated_zones.py
@@ -15,7 +15,7 @@
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
 from apricotcart.gateway.dispatching.endpoint_state import Requirements
 from apricotcart.gateway.dispatching.placement import Placement
-from apricotcart.gateway.dispatching.request_queue import QueuedRequest
+from apricotcart.gateway.dispatching.queued_request import QueuedRequest
 from apricotcart.gateway.errors import BusyError
 from apricotcart.gateway.evacuated_zones import ZoneObserver
 from apricotcart.gateway.shared_figures import FigureExchange
