Let the gateway finish its start before a test takes its descriptors

Cause: the test lowered the descriptor limit while the process still started its HTTP servers; the check of a server's own port then failed, and the engine shut the process down.

Crowd, limit and bounds are the same.

--- a/tests/web/test_crowds.py
+++ b/tests/web/test_crowds.py
@@ -24,6 +24,7 @@
     DIRECTORY_PORT,
     LAST_LINK_PORT,
     OPERATOR_PORT,
+    READINESS_PORT,
     ManagedProcess,
 )
 from soak.operators import HOST, desired_state
@@ -269,6 +270,10 @@
     door = (gateway.ip, CALLER_PORT)
     pid = _restart(gateway)
     _until(lambda: _answers(door, _ORDINARY))
+    for port in (LAST_LINK_PORT, READINESS_PORT):
+        _until(partial(_listens, (gateway.ip, port)))
+    # The last server checks its own port once more before the start is over.
+    time.sleep(_HEAD_START_S)
     most = count_descriptors(pid) + _CALLERS // 2
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, most))
     with crowd_at(door, request_bytes, _CALLERS, _KIB) as crowd:
