--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -150,6 +150,7 @@
             unix_s=true_clock.now_s(),
         )
         cfg: Any = SimpleNamespace(
+            bounds=SimpleNamespace(cold_overshoot=1, cold_tolerance=0),
             host=SimpleNamespace(name='h', zone='a'),
             listen=SimpleNamespace(callers='10.0.0.1:80'),
         )
