--- a/src/apricotcart/gateway/dispatching/dispatcher.py
+++ b/src/apricotcart/gateway/dispatching/dispatcher.py
@@ -178,7 +178,8 @@
             Ids of endpoints that it must not be sent to.
         """
         with self._lock:
-            if self._queue.waits_for(requirements.service):
+            queued = self._queue.queued_requirements()
+            if any(each.service == requirements.service for each in queued):
                 return None
             endpoint = self._placement.choose(
                 boot_clock_s(), requirements, excluded
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -123,13 +123,6 @@
             if not kind:
                 self._kinds.pop(_allowed_by(request))
 
-    def waits_for(self, service: str) -> bool:
-        """Return whether a request for a service is queued."""
-        return any(
-            request.requirements.service == service
-            for request in self._queued.values()
-        )
-
     def queued_requirements(self) -> list[Requirements]:
         """Return the requirements of the queued requests."""
         return [request.requirements for request in self._queued.values()]
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -186,6 +186,7 @@
         self._reachability.apply(reply.reachability, requested_at)
         # Before the state, which lets waiting requests be sent.
         self._figures.on_leader(is_understood=bool(fields.get(SHARES_FIGURES)))
+        self._apply(reply, requested_at)
         if not is_first:
             self._apply_version(reply, requested_at)
             self._figures.apply(reply.exchange, requested_at)
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -230,6 +230,10 @@
         self._relay.start()
         configure_engine()
         self._serve_callers()
+        self._serve_readiness()
+        cherrypy.engine.start()
+
+    def _serve_readiness(self) -> None:
         readiness = self._adapter.readiness_app(self._link.is_serving)
         server = add_server(
             HttpAddress.from_host_port(self._cfg.listen.readiness),
@@ -237,7 +241,6 @@
             readiness,
         )
         self._servers.add(server.httpserver)
-        cherrypy.engine.start()
 
     def _sync_interval_s(self) -> float:
         return self._zones.interval_s(self._link.interval_s())
