--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -216,23 +216,24 @@
         )
 
     def _start(self) -> None:
-        self._hedging.start()
-        self._watcher.start()
         link = self._link
         RepeatingTimer('sync', self._sync_interval_s, link.sync).start()
-        self._state_parts.start()
         RepeatingTimer(
             'endpoints', CHECK_INTERVAL_S, self._endpoints.refresh_if_stale
         ).start()
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
         RepeatingTimer('reach', PROBE_CHECK_S, self._probe.run_due).start()
-        self._relay.start()
+        for part in self._threaded_parts():
+            part.start()
         configure_engine()
         self._serve_callers()
         self._serve_readiness()
         cherrypy.engine.start()
 
+    def _threaded_parts(self) -> tuple[Any, ...]:
+        return (self._watcher, self._hedging, self._state_parts, self._relay)
+
     def _serve_readiness(self) -> None:
         readiness = self._adapter.readiness_app(self._link.is_serving)
         server = add_server(
