Let customers give way only while much waits, and never to less urgent requests

Cause: a customer at its share was held as soon as any other one had a request queued anywhere, for a moment or at a lower level, and less urgent requests began meanwhile.

--- a/src/apricotcart/gateway/dispatching/joined_loads.py
+++ b/src/apricotcart/gateway/dispatching/joined_loads.py
@@ -140,7 +140,7 @@
         _add_counts(joined, running.of_service(service))
         _add_counts(joined, self._recent(now, service))
         loads = {
-            customer: CustomerLoad(counts[::2], sum(counts[1::2]))
+            customer: CustomerLoad(counts[::2], counts[1::2])
             for customer, counts in joined.items()
         }
         tokens = sum(sum(load.running) for load in loads.values())
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -131,14 +131,21 @@
         """Yield the decisions that can be made now, most urgent first."""
         self._held.clear()
         for service, pool in self._pools.items():
-            if not pool.size:
-                continue
-            shares = self._shares(now, service)
-            blocked: set[Group] = set()
-            for _, queue in list(pool.backlogged()):
-                yield from self._assign(now, queue, shares, blocked)
+            if pool.size:
+                yield from self._assign_service(now, service, pool)
         yield from self._refuse(now)
 
+    def _assign_service(
+        self, now: float, service: str, pool: PoolQueue[QueuedRequest]
+    ) -> Iterator[Assigned]:
+        shares = self._shares(now, service)
+        blocked: set[Group] = set()
+        for _, queue in list(pool.backlogged()):
+            yield from self._assign(now, queue, shares, blocked)
+            # What a request gives way for is not for less urgent ones.
+            if any(held == service for held, _ in self._held):
+                return
+
     def _assign(
         self,
         now: float,
@@ -234,14 +241,15 @@
         customer = (request.requirements.service, request.customer)
         return Refused(
             request.request_id,
-            max(estimate.pause_s, retry_after_s) * self._spread(),
+            max(estimate.pause_s, retry_after_s) * _spread(self._rng),
             is_over_share=customer in self._held,
         )
 
-    def _spread(self) -> float:
-        if self._rng is None:
-            return 1
-        return 1 + _RETRY_AFTER_SPREAD * self._rng.random()
+
+def _spread(rng: random.Random | None) -> float:
+    if rng is None:
+        return 1
+    return 1 + _RETRY_AFTER_SPREAD * rng.random()
 
 
 def _weight_of(customer: str) -> float:
--- a/tests/scheduling/test_customer_shares.py
+++ b/tests/scheduling/test_customer_shares.py
@@ -11,7 +11,7 @@
 def _shares(loads: dict[str, tuple[int, int]], capacity: int) -> CustomerShares:
     return CustomerShares(
         {
-            name: CustomerLoad([0, running, 0], queued)
+            name: CustomerLoad([0, running, 0], [0, queued, 0])
             for name, (running, queued) in loads.items()
         },
         capacity,
