--- a/src/apricotcart/coordinator/endpoint_totals.py
+++ b/src/apricotcart/coordinator/endpoint_totals.py
@@ -67,7 +67,8 @@
     ) -> None:
         for name, added in figures.items():
             total = totals.setdefault(name, [0 for _ in range(self._size)])
-            for position, figure in enumerate(added):
+            # A later build may send further figures.
+            for position, figure in zip(range(self._size), added, strict=False):
                 total[position] += sign * figure
             if not any(total):
                 totals.pop(name)
--- a/src/apricotcart/coordinator/stream_demands.py
+++ b/src/apricotcart/coordinator/stream_demands.py
@@ -53,14 +53,18 @@
         self._averages: dict[str, list[float]] = {}
         self._published: dict[str, list[int]] = {}
         self._first_at = math.inf
-        self._updated_at: float = 0
+        self._updated_at = -math.inf
 
     def on_figures(
         self, incarnation: str, figures: GatewayFigures, now: float
     ) -> None:
         """Store the demand of one gateway."""
         with self._lock:
-            self._first_at = min(self._first_at, now)
+            if now > self._updated_at + _WARMUP_S:
+                # No gateway has synced for so long: another host led.
+                self._first_at = now
+                self._averages.clear()
+                self._published.clear()
             demands = {_ALL: figures.stream_demands}
             self._totals.replace(incarnation, demands, now)
             self._update(now)
--- a/src/apricotcart/gateway/attempt_state.py
+++ b/src/apricotcart/gateway/attempt_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from typing import TYPE_CHECKING
 
 from apricotcart.gateway.hedging.race import HedgeLostError, HedgeRace
@@ -21,9 +22,10 @@
         The attempts, if there may be a second one.
     """
 
-    __slots__ = ('may_have_run', 'race')
+    __slots__ = ('_lock', 'may_have_run', 'race')
 
     def __init__(self) -> None:
+        self._lock = threading.Lock()
         self.may_have_run = False
         self.race: HedgeRace | None = None
 
@@ -32,6 +34,26 @@
         """Whether there is a second attempt."""
         return self.race is not None and self.race.has_second
 
+    def mark_run(self) -> bool:
+        """Record that an endpoint may have run it; return if that is new."""
+        with self._lock:
+            is_new = not self.may_have_run
+            self.may_have_run = True
+            return is_new
+
+    def end_race(self) -> None:
+        """Drop the references to the request if it has no second attempt.
+
+        The body of the request is released with the last of them.
+        """
+        if self.race is not None and self.race.close():
+            self.race = None
+
+    def give_up_second(self) -> None:
+        """Cancel a second attempt for which nobody waits any more."""
+        if self.race is not None:
+            self.race.give_up()
+
     def claim_answer(self, call: Call) -> None:
         """Let an attempt count, and cancel the other one.
 
--- a/src/apricotcart/gateway/block_assembly.py
+++ b/src/apricotcart/gateway/block_assembly.py
@@ -128,8 +128,9 @@
         for block in blocks:
             digest = digest_of(block)
             with self._lock:
-                stored += digest in self._lacking()
-                self._blocks[digest] = block
+                if digest in self._lacking():
+                    self._blocks[digest] = block
+                    stored += 1
         return stored
 
     def document(self) -> bytes | None:
--- a/src/apricotcart/gateway/block_client.py
+++ b/src/apricotcart/gateway/block_client.py
@@ -78,7 +78,7 @@
         UnavailableError
             If the host does not answer.
         """
-        fields = self._call(address, {KIND: STATE_MANIFEST})['manifest']
+        fields = self._call(address, {KIND: STATE_MANIFEST}).get('manifest')
         return None if fields is None else Manifest.from_wire(fields)
 
     def fetch_blocks(self, address: str, req: BlockRequest) -> ReceivedBlocks:
--- a/src/apricotcart/gateway/dispatching/evacuations.py
+++ b/src/apricotcart/gateway/dispatching/evacuations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -58,10 +59,11 @@
 
     def may_send(self, now: float) -> bool:
         """Return whether the zones are known well enough to send requests."""
-        if self._lease_s is None:
+        lease_s = self._lease_s
+        if lease_s is None:
             return True
         confirmed_at = self._confirmed_at
-        return confirmed_at is not None and now <= confirmed_at + self._lease_s
+        return confirmed_at is not None and now <= confirmed_at + lease_s
 
     def age_s(self, now: float) -> float | None:
         """Return the time since the last confirmation, None without one."""
@@ -98,7 +100,10 @@
         now : float
             Time in seconds.
         """
-        known_until = max(listed_until, now - _MAX_SUSPECTED_S)
+        known_until = now - _MAX_SUSPECTED_S
+        # Infinite while the age of the list is not known.
+        if listed_until < math.inf:
+            known_until = max(listed_until, known_until)
         self._cold.suspected_zones = {
             zone: returned_at
             for zone, returned_at in self._cold.suspected_zones.items()
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -128,7 +128,11 @@
         return [request.requirements for request in self._queued.values()]
 
     def decide(self, now: float) -> Iterator[Decision]:
-        """Yield the decisions that can be made now, most urgent first."""
+        """Yield the decisions that can be made now.
+
+        These are the assignments of each service, most urgent first, and then
+        all refusals.
+        """
         self._held.clear()
         for service, pool in self._pools.items():
             if pool.size:
@@ -142,9 +146,6 @@
         blocked: set[Group] = set()
         for _, queue in list(pool.backlogged()):
             yield from self._assign(now, queue, shares, blocked)
-            # What a request gives way for is not for less urgent ones.
-            if any(held == service for held, _ in self._held):
-                return
 
     def _assign(
         self,
@@ -174,7 +175,10 @@
         self, now: float, request: QueuedRequest, shares: CustomerShares
     ) -> EndpointState | None:
         requirements = request.requirements
-        if shares.is_exceeded(requirements.customer, requirements.level):
+        # Less urgent requests may begin at other gateways, so that only the
+        # least urgent ones give way.
+        is_lowest = not requirements.level
+        if is_lowest and shares.is_exceeded(requirements.customer, 0):
             self._held.add((requirements.service, requirements.customer))
             return None
         return self._placement.choose(now, requirements, request.excluded)
--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -156,9 +156,8 @@
         self, call: Call, exchange: EndpointExchange, began_at: float
     ) -> None:
         """Count that an endpoint may have run the request."""
-        if not call.may_have_run:
+        if call.attempts.mark_run():
             self._usage.record_run(call.customer_name, began_at)
-        call.may_have_run = True
 
     def on_stream_begun(self, call: Call, exchange: EndpointExchange) -> None:
         """Pin a stream to the version that has begun it, and record that."""
--- a/src/apricotcart/gateway/evacuated_zones.py
+++ b/src/apricotcart/gateway/evacuated_zones.py
@@ -62,7 +62,9 @@
     def interval_s(self, interval_s: float) -> float:
         """Return the time to the next sync, at most the usual one."""
         self._log_age()
-        return interval_s if self._is_known else _FIRST_INTERVAL_S
+        return (
+            interval_s if self._is_known else min(interval_s, _FIRST_INTERVAL_S)
+        )
 
     def on_leader(self, *, is_understood: bool) -> None:
         """Require confirmation by a leader that knows of evacuations."""
--- a/src/apricotcart/gateway/forwarding.py
+++ b/src/apricotcart/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import Final
 
 from apricotcart.errors.tree import ApricotcartError
@@ -62,6 +63,11 @@
             If no endpoint responded. Its class states whether the request
             may have run.
         """
+        with ExitStack() as stack:
+            stack.callback(call.attempts.end_race)
+            return self._forward(call)
+
+    def _forward(self, call: Call) -> WebResponse:
         while True:
             exchange = self._sender.acquire(call)
             self._hedger.watch(call, exchange)
@@ -82,8 +88,24 @@
             return self._after_failure(call, exchange, exc)
         except BaseException as exc:
             self._sender.fail(call, exchange, exc)
+            call.attempts.give_up_second()
             raise
-        return response or self._other_response(call)
+        if response is not None:
+            return response
+        return self._after_error(call, exchange)
+
+    def _after_error(
+        self, call: Call, exchange: Exchange
+    ) -> WebResponse | None:
+        """Return the response after an attempt without a decisive one."""
+        had_second = call.attempts.has_second
+        response = self._other_response(call)
+        if response is None and had_second:
+            call.excluded_endpoints.add(exchange.destination.name)
+            return self._next_response(
+                call, BrokenEndpointError('both attempts have failed')
+            )
+        return response
 
     def _other_response(self, call: Call) -> WebResponse | None:
         """Return the response of a second attempt, None without one."""
--- a/src/apricotcart/gateway/hedging/assembly.py
+++ b/src/apricotcart/gateway/hedging/assembly.py
@@ -52,3 +52,7 @@
     def start(self) -> None:
         """Start the thread that begins second attempts."""
         self._hedger.start()
+
+    def stop(self) -> None:
+        """Make no more second attempts."""
+        self._hedger.stop()
--- a/src/apricotcart/gateway/hedging/hedger.py
+++ b/src/apricotcart/gateway/hedging/hedger.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+import threading
 from abc import ABC, abstractmethod
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 from typing import Final
 
 from apricotcart.errors.tree import ApricotcartError
@@ -46,6 +48,9 @@
     def start(self) -> None:
         """Start what it needs; nothing by default."""
 
+    def stop(self) -> None:
+        """Make no more second attempts; nothing by default."""
+
 
 class NoHedger(Hedger):
     """Makes no second attempts."""
@@ -67,7 +72,14 @@
         Runs the attempts.
     """
 
-    __slots__ = ('_attempts', '_endpoints', '_executor', '_policy', '_timer')
+    __slots__ = (
+        '_attempts',
+        '_endpoints',
+        '_executor',
+        '_places',
+        '_policy',
+        '_timer',
+    )
 
     def __init__(
         self,
@@ -80,6 +92,8 @@
         self._attempts = attempts
         self._timer = TaskTimer('hedging')
         self._executor = ThreadPoolExecutor(_MAX_RUNNING, 'hedge')
+        # None is queued: it would hold a slot at an endpoint meanwhile.
+        self._places = threading.BoundedSemaphore(_MAX_RUNNING)
 
     def start(self) -> None:
         """Start the thread of the timer."""
@@ -88,7 +102,6 @@
     def stop(self) -> None:
         """Make no more second attempts."""
         self._timer.stop()
-        self._executor.shutdown(wait=False, cancel_futures=True)
 
     def watch(self, call: Call, exchange: Exchange) -> None:
         """Make a second attempt at a request if its first one gets late."""
@@ -116,35 +129,20 @@
 
     def _begin(self, race: HedgeRace) -> None:
         """Send the second attempt if it is still wanted and there is room."""
-        call = race.call
-        if not race.is_open or not race.exchange.sent_at:
+        call, first = race.call, race.exchange
+        if call is None or first is None or not first.sent_at:
             return
-        if not self._policy.has_room or _is_cancelled(call):
+        if not self._may_begin(race, call):
             return
-        # What may crash endpoints is never sent to two of them.
-        if self._endpoints.quarantine.suspects(call):
+        if not self._places.acquire(blocking=False):
             return
-        second = _second_attempt(race)
+        second = _second_attempt(call, first)
         exchange = self._endpoints.acquire_free(second)
-        if exchange is None:
+        if exchange is None or not race.start_second(second):
+            self._places.release()
+            if exchange is not None:
+                self._attempts.release(second, exchange)
             return
-        if not self._start(race, second, exchange):
-            self._attempts.release(second, exchange)
-
-    def _start(
-        self, race: HedgeRace, second: Call, exchange: EndpointExchange
-    ) -> bool:
-        call = race.call
-        if not self._endpoints.retry_policy.may_retry(
-            call.route,
-            may_have_run=True,
-            send_count=call.send_count,
-            remaining_s=call.remaining_s(),
-            now=boot_clock_s(),
-        ):
-            return False
-        if not race.start_second(second):
-            return False
         self._policy.on_second_attempt()
         call.send_count += 1
         if _is_cancelled(call):
@@ -155,10 +153,32 @@
             route=call.route.name,
             **exchange.destination.log_fields,
             attempt=call.send_count,
-            duration_s=race.exchange.age_s(),
+            duration_s=first.age_s(),
+        )
+        self._executor.submit(self._run_in_place, race, second, exchange)
+
+    def _may_begin(self, race: HedgeRace, call: Call) -> bool:
+        if not race.is_open or _is_cancelled(call):
+            return False
+        # What may crash endpoints is never sent to two of them.
+        if not self._policy.has_room or self._endpoints.quarantine.suspects(
+            call
+        ):
+            return False
+        return self._endpoints.retry_policy.may_retry(
+            call.route,
+            may_have_run=True,
+            send_count=call.send_count,
+            remaining_s=call.remaining_s(),
+            now=boot_clock_s(),
         )
-        self._executor.submit(self._run, race, second, exchange)
-        return True
+
+    def _run_in_place(
+        self, race: HedgeRace, second: Call, exchange: EndpointExchange
+    ) -> None:
+        with ExitStack() as stack:
+            stack.callback(self._places.release)
+            self._run(race, second, exchange)
 
     def _run(
         self, race: HedgeRace, second: Call, exchange: EndpointExchange
@@ -172,16 +192,16 @@
             self._attempts.fail(second, exchange, exc)
             race.end_second(None)
             raise
-        is_answered = response is not None
+        is_awaited = race.end_second(response)
         log_decision(
             HEDGE_ENDED,
             request_id=second.metadata.attempt_id,
             **exchange.destination.log_fields,
-            is_used=is_answered,
+            is_used=is_awaited and response is not None,
             duration_s=exchange.age_s(),
         )
-        if not race.end_second(response) and response is not None:
-            _close(response)
+        if not is_awaited and response is not None:
+            response.discard()
 
 
 def _is_cancelled(call: Call) -> bool:
@@ -189,9 +209,8 @@
     return call.is_caller_gone or call.is_host_ending
 
 
-def _second_attempt(race: HedgeRace) -> Call:
+def _second_attempt(call: Call, first: Exchange) -> Call:
     """Return the same request for an attempt at another endpoint."""
-    call = race.call
     second = Call(
         dispatcher=call.dispatcher,
         message=call.message,
@@ -202,15 +221,8 @@
     second.attempts = call.attempts
     second.excluded_endpoints = {
         *call.excluded_endpoints,
-        race.exchange.destination.name,
+        first.destination.name,
     }
     second.send_count = call.send_count
     second.relay.is_counted = True
     return second
-
-
-def _close(response: WebResponse) -> None:
-    """Cancel a response that nobody waits for any more."""
-    close = getattr(response.chunks, 'close', None)
-    if close is not None:
-        close()
--- a/src/apricotcart/gateway/hedging/policy.py
+++ b/src/apricotcart/gateway/hedging/policy.py
@@ -1,14 +1,14 @@
 """Decides when a request is late enough for a second attempt.
 
-The load that it answers: one endpoint among many is slow for a moment, or holds
-a request behind a long one, while others have room. A second attempt elsewhere
-cuts the slowest answers. While all endpoints are slow, as many requests
-are late as before, and the limits below keep second attempts from adding load.
+Second attempts help while single endpoints are slow and others have free
+capacity. While all endpoints are slow, what counts as late rises with the
+answer times, and the budget limits the additional load.
 """
 
 from __future__ import annotations
 
 import math
+import threading
 from collections.abc import Mapping, Sequence
 from heapq import nlargest
 from typing import Final, Self
@@ -89,11 +89,12 @@
         What operators allow.
     """
 
-    __slots__ = ('_budget', '_remote', '_settings', '_times')
+    __slots__ = ('_budget', '_lock', '_remote', '_settings', '_times')
 
     def __init__(self, settings: HedgeSettings) -> None:
         self._settings = settings
         self._budget = HedgeBudget(settings.share)
+        self._lock = threading.Lock()
         self._times: dict[str, AnswerTimes] = {}
         self._remote: Mapping[str, Counts] = {}
 
@@ -113,11 +114,13 @@
 
     def on_request(self) -> None:
         """Count a request that a second attempt could be made of."""
-        self._budget.on_request()
+        with self._lock:
+            self._budget.on_request()
 
     def on_second_attempt(self) -> None:
         """Count a second attempt."""
-        self._budget.take()
+        with self._lock:
+            self._budget.take()
 
     def on_answer(self, now: float, kind: str, elapsed_s: float) -> None:
         """Record the time until an answer, or until it was given up.
@@ -131,8 +134,9 @@
         elapsed_s : float
             Time since the request was sent, in seconds.
         """
-        times = self._times.setdefault(kind, AnswerTimes())
-        times.add(now, elapsed_s)
+        with self._lock:
+            times = self._times.setdefault(kind, AnswerTimes())
+            times.add(now, elapsed_s)
 
     def delay_s(self, kind: str, remaining_s: float, now: float) -> float:
         """Return when a second attempt is due, in seconds from the send.
@@ -161,31 +165,38 @@
 
     def report(self, now: float) -> dict[str, dict[int, float]]:
         """Return the answer times of this host by kind, in wire form."""
-        counts = {
-            kind: times.counts(now) for kind, times in self._times.items()
-        }
-        # Routes come and go.
-        self._times = {
-            kind: times for kind, times in self._times.items() if counts[kind]
-        }
+        with self._lock:
+            counts = self._recent_counts(now)
         reported = nlargest(
             _MAX_REPORTED_KINDS,
             counts,
             key=lambda kind: sum(counts[kind].values()),
         )
-        return {kind: counts[kind] for kind in reported if counts[kind]}
+        return {kind: counts[kind] for kind in reported}
 
     def update_remote(self, times: Mapping[str, Counts]) -> None:
         """Set the answer times of all hosts together, by kind."""
         self._remote = times
 
+    def _recent_counts(self, now: float) -> dict[str, dict[int, float]]:
+        """Return all counts; forget the kinds without any."""
+        counts: dict[str, dict[int, float]] = {}
+        for kind, times in list(self._times.items()):
+            counts[kind] = times.counts(now)
+            if not counts[kind]:
+                # Routes come and go.
+                counts.pop(kind)
+                self._times.pop(kind)
+        return counts
+
     def _counts(self, kind: str, now: float) -> Counts:
         # The sums of all hosts include what this host has reported.
         remote = self._remote.get(kind)
         if remote:
             return remote
-        times = self._times.get(kind)
-        return times.counts(now) if times else {}
+        with self._lock:
+            times = self._times.get(kind)
+            return times.counts(now) if times else {}
 
 
 def kind_of(route: Route, prompt_tokens: int) -> str:
--- a/src/apricotcart/gateway/hedging/race.py
+++ b/src/apricotcart/gateway/hedging/race.py
@@ -65,8 +65,8 @@
         on_answer: OnAnswer,
     ) -> None:
         self._on_answer = on_answer
-        self.call = call
-        self.exchange = exchange
+        self.call: Call | None = call
+        self.exchange: Exchange | None = exchange
         self.kind = kind
         self.second: Call | None = None
         self._winner: Call | None = None
@@ -77,8 +77,8 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether no attempt was answered yet."""
-        return self._winner is None
+        """Whether no attempt was answered or given up yet."""
+        return self._winner is None and self.call is not None
 
     @property
     def has_second(self) -> bool:
@@ -91,9 +91,10 @@
             if self._winner is not None:
                 return self._winner is call
             self._winner = call
-        now = boot_clock_s()
-        self._on_answer(now, self.kind, now - self.exchange.sent_at)
         self._cancel_other(call)
+        if self.exchange is not None:
+            now = boot_clock_s()
+            self._on_answer(now, self.kind, now - self.exchange.sent_at)
         return True
 
     def is_lost(self, call: Call) -> bool:
@@ -103,11 +104,31 @@
     def start_second(self, second: Call) -> bool:
         """Add the second attempt; return False if it comes too late."""
         with self._changed:
-            if self._winner is not None:
+            if not self.is_open:
                 return False
             self.second = second
             return True
 
+    def close(self) -> bool:
+        """Allow no second attempt any more; return False if there is one."""
+        with self._changed:
+            if self.second is not None:
+                return False
+            self.call = None
+            self.exchange = None
+            self._winner = None
+            return True
+
+    def give_up(self) -> None:
+        """Cancel a second attempt, for which nobody waits any more."""
+        with self._changed:
+            self._is_given_up = True
+            response = self._response
+        if self.second is not None:
+            self.second.on_caller_gone()
+        if response is not None:
+            response.discard()
+
     def end_first(self) -> None:
         """Let no second attempt begin after the first one has ended."""
         with self._changed:
@@ -146,7 +167,10 @@
 
     def _cancel_other(self, call: Call) -> None:
         """Cancel the other attempt, which frees its slot at the endpoint."""
-        if call is not self.call:
-            self.call.conn.abort()
-        elif self.second is not None:
-            self.second.on_caller_gone()
+        other = self.second if call is self.call else self.call
+        if other is None:
+            return
+        if other is self.call:
+            other.conn.abort()
+        else:
+            other.on_caller_gone()
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -175,6 +175,7 @@
         return _FIRST_INTERVAL_S
 
     def _sync_with_leader(self) -> None:
+        self._is_due = False
         requested_at = boot_clock_s()
         version = self._state.version
         # A leader that does not know that this host fetches the state in
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -117,6 +117,7 @@
         self._build_sender()
 
     def _stop(self, stop_at: float) -> StopReason:
+        self._hedging.stop()
         return stop_calls(
             self._stop_state,
             self._servers,
--- a/src/apricotcart/gateway/state_fetch.py
+++ b/src/apricotcart/gateway/state_fetch.py
@@ -140,6 +140,9 @@
             )
             self._sources.on_failure(address, boot_clock_s())
             return
+        except BaseException:
+            self._sources.on_failure(address, boot_clock_s())
+            raise
         if has_sent:
             self._sources.on_blocks(address)
         else:
--- a/src/apricotcart/web/body_stream.py
+++ b/src/apricotcart/web/body_stream.py
@@ -156,6 +156,9 @@
             return self._decoder.decode(received)[0]
         if not reader.has_data():
             self._wait()
+            # Before the turn, which others wait for: a TLS read may block
+            # although the socket is readable.
+            self._require_more(reader.peek(1))
         with self._turns if self._is_costly else nullcontext():
             piece, used, rest = self._decode_buffered()
         if not used:
--- a/src/apricotcart/web/response.py
+++ b/src/apricotcart/web/response.py
@@ -83,6 +83,12 @@
                 return text
         return BYTES_TYPE
 
+    def discard(self) -> None:
+        """Release what an unread response holds."""
+        close = getattr(self.chunks, 'close', None)
+        if close is not None:
+            close()
+
     def status_line(self) -> str:
         """Return the status code and reason phrase for WSGI."""
         return f'{self.status} {_reason_phrase(self.status)}'
