--- a/src/apricotcart/coordinator/evacuation_figures.py
+++ b/src/apricotcart/coordinator/evacuation_figures.py
@@ -9,7 +9,7 @@
     EvacuatedZones,
     GatewayFigures,
     SharedFigures,
-    ZoneWord,
+    ZoneStatus,
 )
 from apricotcart.coordinator.shared_figures import FigureStore
 from apricotcart.coordinator.state_copies import StateCopies
@@ -53,7 +53,7 @@
                 for change in zones.values()
             }
             words = {
-                zone: ZoneWord(
+                zone: ZoneStatus(
                     is_evacuated=change.is_evacuated,
                     revision=change.revision,
                     age_s=now - self._changed_at[change.revision],
--- a/src/apricotcart/coordinator/exchange_messages.py
+++ b/src/apricotcart/coordinator/exchange_messages.py
@@ -85,7 +85,7 @@
         self.room = room
 
 
-class ZoneWord(Record):
+class ZoneStatus(Record):
     """What gateways learn about one zone.
 
     Attributes
@@ -113,13 +113,13 @@
 
     Attributes
     ----------
-    zones : dict of str to ZoneWord
+    zones : dict of str to ZoneStatus
         The zones by name.
     """
 
     __slots__ = ('zones',)
 
-    def __init__(self, *, zones: Mapping[str, ZoneWord]) -> None:
+    def __init__(self, *, zones: Mapping[str, ZoneStatus]) -> None:
         self.zones = zones
 
     @property
@@ -139,7 +139,7 @@
         zones = fields.get('zones', {})
         return cls(
             zones={
-                zone: ZoneWord.from_wire(word) for zone, word in zones.items()
+                zone: ZoneStatus.from_wire(word) for zone, word in zones.items()
             }
         )
 
--- a/src/apricotcart/coordinator/stream_demands.py
+++ b/src/apricotcart/coordinator/stream_demands.py
@@ -34,8 +34,8 @@
     """Publishes the same demand to all gateways.
 
     Gateways reserve engines by it. It changes only when the average of the
-    demand has changed by more than a few percent, so that the reserved engines
-    stay the same while the load does.
+    demand differs from it by more than 15 % and 2 requests, so that the
+    reserved engines stay the same while the load does.
     """
 
     __slots__ = (
--- a/src/apricotcart/gateway/dispatching/evacuations.py
+++ b/src/apricotcart/gateway/dispatching/evacuations.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from apricotcart.coordinator.exchange_messages import EvacuatedZones, ZoneWord
+from apricotcart.coordinator.exchange_messages import EvacuatedZones, ZoneStatus
 from apricotcart.gateway.dispatching.cold_limits import ColdLimits
 from apricotcart.gateway.dispatching.endpoint_table import EndpointTable
 
@@ -115,7 +115,7 @@
         """Whether endpoints of a zone that was taken back count as cold."""
         return bool(self._cold.suspected_zones)
 
-    def _is_returned(self, word: ZoneWord) -> bool:
+    def _is_returned(self, word: ZoneStatus) -> bool:
         return not word.is_evacuated and word.revision > self.revision
 
 
--- a/src/apricotcart/gateway/dispatching/queued_request.py
+++ b/src/apricotcart/gateway/dispatching/queued_request.py
@@ -93,7 +93,7 @@
         )
 
     @property
-    def speaks_for_group(self) -> bool:
+    def blocks_group(self) -> bool:
         """Whether others wait too if no endpoint takes it.
 
         One that few endpoints may run says nothing about the others.
--- a/src/apricotcart/gateway/dispatching/request_queue.py
+++ b/src/apricotcart/gateway/dispatching/request_queue.py
@@ -162,7 +162,7 @@
             endpoint = self._choose(now, request, shares)
             if endpoint is None:
                 failed.add(request.lane_key)
-                if request.speaks_for_group:
+                if request.blocks_group:
                     # A less urgent request must not overtake it.
                     blocked.add(request.group)
             else:
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -130,43 +130,11 @@
     """Resources of the host that the process may use."""
 
     title = 'machine'
-    __slots__ = (
-        'descriptors',
-        'link_mbps',
-        'memory_mb',
-        'processor_share',
-        'processor_speed',
-    )
-    fields = (
-        Field('memory_mb', NumberKind(0, _MAX_BOUND), optional=True),
-        Field('descriptors', NumberKind(0, _MAX_BOUND), optional=True),
-        Field('processor_share', NumberKind(0, _MAX_BOUND), '1'),
-        Field('processor_speed', NumberKind(0, _MAX_BOUND), '1'),
-        Field('link_mbps', NumberKind(0, _MAX_BOUND), optional=True),
-    )
+    __slots__ = ('memory_mb',)
+    fields = (Field('memory_mb', NumberKind(0, _MAX_BOUND), optional=True),)
 
     # Memory in megabytes above which the process is killed.
     memory_mb: float | None
-    # File descriptors that the process may open.
-    descriptors: float | None
-    # Share of a core that the process may use, and the speed of that core as a
-    # multiple of the usual one.
-    processor_share: float
-    processor_speed: float
-    # Bandwidth of the host's link in megabits a second.
-    link_mbps: float | None
-
-    @property
-    def cores(self) -> float:
-        """Processor time a second, in seconds of a usual core."""
-        return self.processor_share * self.processor_speed
-
-    @property
-    def memory_bytes(self) -> int | None:
-        """Memory limit in bytes, None if it is not known."""
-        if self.memory_mb is None:
-            return None
-        return int(self.memory_mb * _BYTES_PER_MB)
 
 
 class FleetBodySettings(Section):
--- a/tests/gateway/dispatching/test_evacuations.py
+++ b/tests/gateway/dispatching/test_evacuations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from apricotcart.coordinator.exchange_messages import EvacuatedZones, ZoneWord
+from apricotcart.coordinator.exchange_messages import EvacuatedZones, ZoneStatus
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.dispatching.cold_limits import ColdLimit
 from apricotcart.gateway.dispatching.endpoint_state import Requirements
@@ -32,7 +32,9 @@
 
 def _zones(revision: int, **zones: bool) -> EvacuatedZones:
     words = {
-        zone: ZoneWord(is_evacuated=is_evacuated, revision=revision, age_s=0.5)
+        zone: ZoneStatus(
+            is_evacuated=is_evacuated, revision=revision, age_s=0.5
+        )
         for zone, is_evacuated in zones.items()
     }
     return EvacuatedZones.from_wire(EvacuatedZones(zones=words).to_wire())
--- a/tests/gateway/test_evacuated_zones.py
+++ b/tests/gateway/test_evacuated_zones.py
@@ -9,7 +9,7 @@
 from apricotcart.coordinator.exchange_messages import (
     EvacuatedZones,
     SharedFigures,
-    ZoneWord,
+    ZoneStatus,
 )
 from apricotcart.endpoints.instances import Instance
 from apricotcart.gateway.dispatching.dispatcher import Dispatcher
@@ -51,7 +51,7 @@
 
     def sync(self, evacuated: str = '', age_s: float = 0) -> None:
         words = {
-            zone: ZoneWord(is_evacuated=True, revision=1, age_s=0)
+            zone: ZoneStatus(is_evacuated=True, revision=1, age_s=0)
             for zone in evacuated
         }
         zones = EvacuatedZones(zones=words).to_wire()
