--- a/tests/web/test_crowds.py
+++ b/tests/web/test_crowds.py
@@ -77,9 +77,7 @@
     for process in world.fleet.processes:
         settings = folder / f'{process.role}-{process.ip}' / 'settings.ini'
         with settings.open('a', encoding='utf-8') as output:
-            output.write(
-                f'[machine]\nmemory_mb = {_MEMORY_MB}\ndescriptors = 2000\n'
-            )
+            output.write(f'[machine]\nmemory_mb = {_MEMORY_MB}\n')
     world.start()
     document = desired_state(2)
     document['limits']['max_body_bytes'] = _MAX_BODY_BYTES
