--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -24,6 +24,7 @@
 # Connections without an answer that may be under way, or whose end is sent.
 _CLOSED_AT_ONCE: Final = frozenset((Activity.IDLE, Activity.CLOSING))
 _MS_PER_S: Final = 1000
+_HEAD: Final = b'HEAD'
 # The rest of a body that the application did not read is discarded up to this
 # size and time, so that the connection can be kept.
 _MAX_DISCARD_BYTES: Final = 65_536
@@ -142,6 +143,21 @@
             place = BodyPlace(self.server.body_memory)
             self.rfile = LengthBody(reader, place, self.rfile.remaining)
 
+    def write(self, chunk: bytes) -> None:
+        """Write a part of the answer's body, of which HEAD has none."""
+        if not self.is_head:
+            super().write(chunk)
+
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Write an answer of the server itself."""
+        super().simple_response(status, '' if self.is_head else msg)
+
+    @property
+    def is_head(self) -> bool:
+        """Whether the request asks for the headers of an answer only."""
+        # An unreadable request line has no method.
+        return getattr(self, 'method', b'') == _HEAD
+
     def send_headers(self) -> None:
         """Write the headers; a leaving server closes the connection after.
 
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -134,3 +134,32 @@
         except OSError:
             return True
     return False
+
+
+def test_refused_head_has_no_body(echo_port: int) -> None:
+    """Guards against a body that stands where the next answer should begin."""
+    with socket.create_connection(('127.0.0.1', echo_port), 5) as conn:
+        conn.sendall(b'HEAD /none HTTP/1.1\r\nHost: h\r\n\r\n')
+        head = _read_until(conn, b'\r\n\r\n')
+        conn.sendall(_echo_request(b'{"a":1}'))
+        following = _read_until(conn, b'{"a":1}')
+    assert head.startswith(b'HTTP/1.1 400')
+    assert head.endswith(b'\r\n\r\n')
+    assert following.startswith(b'HTTP/1.1 200')
+
+
+def _echo_request(body: bytes) -> bytes:
+    return b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s' % (
+        len(body),
+        body,
+    )
+
+
+def _read_until(conn: socket.socket, ending: bytes) -> bytes:
+    received = b''
+    while ending not in received:
+        chunk = conn.recv(65_536)
+        if not chunk:
+            break
+        received += chunk
+    return received
