--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -40,6 +40,11 @@
 _MAX_PRIORITY: Final = 9
 # Larger numbers are neither times nor tokens, and do not fit into a float.
 _MAX_COUNT: Final = 1_000_000_000_000_000
+# More tokens than any endpoint holds. Larger counts are taken for this one, so
+# that the loads of all hosts can be added up.
+_MAX_TOKENS: Final = 10_000_000
+# Longer timeouts of callers are taken for this one.
+_MAX_WAIT_S: Final = 86_400.0
 # Longest keep-alive time that is believed, in seconds.
 _KEEP_ALIVE_MAX_S: Final = 3600.0
 
@@ -97,8 +102,8 @@
     def parse_request_headers(self, headers: Headers) -> RequestMetadata:
         """Parse a caller's headers."""
         fields = _lowercase_fields(headers)
-        prompt_tokens, output_tokens = _parse_counts(
-            fields.get(_TOKEN_COUNTS, '0,0'), 2
+        prompt_tokens, output_tokens = _parse_tokens(
+            _TOKEN_COUNTS, fields.get(_TOKEN_COUNTS, '0,0'), 2
         )
         return RequestMetadata(
             attempt_id=fields.get(_ATTEMPT, ''),
@@ -108,7 +113,9 @@
             resumes=fields.get(_RESUMES, ''),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            length_hint=_parse_counts(fields.get(_LENGTH_HINT, '0'), 1)[0],
+            length_hint=_parse_tokens(
+                _LENGTH_HINT, fields.get(_LENGTH_HINT, '0'), 1
+            )[0],
             parts=_parse_prompt_parts(fields.get(_PROMPT_PARTS, '')),
         )
 
@@ -199,18 +206,32 @@
 def _parse_seconds(text: str | None) -> float | None:
     if text is None:
         return None
-    return _parse_counts(text, 1)[0] / _MS_PER_S
+    wait_s = _parse_counts(_DEADLINE, text, 1)[0] / _MS_PER_S
+    return min(wait_s, _MAX_WAIT_S)
 
 
-def _parse_counts(text: str, count: int) -> list[int]:
+def _parse_tokens(name: str, text: str, count: int) -> list[int]:
+    counts = _parse_counts(name, text, count)
+    return [min(number, _MAX_TOKENS) for number in counts]
+
+
+def _parse_counts(name: str, text: str, count: int) -> list[int]:
+    """Return the numbers of a header.
+
+    Raises
+    ------
+    RequestError
+        If it has others.
+    """
     try:
         counts = [int(word) for word in text.split(',')]
     except ValueError:
-        raise RequestError(f'{text!r} is not a list of integers') from None
+        counts = []
     in_range = all(0 <= number <= _MAX_COUNT for number in counts)
     if len(counts) != count or not in_range:
         raise RequestError(
-            f'{text!r} is not a list of {count} integers from 0 to {_MAX_COUNT}'
+            f'{name}: {text!r} is not a list of {count} integers from 0 to '
+            f'{_MAX_COUNT}'
         )
     return counts
 
@@ -219,7 +240,7 @@
     parts = []
     for word in filter(None, text.split(',')):
         part_id, _, tokens = word.strip().partition(':')
-        token_count = _parse_counts(tokens, 1)[0]
+        token_count = _parse_tokens(_PROMPT_PARTS, tokens, 1)[0]
         parts.append(PromptPart(part_id=part_id, tokens=token_count))
     return parts
 
--- a/src/apricotcart/transport/requests.py
+++ b/src/apricotcart/transport/requests.py
@@ -186,7 +186,10 @@
                 request = context.recv()
             except pynng.NNGException:
                 break
-            self._answer_counted(context, request)
+            try:
+                self._answer_counted(context, request)
+            except Exception:
+                _LOG.exception('a request was not answered')
         with suppress(pynng.NNGException):
             context.close()
 
@@ -216,12 +219,20 @@
         except (CodecError, ValueError, TypeError) as exc:
             _LOG.warning('rejected an invalid request: %s', exc)
             return
-        sealed = self._sealer.seal([nonce, answer(message)])
         try:
-            context.send(sealed)
+            context.send(self._seal(nonce, answer(message)))
         except pynng.NNGException as exc:
             _LOG.warning('failed to send an answer: %s', exc)
 
+    def _seal(self, nonce: bytes, reply: WireMessage) -> bytes:
+        """Return the bytes of a reply, or of an error if it has none."""
+        try:
+            return self._sealer.seal([nonce, reply])
+        except Exception:
+            _LOG.exception('an answer cannot be encoded')
+        failure = error_reply(ApricotcartError('internal failure'))
+        return self._sealer.seal([nonce, failure])
+
     def _call_handler(self, message: WireMessage) -> WireMessage:
         try:
             return self._handler.answer(message)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -290,3 +290,24 @@
     headers = [('Warmup-Ms', text) for text in texts]
     metadata = PlatformHeaderCodec().parse_response_headers(headers, 200)
     assert metadata.notice.cold_s == cold_s
+
+
+def test_token_counts_are_bounded() -> None:
+    """Guards against loads of all hosts whose sum has over 64 bits."""
+    metadata = PlatformHeaderCodec().parse_request_headers(
+        [
+            ('Token-Usage', '848500000000,1000000000000'),
+            ('Length-Hint', '1000000000000'),
+            ('Prompt-Prefix', 'aa:1000000000000'),
+            ('Deadline-Ms', '1000000000000000'),
+        ]
+    )
+    counts = (
+        metadata.prompt_tokens,
+        metadata.output_tokens,
+        metadata.length_hint,
+        metadata.parts[0].tokens,
+    )
+    assert max(counts) <= 10_000_000
+    assert metadata.wait_s is not None
+    assert metadata.wait_s <= 24 * 3600
--- a/tests/timers/test_repeating.py
+++ b/tests/timers/test_repeating.py
@@ -54,3 +54,16 @@
 def test_timer_stop_before_start() -> None:
     """Guards against a ``stop`` that fails if the timer was not started."""
     RepeatingTimer('idle', WAIT_S, threading.Event().set).stop()
+
+
+def test_timer_failing_delay(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a delay that cannot be computed and ends the thread."""
+    runs = threading.Semaphore(0)
+    delays = iter([0, 0])
+    timer = RepeatingTimer('late', lambda: next(delays), runs.release)
+    with caplog.at_level(logging.ERROR):
+        timer.start()
+        for _ in range(4):
+            assert runs.acquire(timeout=WAIT_S)
+        timer.stop()
+    assert 'the delay of late failed' in caplog.text
--- a/tests/transport/test_requests.py
+++ b/tests/transport/test_requests.py
@@ -62,6 +62,29 @@
     client.close()
 
 
+class HugeHandler(RequestHandler):
+    """Answers with the number of a request, which may not be encodable."""
+
+    def answer(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Return the number."""
+        return {'ok': True, 'number': 2 ** message['power']}
+
+
+def test_answers_that_cannot_be_encoded_end_no_thread(
+    sealer: Sealer, unused_tcp_port: int
+) -> None:
+    """Guards against a server without threads after two such answers."""
+    address = f'tcp://127.0.0.1:{unused_tcp_port}'
+    server = NngRequestServer(address, HugeHandler(), sealer, 2).start()
+    client = NngRequestClient(address, sealer)
+    for _ in range(3):
+        reply = client.call({'power': 70}, _TIMEOUT_S)
+        assert not reply['ok']
+    assert client.call({'power': 3}, _TIMEOUT_S)['number'] == 8
+    client.close()
+    server.close()
+
+
 class HeldHandler(RequestHandler):
     """Answers once it is released."""
 
