platform: refusals name a header and do not repeat it

Cause: the message repeated the header, escaped twice. Change: the message has the name of the header and its length.

--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -221,7 +221,8 @@
     Raises
     ------
     RequestError
-        If it has others.
+        If it has others. The message names the header and not its content,
+        which may be of any size.
     """
     try:
         counts = [int(word) for word in text.split(',')]
@@ -230,8 +231,8 @@
     in_range = all(0 <= number <= _MAX_COUNT for number in counts)
     if len(counts) != count or not in_range:
         raise RequestError(
-            f'{name}: {text!r} is not a list of {count} integers from 0 to '
-            f'{_MAX_COUNT}'
+            f'the header {name} of {len(text)} characters is not a list of '
+            f'{count} integers from 0 to {_MAX_COUNT}'
         )
     return counts
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -311,3 +311,14 @@
     assert max(counts) <= 10_000_000
     assert metadata.wait_s is not None
     assert metadata.wait_s <= 24 * 3600
+
+
+@pytest.mark.parametrize(
+    'name', ['Token-Usage', 'Length-Hint', 'Prompt-Prefix', 'Deadline-Ms']
+)
+def test_refusals_do_not_repeat_headers(name: str) -> None:
+    """Guards against refusals that are larger than what was sent."""
+    with pytest.raises(RequestError) as refused:
+        PlatformHeaderCodec().parse_request_headers([(name, '\x01x' * 10_000)])
+    assert name.lower() in refused.value.message
+    assert len(refused.value.message) < 200
