--- a/src/apricotcart/gateway/application.py
+++ b/src/apricotcart/gateway/application.py
@@ -20,6 +20,7 @@
     HEADERS_KEY,
     REQUEST_KEY,
     CallerRequest,
+    require_small_head,
 )
 from apricotcart.gateway.refusals import (
     build_refusal,
@@ -140,7 +141,10 @@
         # Without the wait for a state or a body, which would delay the stop.
         self._refuse_if_leaving(0)
         self._state.wait_until_known(metadata.wait_s or _DEFAULT_WAIT_S)
-        call = self._call(WebRequest(environ), headers, metadata, started_at)
+        limits = self._state.table().state.limits
+        req = WebRequest(environ)
+        require_small_head(req.target(), headers, limits.header_bytes)
+        call = self._call(req, headers, metadata, started_at)
         return self._start(call, environ, guard)
 
     def _start(
--- a/src/apricotcart/gateway/listener.py
+++ b/src/apricotcart/gateway/listener.py
@@ -6,6 +6,7 @@
 import re
 import socket
 import struct
+from collections.abc import Sequence
 from typing import Any, Final
 
 from cheroot.server import HeaderReader
@@ -16,6 +17,7 @@
     DeadlineConnection,
     DeadlineRequest,
 )
+from apricotcart.web.errors import HeadTooLargeError
 
 _LOG = logging.getLogger(__name__)
 HEADERS_KEY: Final = 'apricotcart.headers'
@@ -32,6 +34,8 @@
 # Threads that are started together when all are busy.
 _THREADS_PER_GROWTH: Final = 8
 _HEADER_ENCODING: Final = 'latin-1'
+# The colon, the space and the line break of each header.
+_HEADER_FRAMING_BYTES: Final = 4
 # Value of SO_LINGER that discards unsent data and resets the connection.
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
@@ -153,6 +157,34 @@
             _LOG.warning('the thread pool cannot grow: %s', exc)
 
 
+def require_small_head(
+    target: str, headers: Sequence[tuple[str, str]], max_bytes: int
+) -> None:
+    """Check the size of a head.
+
+    Parameters
+    ----------
+    target : str
+        Path and query.
+    headers : sequence of (str, str)
+        Headers as received.
+    max_bytes : int
+        Limit of the desired state in bytes.
+
+    Raises
+    ------
+    HeadTooLargeError
+        If the head is larger.
+    """
+    size = len(target) + sum(
+        len(name) + len(text) + _HEADER_FRAMING_BYTES for name, text in headers
+    )
+    if size > max_bytes:
+        raise HeadTooLargeError(
+            f'the head of {size} bytes exceeds the limit of {max_bytes} bytes'
+        )
+
+
 def _split_line(line: bytes) -> tuple[bytes, bytes]:
     if not line.endswith(_CRLF):
         raise ValueError('a header line does not end with CRLF')
--- a/src/apricotcart/gateway/refusals.py
+++ b/src/apricotcart/gateway/refusals.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from apricotcart.codec.identifiers import bounded_identifier
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.gateway.api import HeaderCodec, RequestMetadata
 from apricotcart.gateway.state import StateCopy
@@ -44,7 +45,8 @@
 def log_unexpected_error(metadata: RequestMetadata) -> None:
     """Log the exception that is being handled, which is a fault of ours."""
     _LOG.exception(
-        'request %s failed with an unexpected error', metadata.attempt_id
+        'request %s failed with an unexpected error',
+        bounded_identifier(metadata.attempt_id),
     )
 
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -371,6 +371,8 @@
 _DURATION_FIELDS: Final = ('queue_wait_s', 'first_s', 'pause_s', _DURATION)
 # Decimal places of floating-point fields, which keeps the lines short.
 _DECIMAL_PLACES: Final = 4
+# Longer texts are cut; clients choose some of them.
+_MAX_TEXT_LENGTH: Final = 1024
 
 
 class LineRateLimiter:
@@ -464,12 +466,17 @@
         extra['dropped'] = dropped
     for name, field in fields.items():
         if field is not None:
-            extra[name] = _rounded(field)
+            extra[name] = _shortened(field)
     _LOG.info(event.name, extra=extra)
 
 
-def _rounded(field: Any) -> Any:
-    return round(field, _DECIMAL_PLACES) if isinstance(field, float) else field
+def _shortened(field: Any) -> Any:
+    if isinstance(field, float):
+        return round(field, _DECIMAL_PLACES)
+    if isinstance(field, str) and len(field) > _MAX_TEXT_LENGTH:
+        kept = field[:_MAX_TEXT_LENGTH]
+        return f'{kept}... ({len(field)} characters)'
+    return field
 
 
 def disallowed_fields() -> set[str]:
--- a/src/apricotcart/platform/headers.py
+++ b/src/apricotcart/platform/headers.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from apricotcart.codec.identifiers import bounded_identifier
 from apricotcart.gateway.api import (
     EndpointLoad,
     EndpointRequestMetadata,
@@ -110,7 +111,7 @@
             wait_s=_parse_seconds(fields.get(_DEADLINE)),
             key=fields.get(_KEY, ''),
             last_event_id=fields.get(_LAST_EVENT, ''),
-            resumes=fields.get(_RESUMES, ''),
+            resumes=bounded_identifier(fields.get(_RESUMES, '')),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             length_hint=_parse_tokens(
@@ -242,7 +243,8 @@
     for word in filter(None, text.split(',')):
         part_id, _, tokens = word.strip().partition(':')
         token_count = _parse_tokens(_PROMPT_PARTS, tokens, 1)[0]
-        parts.append(PromptPart(part_id=part_id, tokens=token_count))
+        key = bounded_identifier(part_id)
+        parts.append(PromptPart(part_id=key, tokens=token_count))
     return parts
 
 
--- a/src/apricotcart/resumption/stream_origins.py
+++ b/src/apricotcart/resumption/stream_origins.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
+from apricotcart.codec.identifiers import bounded_identifier
 from apricotcart.observability.decisions import (
     STREAM_ORIGIN_FOUND,
     log_decision,
@@ -88,7 +89,7 @@
         """Record that attempts of a caller have events of an origin."""
         now = boot_clock_s()
         for attempt_id in filter(None, attempt_ids):
-            self._recent.add(now, attempt_id, origin)
+            self._recent.add(now, bounded_identifier(attempt_id), origin)
 
     def store_new(self, listed: VersionsByService) -> None:
         """Store new records of services that have several versions.
--- a/src/apricotcart/web/errors.py
+++ b/src/apricotcart/web/errors.py
@@ -67,6 +67,13 @@
     http_status = 413
 
 
+class HeadTooLargeError(RequestError):
+    """The request line and headers exceed the size limit."""
+
+    code = 'head_too_large'
+    http_status = 431
+
+
 class IncompleteBodyError(RequestError):
     """The connection ended before the whole body arrived."""
 
--- a/tests/observability/test_decisions.py
+++ b/tests/observability/test_decisions.py
@@ -9,6 +9,7 @@
 
 from apricotcart.observability.catalogue import DECISIONS
 from apricotcart.observability.decisions import (
+    CALLER_LEFT,
     EVENTS,
     REQUEST_REFUSED,
     DecisionCounter,
@@ -78,3 +79,12 @@
     with caplog.at_level(logging.INFO):
         log_decision(event, **dict.fromkeys(event.fields, 'x'))
     assert caplog.records
+
+
+def test_texts_of_clients_are_cut(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against log lines that are as large as a client likes."""
+    with caplog.at_level(logging.INFO):
+        log_decision(CALLER_LEFT, request_id='a' * 60_000, duration_s=0.5)
+    logged = caplog.records[-1].__dict__['request_id']
+    assert len(logged) < 2000
+    assert '60000 characters' in logged
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -322,3 +322,16 @@
         PlatformHeaderCodec().parse_request_headers([(name, '\x01x' * 10_000)])
     assert name.lower() in refused.value.message
     assert len(refused.value.message) < 200
+
+
+@pytest.mark.parametrize('length', [15_000, 60_000])
+def test_ids_of_clients_are_kept_as_short_keys(length: int) -> None:
+    """Guards against tables whose entries are as large as a client likes."""
+    first, second = ('a' * length, 'a' * (length - 1) + 'b')
+    metadata = PlatformHeaderCodec().parse_request_headers(
+        [('Prompt-Prefix', f'{first}:4,{second}:4,ab:4'), ('Resumes', first)]
+    )
+    keys = [part.part_id for part in metadata.parts]
+    assert len(set(keys)) == 3
+    assert max(map(len, [*keys, metadata.resumes])) <= 128
+    assert keys[2] == 'ab'
--- a/tests/resumption/test_stream_origins.py
+++ b/tests/resumption/test_stream_origins.py
@@ -7,6 +7,7 @@
 import pytest
 from gateway.conftest import MemoryStore, Versions
 
+from apricotcart.codec.identifiers import bounded_identifier
 from apricotcart.resumption import stream_origins as module
 from apricotcart.resumption.errors import StreamOriginUnknownError
 from apricotcart.resumption.origins import StreamOrigin
@@ -170,3 +171,22 @@
     store.is_available = True
     origins.store_new(_BOTH)
     assert store.origins == {'a': _V1}
+
+
+def test_long_attempt_ids_are_found_and_kept_as_short_keys() -> None:
+    """Guards against records that are as large as a client likes."""
+    store = MemoryStore()
+    origins = StreamOrigins(store, Versions())
+    attempt_id = 'a' * 60_000
+    origins.record(
+        [attempt_id], StreamOrigin(service='lm', software_version='1')
+    )
+    origins.store_new({'lm': frozenset(('1', '2'))})
+    assert max(map(len, store.origins)) <= 128
+    found = origins.find(
+        request_id='r',
+        attempt_id=bounded_identifier(attempt_id),
+        services=['lm'],
+        listed={'lm': frozenset(('1', '2'))},
+    )
+    assert found.software_version == '1'
