tests: crowds of slow readers and of unfinished requests, red

Crowds and bounds are fixed here, before the product changes. The memory of a process includes what its sockets have received and nobody has read. The parts that test_crowds shares with the new tests are in a module now, its crowds and bounds are unchanged.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -25,9 +25,19 @@
 # An endpoint closes a connection after so many responses.
 _MAX_RESPONSES: Final = 10
 _PLAIN_S: Final = 0.02
+# In a path, followed by the size of the answer in KiB.
+LARGE: Final = 'large-'
+_KIB: Final = 1024
+_LARGE_EVENT: Final = b'data: %s\n\n' % (b'x' * (_KIB - 8))
 _OK: Final = 'HTTP/1.1 200 OK'
 
 
+def _size_kib(path: str) -> int:
+    """Return the size in KiB that a path asks for, 0 for the usual one."""
+    _, _, size = path.partition(LARGE)
+    return int(size) if size else 0
+
+
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return b'id: %d\ndata: t%d\n\n' % (number, number)
@@ -41,12 +51,19 @@
 class StandInEndpoint:
     """Serves streams under ``/stream/`` and plain responses elsewhere.
 
+    Paths with ``large-N`` get N KiB, streams before their usual events.
+
     Parameters
     ----------
     ip : str
         Loopback address to listen on.
     records : Records
         Receives the requests that arrive.
+
+    Attributes
+    ----------
+    slots : int
+        Number of requests that it runs at once, as the list says.
     """
 
     __slots__ = (
@@ -58,11 +75,13 @@
         'address',
         'instance_id',
         'listed_address',
+        'slots',
     )
 
     def __init__(self, ip: str, records: Records) -> None:
         self.address = f'{ip}:{ENDPOINT_PORT}'
         self.listed_address = self.address
+        self.slots = SLOTS
         self.instance_id = f'i-{ip}'
         self._ip = ip
         self._records = records
@@ -82,7 +101,7 @@
             'address': self.listed_address,
             'zone': 'z',
             'version': 'v1',
-            'slots': SLOTS,
+            'slots': self.slots,
             'state': 'ready',
             'warmup_left_ms': 0,
         }
@@ -176,16 +195,21 @@
         run.ended = True
 
     async def _respond(self, head: Head, headers: dict[str, str]) -> None:
+        kib = _size_kib(head.path)
         if head.path.startswith('/stream/'):
-            await self._stream(headers)
+            await self._stream(headers, kib)
             return
         await asyncio.sleep(_PLAIN_S)
-        await self._send(encode_with_length(_OK, headers, b'done'))
+        body = b'x' * kib * _KIB if kib else b'done'
+        await self._send(encode_with_length(_OK, headers, body))
 
-    async def _stream(self, headers: dict[str, str]) -> None:
+    async def _stream(self, headers: dict[str, str], kib: int) -> None:
         headers['Content-Type'] = 'text/event-stream'
         headers['Transfer-Encoding'] = 'chunked'
         await self._send(encode(_OK, headers))
+        # Without a pause, as fast as the caller reads.
+        for _ in range(kib):
+            await self._send(encode_chunk(_LARGE_EVENT))  # noqa: WPS476
         for number in range(1, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)  # noqa: WPS476 (paced)
             await self._send(encode_chunk(event(number)))  # noqa: WPS476
--- a/tests/web/test_crowds.py
+++ b/tests/web/test_crowds.py
@@ -8,17 +8,14 @@
 from __future__ import annotations
 
 import resource
-import socket
 import sys
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
-from pathlib import Path
 from typing import Final
 
 import pytest
-import urllib3
 from soak.fleet import (
     CALLER_PORT,
     DIRECTORY_PORT,
@@ -27,7 +24,7 @@
     READINESS_PORT,
     ManagedProcess,
 )
-from soak.operators import HOST, desired_state
+from soak.operators import HOST
 from soak.world import World
 from web.crowd import (
     Body,
@@ -37,6 +34,17 @@
     crowd_at,
     peak_bytes,
 )
+from web.crowd_world import (
+    LEGAL,
+    PATIENCE_S,
+    Question,
+    answers,
+    listens,
+    ordinary,
+    restart,
+    start_world,
+    until,
+)
 
 pytestmark = [pytest.mark.xdist_group('crowds'), pytest.mark.timeout(120)]
 _KIB: Final = 1024
@@ -52,85 +60,21 @@
 _SEND_S: Final = 15.0
 # Time after which an ordinary caller asks while the crowd sends.
 _HEAD_START_S: Final = 2.0
-# Tries of an ordinary caller, and its deadline; a refusal is no answer.
-_TRIES: Final = 4
-_PATIENCE_S: Final = 5.0
-_READY_S: Final = 30.0
-_PAUSE_S: Final = 0.1
+_ORDINARY: Final = ordinary(LEGAL)
 _OK: Final = 200
-_LEGAL: Final = '/idempotent/x'
-_ORDINARY: Final = (
-    f'POST {_LEGAL} HTTP/1.1',
-    f'Host: {HOST}',
-    'Attempt-Id: ordinary',
-    f'Deadline-Ms: {_PATIENCE_S * 1000:.0f}',
-    'Content-Length: 0',
-)
-# An address, and the lines of a request to it.
-Question = tuple[tuple[str, int], Sequence[str]]
 _FETCH: Final = ('GET /v1/Config.Fetch HTTP/1.1', 'Host: h')
 _RESOLVE: Final = ('GET /v1/resolve?zone=z HTTP/1.1', 'Host: h')
 
 
-def _start(folder: Path) -> World:
-    world = World(folder, gateways=1, endpoints=1)
-    for process in world.fleet.processes:
-        settings = folder / f'{process.role}-{process.ip}' / 'settings.ini'
-        with settings.open('a', encoding='utf-8') as output:
-            output.write(f'[machine]\nmemory_mb = {_MEMORY_MB}\n')
-    world.start()
-    document = desired_state(2)
-    document['limits']['max_body_bytes'] = _MAX_BODY_BYTES
-    operators = f'{world.fleet.coordinators[0].ip}:{OPERATOR_PORT}'
-    _until(
-        lambda: (
-            urllib3.request(
-                'POST', f'http://{operators}/v1/Config.Replace', json=document
-            ).status
-            == _OK
-        )
-    )
-    gateway = (world.fleet.gateways[0].ip, CALLER_PORT)
-    _until(lambda: ask(gateway, _ORDINARY, _PATIENCE_S) == _OK)
-    return world
-
-
-def _until(holds: Callable[[], bool]) -> None:
-    deadline = time.monotonic() + _READY_S
-    while not holds():
-        assert time.monotonic() < deadline
-        time.sleep(_PAUSE_S)
-
-
 @pytest.fixture(scope='module')
 def world(tmp_path_factory: pytest.TempPathFactory) -> Iterator[World]:
     """Return processes that serve; those that end are started again."""
-    started = _start(tmp_path_factory.mktemp('crowds'))
+    folder = tmp_path_factory.mktemp('crowds')
+    started = start_world(folder, _MEMORY_MB, _MAX_BODY_BYTES)
     yield started
     started.close()
 
 
-def _restart(process: ManagedProcess) -> int:
-    """Start a process anew, so that its peak is of this test; return its id."""
-    process.kill()
-    process.start()
-    return process.running.pid
-
-
-def _listens(address: tuple[str, int]) -> bool:
-    with socket.socket() as probe:
-        return probe.connect_ex(address) == 0
-
-
-def _answers(address: tuple[str, int], lines: Sequence[str]) -> bool:
-    """Return whether one of the tries of an ordinary caller is answered."""
-    for _ in range(_TRIES):
-        if ask(address, lines, _PATIENCE_S) == _OK:
-            return True
-        time.sleep(_PAUSE_S)
-    return False
-
-
 def _require_bounds(
     process: ManagedProcess,
     door: tuple[str, int],
@@ -141,10 +85,10 @@
     *,
     comes_back: bool = False,
 ) -> None:
-    pid = _restart(process)
-    _until(lambda: _listens(door))
+    pid = restart(process)
+    until(lambda: listens(door))
     for question in ordinary:
-        _until(partial(_answers, *question))
+        until(partial(answers, *question))
     before = peak_bytes(pid)
     descriptors = count_descriptors(pid)
     threads = count_threads(pid)
@@ -156,11 +100,11 @@
     ):
         sending = background.submit(crowd.send, _SEND_S, comes_back=comes_back)
         time.sleep(_HEAD_START_S)
-        answered = [_answers(*question) for question in ordinary]
+        answered = [answers(*question) for question in ordinary]
         sending.result()
         most = count_descriptors(pid)
         most_threads = count_threads(pid)
-        answered.extend(_answers(*question) for question in ordinary)
+        answered.extend(answers(*question) for question in ordinary)
     sys.stdout.write(
         f'peak {before / 1e6:.0f} to {peak_bytes(pid) / 1e6:.0f} MB, '
         f'descriptors {descriptors} to {most}, '
@@ -184,7 +128,7 @@
     """Guards against bodies that fill the memory or take all threads."""
     gateway = world.fleet.gateways[0]
     door = (gateway.ip, CALLER_PORT)
-    _require_bounds(gateway, door, _LEGAL, body, _CALLERS, [(door, _ORDINARY)])
+    _require_bounds(gateway, door, LEGAL, body, _CALLERS, [(door, _ORDINARY)])
 
 
 def test_gateway_answers_beside_tiny_chunks(world: World) -> None:
@@ -197,7 +141,7 @@
     _require_bounds(
         gateway,
         door,
-        _LEGAL,
+        LEGAL,
         Body.chunked(_MAX_BODY_BYTES, 1),
         _CALLERS,
         [(door, _ORDINARY)],
@@ -266,10 +210,10 @@
     """
     gateway = world.fleet.gateways[0]
     door = (gateway.ip, CALLER_PORT)
-    pid = _restart(gateway)
-    _until(lambda: _answers(door, _ORDINARY))
+    pid = restart(gateway)
+    until(lambda: answers(door, _ORDINARY))
     for port in (LAST_LINK_PORT, READINESS_PORT):
-        _until(partial(_listens, (gateway.ip, port)))
+        until(partial(listens, (gateway.ip, port)))
     # The last server checks its own port once more before the start is over.
     time.sleep(_HEAD_START_S)
     most = count_descriptors(pid) + _CALLERS // 2
@@ -277,6 +221,6 @@
     with crowd_at(door, request_bytes, _CALLERS, _KIB) as crowd:
         crowd.send(_HEAD_START_S)
         assert count_descriptors(pid) <= most
-        assert ask(door, _ORDINARY, 2 * _PATIENCE_S) == _OK
+        assert ask(door, _ORDINARY, 2 * PATIENCE_S) == _OK
     assert gateway.running.poll() is None
     assert peak_bytes(pid) < _MEMORY_BYTES
