--- a/src/apricotcart/commands/serving.py
+++ b/src/apricotcart/commands/serving.py
@@ -16,6 +16,7 @@
 from apricotcart.commands.exit_codes import FAILURE, OK
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.observability.logs import Log
+from apricotcart.process.heap import share_one_heap
 
 _log = logging.getLogger(__name__)
 
@@ -42,6 +43,7 @@
 
     def run(self, args: Namespace, console: Console) -> int:
         """Run the server until SIGTERM and return its exit code."""
+        share_one_heap()
         # The server replaces this handler once it can stop gracefully.
         signal.signal(signal.SIGTERM, _exit_now)
         cfg = self.read_settings(args.settings)
--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -57,6 +57,8 @@
         Holds back requests that crash endpoints.
     origins : StreamOrigins
         Records which version began each stream.
+    response_memory : ResponseMemory or None
+        Memory of all responses of this process; a new one if None.
 
     Attributes
     ----------
@@ -87,9 +89,10 @@
         usage: UsageCounter,
         quarantine: CrashQuarantine,
         origins: StreamOrigins,
+        response_memory: ResponseMemory | None = None,
     ) -> None:
         self.quarantine = quarantine
-        self.response_memory = ResponseMemory()
+        self.response_memory = response_memory or ResponseMemory()
         self.retry_policy = retry_policy
         self._dispatcher = dispatcher
         self._header_codec = header_codec
--- a/src/apricotcart/gateway/exchanges/exchange.py
+++ b/src/apricotcart/gateway/exchanges/exchange.py
@@ -204,12 +204,11 @@
             As in `chunks`, or if it takes too much memory.
         """
         body = BodyBuffer(self.held)
-        for chunk in self.chunks():
-            if body.size + len(chunk) > MAX_BODY_BYTES:
-                raise BrokenEndpointError(
-                    f'response body exceeds {MAX_BODY_BYTES} bytes'
-                )
-            append_to(body, chunk)
+        try:
+            _fill(body, self.chunks())
+        except BaseException:
+            body.discard()
+            raise
         return body
 
     def finish(self) -> None:
@@ -378,6 +377,15 @@
     return conn
 
 
+def _fill(body: BodyBuffer, chunks: Iterator[bytes]) -> None:
+    for chunk in chunks:
+        if body.size + len(chunk) > MAX_BODY_BYTES:
+            raise BrokenEndpointError(
+                f'response body exceeds {MAX_BODY_BYTES} bytes'
+            )
+        append_to(body, chunk)
+
+
 def _content_type_of(headers: Headers) -> str:
     for name, text in headers:
         if name.lower() == 'content-type':
--- a/src/apricotcart/gateway/listener.py
+++ b/src/apricotcart/gateway/listener.py
@@ -4,19 +4,14 @@
 
 import logging
 import re
-import socket
-import struct
 from collections.abc import Sequence
 from typing import Any, Final
 
 from cheroot.server import HeaderReader
 from cheroot.workers.threadpool import ThreadPool
 
-from apricotcart.web.deadlines import (
-    ConnectionGateway,
-    DeadlineConnection,
-    DeadlineRequest,
-)
+from apricotcart.web.answering import ConnectionGateway
+from apricotcart.web.deadlines import DeadlineConnection, DeadlineRequest
 from apricotcart.web.errors import HeadTooLargeError
 
 _LOG = logging.getLogger(__name__)
@@ -36,8 +31,6 @@
 _HEADER_ENCODING: Final = 'latin-1'
 # The colon, the space and the line break of each header.
 _HEADER_FRAMING_BYTES: Final = 4
-# Value of SO_LINGER that discards unsent data and resets the connection.
-_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 
 
 class HeaderTable(dict[bytes, bytes]):
@@ -103,18 +96,6 @@
 
     RequestHandlerClass = CallerRequest  # noqa: WPS115 (the library's name)
 
-    def reset_on_close(self) -> None:
-        """Close the connection later with a reset instead of a normal end."""
-        self.resets_on_close = True
-
-    def _close_kernel_socket(self) -> None:
-        if self.resets_on_close:
-            self.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-            )
-            return
-        super()._close_kernel_socket()  # type: ignore[misc]
-
 
 class CallerGateway(ConnectionGateway):
     """WSGI gateway that passes the request and raw headers on."""
@@ -144,6 +125,11 @@
         if self.idle <= self._queue.qsize():
             self.grow(_THREADS_PER_GROWTH)
 
+    @property
+    def can_grow(self) -> bool:
+        """Whether more threads may be started."""
+        return len(self._threads) < int(self.max)
+
     def grow(self, amount: int) -> None:
         """Start threads, without waiting until they run.
 
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -171,6 +171,7 @@
             usage=self._usage,
             quarantine=self._quarantine,
             origins=self._origins,
+            response_memory=self._response_memory,
         )
         self._hedging = Hedging(cfg)
         self._build_relay()
@@ -309,6 +310,7 @@
             header_timeout_s=_HEADER_TIMEOUT_S,
             body_timeout_s=_BODY_TIMEOUT_S,
             body_memory=self._body_memory,
+            response_memory=self._response_memory,
         )
 
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -240,6 +240,11 @@
 BODY_GAVE_WAY: Final = Event(
     'body_gave_way', 'bytes_in', 'held_bytes', _DURATION
 )
+# The answer of a caller that did not read it was ended, since answers hold too
+# much, or since all threads of an address were in use.
+ANSWER_GAVE_WAY: Final = Event(
+    'answer_gave_way', 'bytes_out', 'held_bytes', _DURATION
+)
 # No connection could be accepted; the oldest idle ones were closed.
 DESCRIPTORS_USED_UP: Final = Event('descriptors_used_up', 'connections', 'idle')
 CALLER_LEFT: Final = Event('caller_left', _REQUEST_ID, _DURATION)
@@ -341,6 +346,7 @@
     ENDPOINTS_REGAINED,
     BODY_REFUSED,
     BODY_GAVE_WAY,
+    ANSWER_GAVE_WAY,
     DESCRIPTORS_USED_UP,
     CALLER_LEFT,
     STATE_IN_FORCE,
--- a/src/apricotcart/observability/metrics_server.py
+++ b/src/apricotcart/observability/metrics_server.py
@@ -6,7 +6,8 @@
 from typing import Any, Final, Self
 
 from apricotcart.observability.metrics import Metrics
-from apricotcart.web.deadlines import ConnectionGateway, DeadlineConnection
+from apricotcart.web.answering import ConnectionGateway
+from apricotcart.web.deadlines import DeadlineConnection
 from apricotcart.web.http_server import DrainingServer
 
 _THREADS: Final = 2
--- a/src/apricotcart/process/fleet.py
+++ b/src/apricotcart/process/fleet.py
@@ -19,6 +19,7 @@
 from apricotcart.observability.metrics_server import start_metrics_page
 from apricotcart.platform.adapter import PlatformAdapter
 from apricotcart.process.stop_request import StopRequest
+from apricotcart.responses.memory import ResponseMemory
 from apricotcart.settings.fleet import FleetConfig
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.body_memory import BodyMemory
@@ -81,6 +82,11 @@
         """Memory of the bodies that all servers of the process receive."""
         return BodyMemory(*self._cfg.body_limits())
 
+    @cached_property
+    def _response_memory(self) -> ResponseMemory:
+        """Memory of the answers that callers have not read."""
+        return ResponseMemory(*self._cfg.answer_limits())
+
     @abstractmethod
     def _start(self) -> None:
         """Start serving, and return without waiting for the end."""
--- a/src/apricotcart/responses/body_buffer.py
+++ b/src/apricotcart/responses/body_buffer.py
@@ -27,14 +27,16 @@
 
     Attributes
     ----------
+    held : HeldBytes
+        Counts what the body holds.
     size : int
         Number of bytes.
     """
 
-    __slots__ = ('_blocks', '_head', '_held', '_room', 'size')
+    __slots__ = ('_blocks', '_head', '_room', 'held', 'size')
 
     def __init__(self, held: HeldBytes) -> None:
-        self._held = held
+        self.held = held
         self._head = bytearray()
         self._blocks: list[mmap.mmap] = []
         # Free bytes of the last block.
@@ -60,13 +62,25 @@
         ResponseMemoryError
             If all responses together hold too much.
         """
-        self._held.resize(self.size + len(chunk))
+        self.held.resize(self.size + len(chunk))
         self.size += len(chunk)
         if not self._blocks and self.size <= UNCOUNTED_BYTES:
             self._head += chunk
         else:
             self._append_to_blocks(memoryview(chunk))
 
+    def discard(self) -> None:
+        """Drop all bytes.
+
+        Errors keep the frames that they pass, and what these refer to, until
+        the next garbage collection.
+        """
+        self._head = bytearray()
+        self._blocks.clear()
+        self._room = 0
+        self.size = 0
+        self.held.resize(0)
+
     def _append_to_blocks(self, chunk: memoryview) -> None:
         left = chunk
         while left:
--- a/src/apricotcart/settings/fleet.py
+++ b/src/apricotcart/settings/fleet.py
@@ -18,9 +18,11 @@
 _MS_PER_S = 1000
 _BYTES_PER_MB: Final = 1_000_000
 _MAX_BOUND: Final = 1_000_000
-# Share of the machine's memory for bodies of requests, and the memory that is
-# assumed where the settings name none.
-_BODY_SHARE: Final = 0.125
+# Share of the machine's memory for bodies of requests, and the same for
+# answers; and the memory that is assumed where the settings name none.
+_MEMORY_SHARE: Final = 0.125
+# The longest answer of an endpoint, and what its connection holds.
+_MIN_ANSWER_BYTES: Final = 17_000_000
 _DEFAULT_MEMORY_MB: Final = 256
 # Each process needs a port for its peers and one for other processes.
 _MIN_LINK_PORTS: Final = 2
@@ -157,6 +159,24 @@
     max_waiting: float
 
 
+class FleetAnswerSettings(Section):
+    """Limits on the answers that callers of a process have not read."""
+
+    title = 'answers'
+    __slots__ = ('grace_ms', 'memory_mb')
+    fields = (
+        Field('memory_mb', NumberKind(1, _MAX_BOUND), optional=True),
+        Field('grace_ms', NumberKind(0, _MAX_BOUND), '2000'),
+    )
+
+    # Memory in megabytes that all answers hold together; None for a share of
+    # the memory of the machine.
+    memory_mb: float | None
+    # Time in milliseconds for which a caller may not read before its answer
+    # gives way to others.
+    grace_ms: float
+
+
 class FleetBoundSettings(Section):
     """Limits and periods that the operators of the platform set."""
 
@@ -254,6 +274,7 @@
     """All settings of a gateway or a coordinator."""
 
     __slots__ = (
+        'answers',
         'bodies',
         'bounds',
         'data',
@@ -277,6 +298,7 @@
         self.data = document.read(FleetDataSettings)
         self.platform = document.read(FleetPlatformSettings)
         self.machine = document.read(FleetMachineSettings)
+        self.answers = document.read(FleetAnswerSettings)
         self.bodies = document.read(FleetBodySettings)
         self.bounds = document.read(FleetBoundSettings)
         self.hedging = document.read(HedgingSettings)
@@ -286,16 +308,21 @@
     def body_limits(self) -> tuple[int, float, int]:
         """Return the limits on bodies: bytes, grace in seconds and number."""
         bodies = self.bodies
-        memory_mb = bodies.memory_mb
-        if memory_mb is None:
-            machine_mb = self.machine.memory_mb or _DEFAULT_MEMORY_MB
-            memory_mb = machine_mb * _BODY_SHARE
         return (
-            int(memory_mb * _BYTES_PER_MB),
+            self._share_bytes(bodies.memory_mb),
             bodies.grace_ms / _MS_PER_S,
             int(bodies.max_waiting),
         )
 
+    def answer_limits(self) -> tuple[int, float]:
+        """Return the limits on answers: bytes, and grace in seconds."""
+        answers = self.answers
+        limit_bytes = self._share_bytes(answers.memory_mb)
+        return (
+            max(limit_bytes, _MIN_ANSWER_BYTES),
+            answers.grace_ms / _MS_PER_S,
+        )
+
     @classmethod
     def from_file(cls, path: str, *required_keys: str) -> Self:
         """Read and validate the whole file.
@@ -320,3 +347,10 @@
                 document.add_fault('listen', key, 'is missing')
         document.finish()
         return cfg
+
+    def _share_bytes(self, memory_mb: float | None) -> int:
+        """Return a limit in bytes, by default a share of the machine's."""
+        if memory_mb is None:
+            machine_mb = self.machine.memory_mb or _DEFAULT_MEMORY_MB
+            memory_mb = machine_mb * _MEMORY_SHARE
+        return int(memory_mb * _BYTES_PER_MB)
--- a/src/apricotcart/web/body_memory.py
+++ b/src/apricotcart/web/body_memory.py
@@ -5,7 +5,7 @@
 import threading
 import weakref
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 from apricotcart.errors.tree import NotRunError
 from apricotcart.observability.decisions import (
@@ -13,6 +13,7 @@
     BODY_REFUSED,
     log_decision,
 )
+from apricotcart.timers.clock import boot_clock_s
 
 # Bytes that any body may hold. Together with the number of threads it bounds
 # what is not counted.
@@ -38,6 +39,8 @@
     ----------
     counted : int
         Bytes that count against the limit.
+    door : object
+        Whose thread reads the body.
     drop : weakref.WeakMethod or None
         Drops the bytes of the body when it gives way.
     since : float
@@ -46,10 +49,11 @@
         Whether the body has given way or was refused.
     """
 
-    __slots__ = ('_memory', 'counted', 'drop', 'is_refused', 'since')
+    __slots__ = ('_memory', 'counted', 'door', 'drop', 'is_refused', 'since')
 
-    def __init__(self, memory: BodyMemory) -> None:
+    def __init__(self, memory: BodyMemory, door: Any = None) -> None:
         self._memory = memory
+        self.door = door
         self.counted = 0
         self.drop: weakref.WeakMethod[Callable[[], None]] | None = None
         self.since: float = 0
@@ -105,9 +109,12 @@
         Time in seconds within which an incomplete body gives way to none.
     max_waiting : int
         Number of incomplete bodies beyond which the oldest gives way.
+    clock : callable
+        Returns the time in seconds.
     """
 
     __slots__ = (
+        '_clock',
         '_grace_s',
         '_limit_bytes',
         '_lock',
@@ -121,7 +128,9 @@
         limit_bytes: int = _DEFAULT_LIMIT_BYTES,
         grace_s: float = _DEFAULT_GRACE_S,
         max_waiting: int = _DEFAULT_MAX_WAITING,
+        clock: Callable[[], float] = boot_clock_s,
     ) -> None:
+        self._clock = clock
         self._limit_bytes = limit_bytes
         self._grace_s = grace_s
         self._max_waiting = max_waiting
@@ -144,6 +153,31 @@
                 if self._is_late(oldest, now):
                     self._let_give_way(oldest, now)
 
+    def end_oldest(self, door: Any) -> bool:
+        """Let the oldest body give way that keeps a thread waiting.
+
+        Parameters
+        ----------
+        door : object
+            Whose threads are needed.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        now = self._clock()
+        with self._lock:
+            late = [
+                place
+                for place in self._waiting
+                if place.door is door and self._is_late(place, now)
+            ]
+            oldest = min(late, key=lambda place: place.since, default=None)
+            if oldest is not None:
+                self._let_give_way(oldest, now)
+        return oldest is not None
+
     def grow(self, place: BodyPlace, counted: int, now: float) -> None:
         """Count more bytes of a body, and let others give way for it.
 
--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -3,25 +3,28 @@
 from __future__ import annotations
 
 import socket
+import ssl
+import struct
 from contextlib import ExitStack, suppress
 from typing import Any, Final
 
-from cheroot import wsgi
 from cheroot.server import HTTPConnection
 from cherrypy._cpwsgi_server import CPWSGIHTTPRequest
 
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.answer_writer import AnswerWriter
 from apricotcart.web.body_memory import BodyPlace
 from apricotcart.web.body_stream import BodyStream, ChunkedBody, LengthBody
 from apricotcart.web.caller_reader import CallerReader
 from apricotcart.web.open_connections import Activity
-from apricotcart.web.request import CONNECTION_KEY
 from apricotcart.web.request_head import RequestHead
 
 # Connections without an answer that may be under way, or whose end is sent.
 _CLOSED_AT_ONCE: Final = frozenset((Activity.IDLE, Activity.CLOSING))
 _HEAD: Final = b'HEAD'
+# Value of SO_LINGER that discards unsent data and resets the connection.
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 # The rest of a body that the application did not read is discarded up to this
 # size and time, so that the connection can be kept.
 _MAX_DISCARD_BYTES: Final = 65_536
@@ -58,18 +61,24 @@
         self.conn.socket.settimeout(server.timeout)
 
     def respond(self) -> None:
-        """Call the application and write its whole response."""
+        """Call the application, and write its response or queue it."""
         self.conn.activity = Activity.ANSWERING
+        writer = self.conn.answer_writer
+        if writer is None:
+            super().respond()
+            return
+        writer.start_answer()
         super().respond()
+        writer.send_available()
 
     def open_body(self) -> None:
         """Read the body, if there is one, with a place that is counted."""
         reader = self.conn.rfile
         if self.chunked_read:
-            place = BodyPlace(self.server.body_memory)
+            place = BodyPlace(self.server.body_memory, self.server)
             self.rfile = ChunkedBody(reader, place, self.server.body_turns)
         elif self.rfile.remaining:
-            place = BodyPlace(self.server.body_memory)
+            place = BodyPlace(self.server.body_memory, self.server)
             self.rfile = LengthBody(reader, place, self.rfile.remaining)
 
     def send_headers(self) -> None:
@@ -115,6 +124,10 @@
     has_unread_body : bool
         Whether a part of the last body was not read. A close would then reset
         the connection, and the peer might lose the answer.
+    keeps_open : bool
+        Whether the connection is kept once the queued answer is sent.
+    answer_writer : AnswerWriter or None
+        Queues whole answers; None for TLS, whose answers are written at once.
     head : RequestHead
         Head of the next request, as far as it was received.
     """
@@ -128,24 +141,70 @@
         self.activity = Activity.QUEUED
         self.resets_on_close = False
         self.has_unread_body = False
+        self.keeps_open = False
+        self.answer_writer: AnswerWriter | None = None
+        if not isinstance(sock, ssl.SSLSocket):
+            self.answer_writer = AnswerWriter(self)
+            self.wfile: Any = self.answer_writer
         self.head = RequestHead()
         server.open_connections.add(self)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of the answer is queued."""
+        writer = self.answer_writer
+        return writer is not None and writer.has_unsent
+
     def communicate(self) -> Any:
-        """Read a request and answer it; return whether to keep it open."""
+        """Read a request and answer it; return whether to keep it open.
+
+        It is kept as well while a part of the answer is queued.
+        """
         self.activity = Activity.READING
-        return super().communicate()  # type: ignore[no-untyped-call]
+        keeps_open = super().communicate()  # type: ignore[no-untyped-call]
+        self.keeps_open = bool(keeps_open)
+        return self.keeps_open or self.has_unsent
+
+    def reset_on_close(self) -> None:
+        """Close the connection later with a reset instead of a normal end."""
+        self.resets_on_close = True
+
+    def send_unsent(self) -> bool:
+        """Go on with a queued answer; return whether a part is left.
+
+        The connection is not kept if its caller has left or is too slow.
+        """
+        writer = self.answer_writer
+        if writer is None:
+            return False
+        with suppress(OSError):
+            writer.send_available()
+            if not writer.has_unsent:
+                writer.discard()
+                return False
+            if not writer.is_too_slow():
+                return True
+        self.resets_on_close = True
+        self.keeps_open = False
+        writer.discard()
+        return False
 
     def start_reading(self) -> float:
         """Let the reads return the head; return the time left for it."""
         head = self.head
-        self.head = RequestHead()
+        # Before the head is forgotten, since another thread may ask whether
+        # anything has arrived.
         self.rfile.socket_reader.put_back(bytes(head.received))
+        self.head = RequestHead()
         timeout_s = self.server.read_timeout_s(self.server.header_timeout_s)
         return float(min(timeout_s, head.ends_at - boot_clock_s()))
 
     def close(self) -> None:
         """Close the socket; a server that leaves waits for the peer first."""
+        if self.has_unsent:
+            self.resets_on_close = True
+        if self.answer_writer is not None:
+            self.answer_writer.discard()
         waits = self.server.is_leaving or self.has_unread_body
         lingers = waits and self._send_end()
         if lingers and self.server.linger(self):
@@ -154,6 +213,14 @@
             stack.callback(self.server.open_connections.remove, self)
             super().close()
 
+    def _close_kernel_socket(self) -> None:
+        if self.resets_on_close:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+            return
+        super()._close_kernel_socket()  # type: ignore[misc]
+
     def _send_end(self) -> bool:
         """Send the end of the stream; return whether to wait for the peer.
 
@@ -170,17 +237,6 @@
         return True
 
 
-class ConnectionGateway(wsgi.Gateway_10):
-    """WSGI gateway that passes the connection to the application."""
-
-    def get_environ(self) -> Any:
-        """Return the WSGI environment, including the connection."""
-        self.req.open_body()
-        environ: Any = super().get_environ()  # type: ignore[no-untyped-call]
-        environ[CONNECTION_KEY] = self.req.conn
-        return environ
-
-
 def _discard(body: BodyStream, max_bytes: int) -> None:
     """Read and discard up to so many bytes of a body."""
     left = max_bytes
--- a/src/apricotcart/web/draining.py
+++ b/src/apricotcart/web/draining.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import suppress
-from selectors import EVENT_READ
+from selectors import EVENT_READ, EVENT_WRITE
 from typing import Any, Final
 
 from cheroot.connections import ConnectionManager
@@ -24,6 +24,7 @@
 )
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.open_connections import Activity
+from apricotcart.web.thread_relief import free_threads
 
 _LOG = logging.getLogger(__name__)
 _DISCARD_BYTES: Final = 65_536
@@ -118,7 +119,7 @@
         self._register(self.wake_up, self.wake_up)
         if drains:
             self._close_listener()
-            self._close_idle()
+            self.close_quiet(Activity.IDLE)
 
     def await_head(self, conn: Any) -> None:
         """Wait until more of the head of a request arrives."""
@@ -131,6 +132,11 @@
             conn.last_used = time.time()
         self._register(conn.socket, conn)
 
+    def await_writable(self, conn: Any) -> None:
+        """Wait until the caller reads more of its answer."""
+        conn.last_used = time.time()
+        self._selector.register(conn.socket.fileno(), EVENT_WRITE, data=conn)
+
     def end_heads(self, now: float) -> None:
         """Let threads refuse the requests whose head is late.
 
@@ -144,12 +150,11 @@
                 self._selector.unregister(fileno)
                 self.server.queue(conn)
 
-    def close_awaited(self) -> None:
-        """Close the connections on which nothing has arrived."""
-        for fileno, conn in _with_activity(self._selector, Activity.AWAITED):
-            if not is_readable(conn.socket):
-                self._selector.unregister(fileno)
-                conn.close()
+    def close_quiet(self, activity: Activity) -> None:
+        """Close the connections of an activity on which nothing arrived."""
+        for fileno, conn in self._quiet(activity):
+            self._selector.unregister(fileno)
+            conn.close()
 
     def await_close(self, conn: Any) -> bool:
         """Wait until the peer closes a connection whose end was sent.
@@ -193,11 +198,8 @@
 
         Among them are those on which nothing has arrived.
         """
-        waiting = [
-            *self._idle(),
-            *_with_activity(self._selector, Activity.AWAITED),
-        ]
-        idle = sorted(waiting, key=lambda pair: pair[1].last_used)
+        quiet = self._quiet(Activity.IDLE, Activity.AWAITED)
+        idle = sorted(quiet, key=lambda pair: pair[1].last_used)
         oldest = idle[:_CLOSED_TOGETHER]
         log_decision(
             DESCRIPTORS_USED_UP, connections=len(oldest), idle=len(idle)
@@ -238,24 +240,20 @@
         for last in ready[-1:]:
             self.server.queue(last)
 
-    def _close_idle(self) -> None:
-        """Close the kept connections; those with a request are served."""
-        for fileno, conn in self._idle():
-            self._selector.unregister(fileno)
-            conn.close()
-
-    def _idle(self) -> Iterator[tuple[int, Any]]:
-        """Yield the kept connections without a request, by descriptor.
+    def _quiet(self, *activities: Activity) -> Iterator[tuple[int, Any]]:
+        """Yield the connections on which nothing arrived, by descriptor.
 
         Each is checked just before it is yielded.
         """
-        for fileno, conn in _with_activity(self._selector, Activity.IDLE):
-            if not is_readable(conn.socket):
-                yield fileno, conn
+        for activity in activities:
+            for fileno, conn in _with_activity(self._selector, activity):
+                if not is_readable(conn.socket):
+                    yield fileno, conn
 
     def _expire(self, threshold: float) -> None:
         super()._expire(threshold)  # type: ignore[misc]
         self.end_heads(boot_clock_s())
+        free_threads(self.server, self.server.requests.qsize)
 
 
 def _with_activity(selector: Any, activity: Activity) -> list[tuple[int, Any]]:
--- a/src/apricotcart/web/http_server.py
+++ b/src/apricotcart/web/http_server.py
@@ -9,6 +9,7 @@
 
 from cheroot.wsgi import Server
 
+from apricotcart.responses.memory import ResponseMemory
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.web.body_memory import BodyMemory
 from apricotcart.web.draining import DrainingConnections, is_readable
@@ -16,6 +17,7 @@
 from apricotcart.web.open_connections import Activity, OpenConnections
 from apricotcart.web.request_head import Arrival
 from apricotcart.web.server_group import ServerGroup
+from apricotcart.web.thread_relief import free_threads
 
 _LOG = logging.getLogger(__name__)
 
@@ -31,6 +33,8 @@
         Whether each connection is closed after its next answer.
     body_memory : BodyMemory
         Memory of the bodies that are received.
+    response_memory : ResponseMemory
+        Memory of the answers that callers have not read.
     body_turns : threading.Lock
         Held while a costly part of a body is decoded.
     header_timeout_s, body_timeout_s : float
@@ -47,6 +51,7 @@
         self.is_leaving = False
         self.body_memory = BodyMemory()
         self.body_turns = threading.Lock()
+        self.response_memory = ResponseMemory()
         self._is_draining = False
         self._ends_unstarted = False
         self._ends_reads = False
@@ -64,6 +69,8 @@
             self._on_wake_up()
         elif conn.activity is Activity.CLOSING:
             self._connections.on_closing_readable(conn)
+        elif conn.has_unsent:
+            self._continue_answer(conn)
         elif self.needs_thread(conn):
             self.queue(conn)
 
@@ -83,15 +90,20 @@
         """Let a thread read a connection."""
         conn.activity = Activity.QUEUED
         self.requests.put(conn)
+        free_threads(self, 1)
 
     def put_conn(self, conn: Any) -> None:
-        """Keep a connection for its next request.
+        """Keep a connection for its next request, or until its answer is sent.
 
         An exception here would end the server.
         """
-        conn.activity = Activity.IDLE
         try:
-            super().put_conn(conn)
+            if conn.has_unsent:
+                conn.answer_writer.start_waiting()
+                self._connections.await_writable(conn)
+            else:
+                conn.activity = Activity.IDLE
+                super().put_conn(conn)
         except Exception:
             _LOG.exception('a connection cannot be kept')
             conn.close()
@@ -150,7 +162,8 @@
         for conn in self.open_connections.snapshot():
             # What has arrived is read, however late a thread gets to it.
             is_reading = conn.activity is Activity.READING
-            if is_reading and not is_readable(conn.socket):
+            has_begun = conn.head.has_begun or is_readable(conn.socket)
+            if is_reading and not has_begun:
                 conn.rfile.socket_reader.end_unstarted()
         self._ends_unstarted = True
         self._connections.wake_up.send()
@@ -165,10 +178,19 @@
     def _on_wake_up(self) -> None:
         self._connections.on_wake_up(drains=self._is_draining)
         if self._ends_unstarted:
-            self._connections.close_awaited()
+            self._connections.close_quiet(Activity.AWAITED)
         if self._ends_reads:
             self._connections.end_heads(math.inf)
 
+    def _continue_answer(self, conn: Any) -> None:
+        """Go on with an answer whose caller reads it, or has left."""
+        if conn.send_unsent():
+            self._connections.await_writable(conn)
+        elif conn.keeps_open and not self.is_leaving:
+            self.put_conn(conn)
+        else:
+            conn.close()
+
     def _drain_alone(self) -> None:
         group = ServerGroup()
         group.add(self)
--- a/src/apricotcart/web/server.py
+++ b/src/apricotcart/web/server.py
@@ -8,9 +8,11 @@
 from cherrypy._cpserver import Server
 from cherrypy._cpwsgi_server import CPWSGIServer
 
+from apricotcart.responses.memory import ResponseMemory
+from apricotcart.web.answering import ConnectionGateway
 from apricotcart.web.application import WebApplication
 from apricotcart.web.body_memory import BodyMemory
-from apricotcart.web.deadlines import ConnectionGateway, DeadlineConnection
+from apricotcart.web.deadlines import DeadlineConnection
 from apricotcart.web.http_server import DrainingServer
 
 # On shutdown, the thread pool waits this long for running requests.
@@ -38,6 +40,8 @@
     body_memory : BodyMemory or None
         Memory of the bodies of all servers of the process; None for one of
         the default size.
+    response_memory : ResponseMemory or None
+        The same for answers that callers have not read.
     """
 
     __slots__ = (
@@ -45,6 +49,7 @@
         'body_timeout_s',
         'header_timeout_s',
         'max_header_bytes',
+        'response_memory',
         'threads',
     )
 
@@ -56,7 +61,9 @@
         header_timeout_s: float,
         body_timeout_s: float,
         body_memory: BodyMemory | None = None,
+        response_memory: ResponseMemory | None = None,
     ) -> None:
+        self.response_memory = response_memory or ResponseMemory()
         self.body_memory = body_memory or BodyMemory()
         self.threads = threads
         self.max_header_bytes = max_header_bytes
@@ -141,4 +148,5 @@
     http.header_timeout_s = limits.header_timeout_s
     http.body_timeout_s = limits.body_timeout_s
     http.body_memory = limits.body_memory
+    http.response_memory = limits.response_memory
     return http
--- a/tests/web/test_draining.py
+++ b/tests/web/test_draining.py
@@ -19,10 +19,12 @@
 from gateway.started_process import read_response, read_to_end
 
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.answering import ConnectionGateway
 from apricotcart.web.caller_reader import CallerReader
-from apricotcart.web.deadlines import ConnectionGateway, DeadlineConnection
+from apricotcart.web.deadlines import DeadlineConnection
 from apricotcart.web.http_server import DrainingServer
 from apricotcart.web.open_connections import LINGER_S, Activity, OpenConnections
+from apricotcart.web.request_head import RequestHead
 from apricotcart.web.server_group import ServerGroup
 
 _WEB: Final = 'apricotcart.web'
@@ -215,6 +217,7 @@
     ours, theirs = socket.socketpair()
     conn = SimpleNamespace(
         activity=Activity.READING,
+        head=RequestHead(),
         socket=ours,
         rfile=CallerReader(ours, _PIPELINED),
     )
