gateway: lack of memory is no failure of an endpoint

Callers saw: sound endpoints were avoided, chosen last for seconds, because slow callers held the memory for answers. Cause: a response that this host has no room for was a broken one. Evidence: the new test failed without the change of endpoint_upstream.py. Change: a typed error (answer_memory), still 502, since the request may have run; it is no outcome of the endpoint.

--- a/src/apricotcart/gateway/endpoint_upstream.py
+++ b/src/apricotcart/gateway/endpoint_upstream.py
@@ -15,6 +15,7 @@
     queue_timeout_s,
 )
 from apricotcart.gateway.errors import (
+    AnswerMemoryError,
     BrokenEndpointError,
     CallerLeftError,
     LeavingError,
@@ -199,7 +200,10 @@
         self.quarantine.on_failure(call, exchange, exc)
         call.excluded_endpoints.add(exchange.endpoint.instance.instance_id)
         if isinstance(exc, ApricotcartError) and not call.is_caller_gone:
-            self._dispatcher.record_outcome(exchange.endpoint, _outcome_of(exc))
+            if not isinstance(exc, AnswerMemoryError):
+                self._dispatcher.record_outcome(
+                    exchange.endpoint, _outcome_of(exc)
+                )
             log_decision(
                 SEND_FAILED,
                 request_id=call.metadata.attempt_id,
--- a/src/apricotcart/gateway/errors.py
+++ b/src/apricotcart/gateway/errors.py
@@ -58,6 +58,12 @@
     """The endpoint's connection ended before its response was complete."""
 
 
+class AnswerMemoryError(BrokenEndpointError):
+    """This host had no memory for the response, which says nothing of it."""
+
+    code = 'answer_memory'
+
+
 class SilentEndpointError(MayHaveRunError):
     """The endpoint did not respond before the deadline."""
 
--- a/src/apricotcart/gateway/exchanges/bodies.py
+++ b/src/apricotcart/gateway/exchanges/bodies.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from apricotcart.gateway.errors import (
+    AnswerMemoryError,
     BrokenEndpointError,
     ConnectionEndedError,
     SilentEndpointError,
@@ -72,13 +73,13 @@
 
     Raises
     ------
-    BrokenEndpointError
+    AnswerMemoryError
         If all responses together take too much memory.
     """
     try:
         body.append(chunk)
     except ResponseMemoryError as exc:
-        raise BrokenEndpointError(str(exc)) from exc
+        raise AnswerMemoryError(str(exc)) from exc
 
 
 def hold(held: HeldBytes, size: int) -> None:
@@ -86,10 +87,10 @@
 
     Raises
     ------
-    BrokenEndpointError
+    AnswerMemoryError
         If all responses together take too much.
     """
     try:
         held.resize(size)
     except ResponseMemoryError as exc:
-        raise BrokenEndpointError(str(exc)) from exc
+        raise AnswerMemoryError(str(exc)) from exc
--- a/tests/gateway/exchanges/test_responses_without_end.py
+++ b/tests/gateway/exchanges/test_responses_without_end.py
@@ -14,6 +14,7 @@
 from gateway.endpoints import ReceivedRequest, Script, chunk, respond_with
 from gateway.served_gateway import Received, ServedGateway
 
+from apricotcart.gateway.errors import AnswerMemoryError
 from apricotcart.responses.memory import ResponseMemory, ResponseMemoryError
 from apricotcart.web.response import WebResponse
 
@@ -214,3 +215,15 @@
     until = time.monotonic() + 3
     while time.monotonic() < until and not is_done():
         time.sleep(0.02)
+
+
+def test_lack_of_memory_is_no_failure_of_the_endpoint(bench: Bench) -> None:
+    """Guards against sound endpoints that are avoided for slow callers."""
+    bench.upstream.response_memory = ResponseMemory(1)
+    bench.serve(respond_with(body=b'a' * _LARGE_BYTES))
+    with pytest.raises(AnswerMemoryError):
+        bench.forwarder.forward(bench.call())
+    endpoints = bench.dispatcher.read_placement(
+        lambda placement: placement.table.all_endpoints()
+    )
+    assert not any(endpoint.has_failed for endpoint in endpoints)
