web: TLS handshakes are left to the thread of the request

Callers saw: while a client had connected to a TLS address of an entry or control host and stayed silent, nobody else was accepted. Cause: the handshake was done by the thread that accepts, and waits for the peer up to the time-out of the connection, one client after the other. Evidence: test_silent_clients_keep_nobody_waiting failed before (time-out of the handshake after 5 s). Change: the connection waits in the selector until its peer has sent something; the thread of its first request does the handshake, with the deadline of a head. A client that speaks another protocol is closed without an answer. Result: the test passes.

--- a/src/apricotcart/web/deadlines.py
+++ b/src/apricotcart/web/deadlines.py
@@ -162,8 +162,10 @@
         self.activity = Activity.READING
         if self.answer_writer is not None:
             self.answer_writer.start_answer()
-        keeps_open = super().communicate()  # type: ignore[no-untyped-call]
-        self.keeps_open = bool(keeps_open)
+        self.keeps_open = False
+        if self._is_secured():
+            keeps_open = super().communicate()  # type: ignore[no-untyped-call]
+            self.keeps_open = bool(keeps_open)
         return self.keeps_open or self.has_unsent
 
     def reset_on_close(self) -> None:
@@ -214,6 +216,20 @@
             stack.callback(self.server.open_connections.remove, self)
             super().close()
 
+    def _is_secured(self) -> bool:
+        """Return whether a request can be read, after the handshake of TLS."""
+        sock = self.socket
+        if not isinstance(sock, ssl.SSLSocket) or sock.version():
+            return True
+        sock.settimeout(self.server.header_timeout_s)
+        try:
+            sock.do_handshake()
+        except OSError:
+            return False
+        sock.settimeout(self.server.timeout)
+        self.ssl_env = self.server.ssl_adapter.get_environ(sock)
+        return True
+
     def _close_kernel_socket(self) -> None:
         if self.resets_on_close:
             self.socket.setsockopt(
--- a/src/apricotcart/web/head_receiver.py
+++ b/src/apricotcart/web/head_receiver.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from apricotcart.timers.clock import boot_clock_s
+from apricotcart.web.draining import is_readable
 from apricotcart.web.request_head import Arrival
 
 # Maximum number of bytes that are received at once.
@@ -24,7 +25,7 @@
         The connection, which no thread reads meanwhile.
     """
     if isinstance(conn.socket, ssl.SSLSocket):
-        return Arrival.READY
+        return _tls_arrival(conn)
     server = conn.server
     head = conn.head
     timeout_s = server.read_timeout_s(server.header_timeout_s)
@@ -41,6 +42,13 @@
     return Arrival.READY
 
 
+def _tls_arrival(conn: Any) -> Arrival:
+    has_decrypted = conn.rfile.has_data() or conn.socket.pending() > 0
+    if has_decrypted or is_readable(conn.socket):
+        return Arrival.READY
+    return Arrival.PARTIAL
+
+
 def _receive_part(conn: Any) -> bytes | None:
     """Return what has arrived, None if nothing has, b'' at the end."""
     try:
--- a/src/apricotcart/web/server.py
+++ b/src/apricotcart/web/server.py
@@ -14,6 +14,7 @@
 from apricotcart.web.body_memory import BodyMemory
 from apricotcart.web.deadlines import DeadlineConnection
 from apricotcart.web.http_server import DrainingServer
+from apricotcart.web.tls import LateHandshakeAdapter
 
 # On shutdown, the thread pool waits this long for running requests.
 _STOP_TIMEOUT_S = 3600
@@ -130,11 +131,11 @@
     server.max_request_body_size = 0
     server.socket_queue_size = _ACCEPT_BACKLOG
     server.shutdown_timeout = _STOP_TIMEOUT_S
-    if address.cert:
-        server.ssl_module = 'builtin'
-        server.ssl_certificate = address.cert
-        server.ssl_private_key = address.key
     server.httpserver = _create_http_server(server, limits)
+    if address.cert:
+        server.httpserver.ssl_adapter = LateHandshakeAdapter(
+            address.cert, address.key
+        )
     if app is not None:
         server.httpserver.wsgi_app = app
     server.subscribe()
