control: elections, and how long acknowledgements take, are in the logs

An operator without an acknowledgement could not tell a lost leader from elections that fail, nor how many gateways an acknowledgement left out. role_changed has role, term, leader and the time before; state_acknowledged has its duration, copies_outdated the number of gateways.

--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -17,6 +17,7 @@
 from apricotcart.consensus.node import Node
 from apricotcart.control.api import ReplicatedState, WireMessage
 from apricotcart.control.pending_requests import PendingRequests, ReplyFuture
+from apricotcart.control.role_log import RoleReporter
 from apricotcart.control.suspension import SuspensionReporter
 from apricotcart.timers.clock import boot_clock_s
 from apricotcart.transport.api import PeerLinks
@@ -119,6 +120,7 @@
         '_node',
         '_on_failed',
         '_published',
+        '_roles',
         '_stopping',
         '_suspension',
         '_thread',
@@ -142,6 +144,7 @@
         self._jobs = JobQueue()
         self._pending = PendingRequests()
         self._suspension = SuspensionReporter()
+        self._roles = RoleReporter()
         self._published = PublishedStatus(node)
         self._stopping = threading.Event()
         # Held while the node applies entries. Other threads that read the
@@ -243,7 +246,9 @@
             self._node.tick(now)
             next_tick = now + self._tick_interval_s
         self._flush()
-        self._suspension.observe(now, self._node.role, self._node.term)
+        node = self._node
+        self._suspension.observe(now, node.role, node.term)
+        self._roles.observe(now, node.role, node.term, node.leader_id)
         return next_tick
 
     def _flush(self) -> None:
--- a/src/apricotcart/coordinator/evacuation_service.py
+++ b/src/apricotcart/coordinator/evacuation_service.py
@@ -156,7 +156,7 @@
             _COMMIT_TIMEOUT_S,
         )
         revision = int(reply['revision'])
-        if not self._confirmed.wait_for(revision, _CONFIRMED_TIMEOUT_S):
+        if self._confirmed.wait_for(revision, _CONFIRMED_TIMEOUT_S):
             log_decision(EVACUATION_UNCONFIRMED, zone=zone, revision=revision)
 
     def handlers(self) -> Mapping[str, Handler]:
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -25,6 +25,7 @@
     STATE_REFUSED,
     log_decision,
 )
+from apricotcart.timers.clock import boot_clock_s
 
 # Time limit of a commit.
 _COMMIT_TIMEOUT_S: Final = 2.5
@@ -95,6 +96,7 @@
         UnavailableError
             If the outcome is unknown.
         """
+        started_at = boot_clock_s()
         version = self._validated_version(document)
         try:
             self.commit(version, document)
@@ -111,7 +113,11 @@
                 _FORWARD_TIMEOUT_S + transfer_s,
                 _FORWARD_HOST_TIMEOUT_S + transfer_s,
             )
-        log_decision(STATE_ACKNOWLEDGED, version=version)
+        log_decision(
+            STATE_ACKNOWLEDGED,
+            version=version,
+            duration_s=boot_clock_s() - started_at,
+        )
         return version
 
     def fetch(self) -> bytes:
@@ -154,8 +160,9 @@
             {'kind': REPLACE_COMMAND, 'version': version, 'document': document},
             _COMMIT_TIMEOUT_S + _transfer_s(document),
         )
-        if not self._copies.wait_for(version, _COPIES_TIMEOUT_S):
-            log_decision(COPIES_OUTDATED, version=version)
+        outdated = self._copies.wait_for(version, _COPIES_TIMEOUT_S)
+        if outdated:
+            log_decision(COPIES_OUTDATED, version=version, count=outdated)
 
     def read(self) -> bytes:
         """Return the newest document if this host leads.
--- a/src/apricotcart/coordinator/state_copies.py
+++ b/src/apricotcart/coordinator/state_copies.py
@@ -49,24 +49,26 @@
             self._copies[incarnation] = _Copy(version, boot_clock_s())
             self._changed.notify_all()
 
-    def wait_for(self, version: int, timeout_s: float) -> bool:
+    def wait_for(self, version: int, timeout_s: float) -> int:
         """Wait until no gateway in touch has an older version.
 
         Returns
         -------
-        bool
-            False if that did not happen within ``timeout_s`` seconds.
+        int
+            Number of gateways in touch that still have an older one after
+            ``timeout_s`` seconds.
         """
         with self._changed:
-            return self._changed.wait_for(
-                lambda: not self._is_outdated(version), timeout_s
+            self._changed.wait_for(
+                lambda: not self._count_outdated(version), timeout_s
             )
+            return self._count_outdated(version)
 
-    def _is_outdated(self, version: int) -> bool:
+    def _count_outdated(self, version: int) -> int:
         oldest = boot_clock_s() - _IN_TOUCH_S
         self._copies = {
             incarnation: copy
             for incarnation, copy in self._copies.items()
             if copy.synced_at >= oldest
         }
-        return any(copy.version < version for copy in self._copies.values())
+        return sum(copy.version < version for copy in self._copies.values())
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -264,10 +264,10 @@
 STATE_FETCHED: Final = Event(
     'state_fetched', 'version', 'blocks', 'bytes_in', _DURATION
 )
-STATE_ACKNOWLEDGED: Final = Event('state_acknowledged', 'version')
+STATE_ACKNOWLEDGED: Final = Event('state_acknowledged', 'version', _DURATION)
 STATE_REFUSED: Final = Event('state_refused', _REASON)
 # A change was acknowledged although a gateway in touch may not have it.
-COPIES_OUTDATED: Final = Event('copies_outdated', 'version')
+COPIES_OUTDATED: Final = Event('copies_outdated', 'version', 'count')
 # An operator has begun or ended the evacuation of a zone.
 EVACUATION_ACKNOWLEDGED: Final = Event(
     'evacuation_acknowledged', _ZONE, 'is_evacuated'
@@ -309,6 +309,8 @@
     'outcome',
 )
 MEMBER_REMOVED: Final = Event('member_removed', 'member')
+# The duration is that of the role before.
+ROLE_CHANGED: Final = Event('role_changed', 'role', 'term', 'leader', _DURATION)
 STORAGE_FULL: Final = Event('storage_full', 'term')
 STORAGE_REGAINED: Final = Event('storage_regained', 'term', _DURATION)
 # A planned stop ended; the counts are those of the moment of the exit.
@@ -373,6 +375,7 @@
     USAGE_SENT,
     ENDPOINTS_ORDERED,
     MEMBER_REMOVED,
+    ROLE_CHANGED,
     STORAGE_FULL,
     STORAGE_REGAINED,
     PROCESS_STOPPED,
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -260,8 +260,8 @@
     reply = requests.answer({KIND: SYNC, **_sync(6).to_wire()})
     assert reply['sync']['document'] == b'7'
     assert reply[TERM] == 3
-    assert copies.wait_for(7, 0)
-    assert not copies.wait_for(8, 0)
+    assert copies.wait_for(7, 0) == 0
+    assert copies.wait_for(8, 0) == 1
 
 
 def test_gateway_that_fetches_counts_with_what_it_really_has(
@@ -277,10 +277,10 @@
     sync.exchange = fetching.to_wire()
     reply = read_reply(requests.answer({KIND: SYNC, **sync.to_wire()}))
     assert reply.document is None
-    assert not copies.wait_for(7, 0)
+    assert copies.wait_for(7, 0) == 1
     sync.version = 7
     requests.answer({KIND: SYNC, **sync.to_wire()})
-    assert copies.wait_for(7, 0)
+    assert copies.wait_for(7, 0) == 0
 
 
 def test_first_sync_of_a_gateway_brings_and_counts_nothing(
@@ -293,7 +293,7 @@
     reply = read_reply(requests.answer(message))
     assert reply.document is None
     assert reply.instances is None
-    assert copies.wait_for(8, 0)
+    assert copies.wait_for(8, 0) == 0
 
 
 def _requests(
