--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -165,6 +165,8 @@
         Address of the platform's API.
     gateways : int
         Number of gateways.
+    coordinators : int
+        Number of coordinators.
     """
 
     def __init__(
@@ -173,10 +175,11 @@
         folder: Path,
         platform: str,
         gateways: int,
+        coordinators: int = 3,
     ) -> None:
         self._folder = folder
         self._platform = platform
-        control_ips = [network.ip(number) for number in (1, 2, 3)]
+        control_ips = [network.ip(1 + number) for number in range(coordinators)]
         self._seeds = ','.join(f'{ip}:{OPERATOR_PORT}' for ip in control_ips)
         self.coordinators = [
             self._process(COORDINATOR, ip) for ip in control_ips
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -57,6 +57,8 @@
         Folder of settings files, durable state and logs.
     gateways : int
         Number of gateways.
+    coordinators : int
+        Number of coordinators.
     endpoints : int
         Number of stand-in endpoints.
     has_proxies : bool
@@ -74,6 +76,7 @@
         folder: Path,
         *,
         gateways: int = 1,
+        coordinators: int = 3,
         endpoints: int = 2,
         has_proxies: bool = False,
     ) -> None:
@@ -98,7 +101,9 @@
         self._loop.call(platform.start())
         for endpoint in self.endpoints:
             self._loop.call(endpoint.start())
-        self.fleet = Fleet(network, folder, platform.address, gateways)
+        self.fleet = Fleet(
+            network, folder, platform.address, gateways, coordinators
+        )
         if has_proxies:
             self._add_proxies(network)
         self.operator = Operator(
