consensus: slow hosts elect a leader

Cause: an attempt ended 0.1 to 0.3 s after its pre-vote began. A host that won the pre-vote later than that dropped its votes at the next tick, before they arrived, and began anew in the next term with the same times. Hosts whose messages take 0.1 s or more, as busy ones do, never elected anybody.

Change: votes and pre-votes are kept apart, so votes count until the term ends; the time of an attempt begins anew with its election; it doubles with each attempt in a row, up to eight times, until a leader makes contact.

--- a/src/apricotcart/consensus/config.py
+++ b/src/apricotcart/consensus/config.py
@@ -15,9 +15,12 @@
 # election itself fit into the 3 s allowed for the takeover by a new leader.
 ELECTION_TIMEOUT_MIN_S = 2.1
 ELECTION_TIMEOUT_MAX_S = 2.4
-# Delay after a failed election attempt: longer than a round trip and a sync.
+# Delay after a failed election attempt: longer than a round trip and a sync. It
+# doubles with each attempt in a row up to the maximum factor, so that hosts
+# which take longer for these elect a leader too.
 ELECTION_RETRY_MIN_S = 0.1
 ELECTION_RETRY_MAX_S = 0.3
+ELECTION_RETRY_MAX_FACTOR = 8
 # Additional delay after a vote for another node, long enough for its first
 # message as the leader to arrive.
 ELECTION_AFTER_GRANT_S = 0.4
--- a/src/apricotcart/consensus/elections.py
+++ b/src/apricotcart/consensus/elections.py
@@ -16,12 +16,17 @@
         if core.now < self.deadline or not core.is_voter:
             return False
         self.schedule_retry()
+        self.back_off()
         core.leader_id = ''
         return self.start_pre_vote()
 
     def start_pre_vote(self) -> bool:
-        """Request pre-votes; return whether this node is elected."""
+        """Request pre-votes; return whether this node is elected.
+
+        Votes of an election that goes on are still counted.
+        """
         self.core.role = Role.PRE_CANDIDATE
+        self.pre_votes = {self.core.cfg.node_id}
         return self.request_votes(pre=True)
 
     def start_election(self) -> bool:
@@ -29,6 +34,8 @@
         core = self.core
         core.save_vote(core.term + 1, core.cfg.node_id)
         core.role = Role.CANDIDATE
+        self.votes = {core.cfg.node_id}
+        self.schedule_retry()
         return self.request_votes(pre=False)
 
     def on_request(self, request: VoteRequest) -> None:
@@ -54,13 +61,13 @@
             return False
         if not self._is_expected(reply):
             return False
-        self.votes_granted.add(reply.from_id)
+        votes = self.pre_votes if reply.pre else self.votes
+        votes.add(reply.from_id)
         return self._has_won(pre=reply.pre)
 
     def request_votes(self, *, pre: bool) -> bool:
         """Send vote requests; return whether this node is elected."""
         core = self.core
-        self.votes_granted = {core.cfg.node_id}
         for peer in core.log.history.members.voters:
             if peer == core.cfg.node_id:
                 continue
@@ -76,8 +83,8 @@
 
     def _has_won(self, *, pre: bool) -> bool:
         members = self.core.log.history.members
-        votes = self.votes_granted.intersection(members.voters)
-        if len(votes) < members.quorum:
+        granted = self.pre_votes if pre else self.votes
+        if len(granted.intersection(members.voters)) < members.quorum:
             return False
         if pre:
             return self.start_election()
@@ -88,7 +95,9 @@
         if reply.pre:
             is_next_term = reply.term == core.term + 1
             return is_next_term and core.role is Role.PRE_CANDIDATE
-        return reply.term == core.term and core.role is Role.CANDIDATE
+        is_candidate = core.role in {Role.CANDIDATE, Role.PRE_CANDIDATE}
+        is_own_term = core.vote.voted_for == core.cfg.node_id
+        return is_candidate and is_own_term and reply.term == core.term
 
     def _may_grant(self, request: VoteRequest) -> bool:
         core = self.core
