--- a/tests/soak/leaders.py
+++ b/tests/soak/leaders.py
@@ -4,7 +4,7 @@
 
 import signal
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from queue import SimpleQueue
 from threading import Event, Thread
@@ -17,12 +17,18 @@
 from apricotcart.coordinator.leader_search import LeaderSearch
 from apricotcart.coordinator.messages import KIND, VIEW, cluster_sealer
 from apricotcart.transport.redialing import RedialingClients
-from soak.fleet import CALLER_PORT, FIRST_LINK_PORT, OPERATOR_PORT
+from soak.fleet import (
+    CALLER_PORT,
+    FIRST_LINK_PORT,
+    OPERATOR_PORT,
+    ManagedProcess,
+)
 from soak.operators import HOST, desired_state
 from soak.world import World
 
 _OK: Final = 200
 _ROUTE: Final = 'withdrawn'
+WATCHED_PATH: Final = f'/{_ROUTE}/x'
 _POLL_S: Final = 0.03
 _CALL_TIMEOUT_S: Final = 3.0
 _CHANGE_TIMEOUT_S: Final = 20.0
@@ -35,14 +41,12 @@
 
     Parameters
     ----------
-    world : World
-        Processes under test.
+    coordinators : iterable of ManagedProcess
+        All coordinators.
     """
 
-    def __init__(self, world: World) -> None:
-        self._running = {
-            process.ip: process for process in world.fleet.coordinators
-        }
+    def __init__(self, coordinators: Iterable[ManagedProcess]) -> None:
+        self._running = {process.ip: process for process in coordinators}
         self._search = LeaderSearch(self._running)
         self._client = LeaderClient(
             Ports(FIRST_LINK_PORT),
@@ -113,7 +117,7 @@
             try:
                 response = pool.request(
                     'POST',
-                    f'http://{ip}:{CALLER_PORT}/{_ROUTE}/x',
+                    f'http://{ip}:{CALLER_PORT}{WATCHED_PATH}',
                     headers={
                         'Host': HOST,
                         'Attempt-Id': f'{ip}-{number}',
--- a/tests/soak/slow_links.py
+++ b/tests/soak/slow_links.py
@@ -20,14 +20,22 @@
     ----------
     bits_per_s : float
         Bandwidth in each direction.
+
+    Attributes
+    ----------
+    bytes_passed : int
+        Bytes that have passed in both directions.
+    is_cut : bool
+        Whether nothing passes, and connections end.
     """
 
-    __slots__ = ('_bytes_per_s', '_free_at', 'bytes_passed')
+    __slots__ = ('_bytes_per_s', '_free_at', 'bytes_passed', 'is_cut')
 
     def __init__(self, bits_per_s: float) -> None:
         self._bytes_per_s = bits_per_s / _BITS
         self._free_at: dict[str, float] = {}
         self.bytes_passed = 0
+        self.is_cut = False
 
     async def listen(self, ip: str, port: int, target_port: int) -> None:
         """Forward connections from one port of an address to another."""
@@ -46,6 +54,8 @@
         target: tuple[str, int],
     ) -> None:
         with closing(writer), suppress(OSError):
+            if self.is_cut:
+                return
             back, forth = await asyncio.open_connection(
                 *target, limit=_READ_BYTES
             )
@@ -66,6 +76,8 @@
         loop = asyncio.get_running_loop()
         queue_s = _QUEUE_BYTES / self._bytes_per_s
         while blob := await reader.read(_READ_BYTES):
+            if self.is_cut:
+                return
             now = loop.time()
             begins_at = max(now, self._free_at.get(direction, 0))
             ends_at = begins_at + len(blob) / self._bytes_per_s
--- a/tests/soak/test_large_states.py
+++ b/tests/soak/test_large_states.py
@@ -62,8 +62,11 @@
 class SlowFleet:
     """Three coordinators, and gateways that reach them over slow links."""
 
-    def __init__(self, folder: Path, gateways: int) -> None:
+    def __init__(
+        self, folder: Path, gateways: int, bits_per_s: float = _BITS_PER_S
+    ) -> None:
         network = LoopbackNetwork()
+        self._bits_per_s = bits_per_s
         self._loop = BackgroundLoop()
         platform = StandInPlatform(f'{network.ip(100)}:{_PLATFORM_PORT}', [])
         self._loop.call(platform.start())
@@ -117,7 +120,7 @@
                 f'first_port = {FIRST_LINK_PORT}\n', f'first_port = {port}\n'
             ).replace('last_port = 7015', f'last_port = {port + 2}')
         )
-        link = SlowLink(_BITS_PER_S)
+        link = SlowLink(self._bits_per_s)
         for host in self.fleet.coordinators:
             self._loop.call(
                 link.listen(
