gateway: a quorum confirms the copy while no leader does

Cause: gateways learned of changes from the leader alone. One that had not synced when a change was acknowledged waited for the next election and the search for its winner, or obeyed its copy for up to 7 s. A leader acknowledged such changes: it waited 0.4 s, for gateways that it had heard of within a second, and a new leader had heard of none. Nor did a quorum know that the change was committed, if the leader was lost between commit and heartbeat.

Change: a change is acknowledged after a quorum has applied it, which a round of heartbeats that were sent after the commit shows. A gateway whose copy was not confirmed for 0.6 s asks all control hosts what they have applied. If those that answer are a majority of each set of voters that one of them names, no acknowledged change is newer than the newest of them: the copy is confirmed, or the newer state comes with the answer or in blocks. A host that replays its log does not answer before it has applied all that it had stored.

--- a/src/apricotcart/consensus/core.py
+++ b/src/apricotcart/consensus/core.py
@@ -33,6 +33,9 @@
     commit_index, applied_index : int
         Index of the last entry known to be committed, and of the last
         one applied.
+    loaded_index : int
+        Index of the last entry in the durable state when it was loaded. Until
+        that is committed, the node may have applied more before than now.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         'completions',
         'vote_guard_until',
         'leader_id',
+        'loaded_index',
         'log',
         'machine',
         'now',
@@ -140,6 +144,7 @@
     def _reset(self, stored: StoredState) -> None:
         self.vote = stored.vote
         self.log = RaftLog(self._store, stored)
+        self.loaded_index = self.log.last_index
         self.role = Role.FOLLOWER
         self.leader_id = ''
         self.vote_guard_until: float = 0
--- a/src/apricotcart/consensus/leadership.py
+++ b/src/apricotcart/consensus/leadership.py
@@ -16,9 +16,11 @@
 from apricotcart.consensus.joining import next_membership_change
 from apricotcart.consensus.member_changes import apply_change
 from apricotcart.consensus.members import MemberChange
+from apricotcart.consensus.messages import AppendReply
 from apricotcart.consensus.quorum_contact import QuorumContact
 from apricotcart.consensus.read_queue import ReadQueue
 from apricotcart.consensus.replicator import Replicator
+from apricotcart.consensus.settling import Settling
 from apricotcart.errors.tree import UnavailableError
 
 
@@ -42,6 +44,7 @@
         self.contact = self.quorum_contact_type(core.cfg.node_id, core.now)
         self.replicator = Replicator(core, self.contact)
         self.reads = ReadQueue()
+        self.settling = Settling(core.cfg.node_id)
         self.first_index = core.log.last_index + 1
         self._queued_entries: list[tuple[int | None, int, bytes]] = []
         self._uncommitted: deque[tuple[int, int]] = deque()
@@ -71,6 +74,20 @@
             return
         self._enqueue(ticket, EntryKind.COMMAND, command)
 
+    def settle(self, ticket: int) -> None:
+        """Wait until a quorum has applied all that is committed."""
+        # What is committed is known once an entry of this term is.
+        index = max(self.core.applied_index, self.first_index)
+        self.settling.add(ticket, index)
+
+    def on_append_reply(self, reply: AppendReply) -> None:
+        """Record what a follower has, and send it more."""
+        self.replicator.on_append_reply(reply)
+        if reply.accepted:
+            self.settling.on_accepted(
+                reply.from_id, reply.round_no, reply.match_index
+            )
+
     def change_members(self, ticket: int | None, change: MemberChange) -> None:
         """Append a membership change.
 
@@ -105,9 +122,10 @@
         )
         if membership_change is not None and self.is_established:
             self.change_members(None, membership_change)
-        has_waiting_reads = bool(self.reads.waiting) and self.is_established
+        is_awaited = bool(self.reads.waiting) or self.settling.needs_round
         next_heartbeat_at = self.contact.round_opened_at + HEARTBEAT_INTERVAL_S
-        if has_waiting_reads or core.now >= next_heartbeat_at:
+        is_due = core.now >= next_heartbeat_at
+        if is_due or (is_awaited and self.is_established):
             self._open_round()
 
     def flush(self) -> None:
@@ -142,6 +160,8 @@
             self.contact.last_quorum_round(members)
         ):
             core.complete(ticket)
+        for settled in self.settling.pop_settled(members, core.applied_index):
+            core.complete(settled)
         if not core.is_voter and core.log.history.index <= core.commit_index:
             core.role = Role.FOLLOWER
             core.leader_id = ''
@@ -154,6 +174,7 @@
         tickets = [ticket for ticket, _, _ in self._queued_entries if ticket]
         tickets.extend(self.applier.tickets.values())
         tickets.extend(self.reads.drain())
+        tickets.extend(self.settling.drain())
         self.applier.tickets.clear()
         for ticket in tickets:
             error = UnavailableError(
@@ -169,6 +190,7 @@
         self.contact.open_round(self.core.now)
         if self.is_established:
             self.reads.assign_round(self.contact.round_no)
+        self.settling.on_round(self.contact.round_no, self.core.commit_index)
         self.replicator.send_heartbeats()
         self.advance_commit()
 
--- a/src/apricotcart/consensus/node.py
+++ b/src/apricotcart/consensus/node.py
@@ -108,13 +108,15 @@
         """
         return self._submit(now, self._replica.propose, command)
 
-    def read(self, now: float) -> int:
+    def read(self, now: float, *, is_settled: bool = False) -> int:
         """Request confirmation of the leadership and return the ticket.
 
         When the completion arrives without an error, the state machine has
-        applied everything that was committed before this call.
+        applied everything that was committed before this call. With
+        ``is_settled``, those of a quorum have.
         """
-        return self._submit(now, self._replica.read)
+        replica = self._replica
+        return self._submit(now, replica.settle if is_settled else replica.read)
 
     def change_members(self, now: float, change: MemberChange) -> int:
         """Start a membership change and return its ticket.
--- a/src/apricotcart/consensus/replica.py
+++ b/src/apricotcart/consensus/replica.py
@@ -78,6 +78,13 @@
             return
         self.leadership.reads.add(ticket)
 
+    def settle(self, ticket: int) -> None:
+        """Wait for a quorum to apply what is committed, if this node leads."""
+        if self.leadership is None:
+            self.core.complete(ticket, error=not_leader_error(self.core))
+            return
+        self.leadership.settle(ticket)
+
     def change_members(self, ticket: int, change: MemberChange) -> None:
         """Start a membership change if this node leads."""
         if self.leadership is None:
@@ -148,7 +155,7 @@
         if self.leadership is None or message.term != self.core.term:
             return
         if isinstance(message, AppendReply):
-            self.leadership.replicator.on_append_reply(message)
+            self.leadership.on_append_reply(message)
         else:
             self.leadership.replicator.on_snapshot_reply(message)
         self.leadership.advance_commit()
--- a/src/apricotcart/consensus/status.py
+++ b/src/apricotcart/consensus/status.py
@@ -43,6 +43,25 @@
         """Current members."""
         return self._core.log.history.members
 
+    @property
+    def members_index(self) -> int:
+        """Index of the log entry that set the current members."""
+        return self._core.log.history.index
+
+    @property
+    def committed_members(self) -> Members:
+        """Members that the last committed entry about them has set."""
+        core = self._core
+        return core.log.history.at(core.commit_index)
+
+    @property
+    def is_recovered(self) -> bool:
+        """Whether this node has applied all that it ever applied."""
+        core = self._core
+        if core.role in {Role.SUSPENDED, Role.FAILED}:
+            return False
+        return core.commit_index >= core.loaded_index
+
     def responsive_members(self) -> list[str]:
         """Return the members that respond to this node if it is the leader.
 
--- a/src/apricotcart/control/api.py
+++ b/src/apricotcart/control/api.py
@@ -24,9 +24,16 @@
         """
 
     @abstractmethod
-    def barrier(self, timeout_s: float) -> None:
+    def barrier(self, timeout_s: float, *, is_settled: bool = False) -> None:
         """Wait until this host has applied all commands committed earlier.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Time limit in seconds.
+        is_settled : bool
+            Whether to wait until a quorum has applied them.
+
         Raises
         ------
         NotLeaderError
--- a/src/apricotcart/control/loop.py
+++ b/src/apricotcart/control/loop.py
@@ -72,15 +72,32 @@
     ----------
     node : Node
         Consensus node; read only on the consensus thread.
+
+    Attributes
+    ----------
+    is_recovered : bool
+        Whether the node has applied all that it ever applied.
+    lease_until : float
+        End of the leader lease on the boot clock, in seconds.
+    members_index : int
+        Index of the log entry that set the current members.
+    voter_sets : tuple of list of str
+        Voters of the current members and of the committed ones.
     """
 
     __slots__ = (
         '_status',
+        'is_recovered',
         'lease_until',
+        'members_index',
+        'voter_sets',
     )
 
     def __init__(self, node: Node) -> None:
         self.lease_until = node.lease_expires_at()
+        self.is_recovered = node.is_recovered
+        self.members_index = node.members_index
+        self.voter_sets = (node.members.voters, node.committed_members.voters)
         self._status: WireMessage = {
             'role': str(node.role),
             'term': node.term,
@@ -110,6 +127,11 @@
         Time between two ticks in seconds.
     on_failed : callable
         Called once when the node has failed and the process must stop.
+
+    Attributes
+    ----------
+    published : PublishedStatus
+        Status after the last round.
     """
 
     __slots__ = (
@@ -119,13 +141,13 @@
         '_links',
         '_node',
         '_on_failed',
-        '_published',
         '_roles',
         '_stopping',
         '_suspension',
         '_thread',
         '_tick_interval_s',
         'lock',
+        'published',
     )
 
     def __init__(
@@ -145,7 +167,7 @@
         self._pending = PendingRequests()
         self._suspension = SuspensionReporter()
         self._roles = RoleReporter()
-        self._published = PublishedStatus(node)
+        self.published = PublishedStatus(node)
         self._stopping = threading.Event()
         # Held while the node applies entries. Other threads that read the
         # state machine must hold it too.
@@ -176,9 +198,14 @@
         fields: WireMessage = unpack(reply)
         return fields
 
-    def barrier(self, timeout_s: float) -> None:
-        """Wait until this host has applied all commands committed earlier."""
-        self._request(self._node.read, timeout_s)
+    def barrier(self, timeout_s: float, *, is_settled: bool = False) -> None:
+        """Wait until this host has applied all commands committed earlier.
+
+        Parameters are those of `ReplicatedState.barrier`.
+        """
+        self._request(
+            lambda now: self._node.read(now, is_settled=is_settled), timeout_s
+        )
 
     def change_members(self, change: MemberChange, timeout_s: float) -> Any:
         """Start a membership change and return the resulting members."""
@@ -194,7 +221,7 @@
 
     def lease_until(self) -> float:
         """Return the end of the leader lease on the boot clock, in seconds."""
-        return self._published.lease_until
+        return self.published.lease_until
 
     def term(self) -> int:
         """Return the current term."""
@@ -206,7 +233,7 @@
 
     def status(self) -> WireMessage:
         """Return role, term, leader, commit index and members."""
-        return self._published.to_wire()
+        return self.published.to_wire()
 
     def _request(
         self, action: Callable[[float], int], timeout_s: float
@@ -253,7 +280,7 @@
 
     def _flush(self) -> None:
         messages = self._node.drain_outbox()
-        self._published = PublishedStatus(self._node)
+        self.published = PublishedStatus(self._node)
         for message in messages:
             address = self._addresses.get(host_name(message.to_id))
             if address is not None:
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -25,6 +25,8 @@
 # Asks a control host whether it understands the message before.
 EVACUATION_SUPPORT: Final = 'evacuation_support'
 VERSIONS: Final = 'versions'
+# Asks a control host what it has applied, whether it leads or not.
+APPLIED_STATE: Final = 'applied_state'
 LIST: Final = 'list'
 STATE_MANIFEST: Final = 'state_manifest'
 STATE_BLOCKS: Final = 'state_blocks'
--- a/src/apricotcart/coordinator/newest_state.py
+++ b/src/apricotcart/coordinator/newest_state.py
@@ -26,6 +26,37 @@
 _SOURCES: Final = 6
 
 
+class SmallDocument:
+    """The desired state in compressed form, if it is small.
+
+    Parameters
+    ----------
+    state : CoordinatorState
+        State that the replicated log has applied.
+    """
+
+    __slots__ = ('_deflated', '_document', '_lock', '_state')
+
+    def __init__(self, state: CoordinatorState) -> None:
+        self._state = state
+        self._lock = threading.Lock()
+        self._document = b''
+        self._deflated = b''
+
+    def deflated(self) -> bytes | None:
+        """Return the newest document, None if it is too large to be sent."""
+        document = self._state.document
+        if len(document) > _MAX_DOCUMENT_BYTES:
+            return None
+        with self._lock:
+            if self._document is not document:
+                self._deflated = deflate(document)
+                self._document = document
+            if len(self._deflated) > MAX_SMALL_BYTES:
+                return None
+            return self._deflated
+
+
 class _Source:
     """A gateway, which may give others blocks.
 
@@ -58,22 +89,14 @@
         Selects the sources.
     """
 
-    __slots__ = (
-        '_deflated',
-        '_document',
-        '_lock',
-        '_rng',
-        '_sources',
-        '_state',
-    )
+    __slots__ = ('_document', '_lock', '_rng', '_sources', '_state')
 
     def __init__(self, state: CoordinatorState, rng: random.Random) -> None:
         self._state = state
         self._rng = rng
         self._lock = threading.Lock()
         self._sources: dict[str, _Source] = {}
-        self._document = b''
-        self._deflated = b''
+        self._document = SmallDocument(state)
 
     def on_figures(
         self, incarnation: str, figures: GatewayFigures, now: float
@@ -92,22 +115,10 @@
         own = self._sources.get(incarnation)
         if version < 0 or own is None or own.version >= version:
             return
-        shared.state_document = self._small_document()
+        shared.state_document = self._document.deflated()
         if shared.state_document is None:
             shared.state_sources = self._select_sources(own, now)
 
-    def _small_document(self) -> bytes | None:
-        document = self._state.document
-        if len(document) > _MAX_DOCUMENT_BYTES:
-            return None
-        with self._lock:
-            if self._document is not document:
-                self._deflated = deflate(document)
-                self._document = document
-            if len(self._deflated) > MAX_SMALL_BYTES:
-                return None
-            return self._deflated
-
     def _select_sources(self, own: _Source, now: float) -> Sequence[str]:
         """Return some gateways; while they fetch, their blocks differ."""
         with self._lock:
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from apricotcart.control.api import ReplicatedState
+from apricotcart.coordinator.applied_states import AppliedStates
 from apricotcart.coordinator.endpoint_list import EndpointList, WireList
 from apricotcart.coordinator.endpoint_relay import EndpointRelay
 from apricotcart.coordinator.evacuation_service import EvacuationService
@@ -68,6 +69,8 @@
         Figures that gateways share.
     evacuations : EvacuationService
         Begins and ends evacuations of zones.
+    applied : AppliedStates
+        Answers what this host has applied.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         copies: StateCopies,
         figures: FigureStores,
         evacuations: EvacuationService,
+        applied: AppliedStates,
     ) -> None:
         self._figures = figures
         self._copies = copies
@@ -100,6 +104,7 @@
             **OriginRecords().handlers(),
             **EndpointRelay(endpoints).handlers(),
             **evacuations.handlers(),
+            **applied.handlers(),
             **StateTransfer(CommittedBlocks(state)).handlers(),
         }
 
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -16,7 +16,8 @@
 from apricotcart.control.loop import ConsensusLoop
 from apricotcart.control.receiver import PeerReceiver
 from apricotcart.control.suspension import wait_for_room
-from apricotcart.coordinator.addresses import ControlHosts, Ports, ip_of
+from apricotcart.coordinator.addresses import ControlHosts, Ports
+from apricotcart.coordinator.applied_states import AppliedStates
 from apricotcart.coordinator.duties import DUTY_INTERVAL_S, Duties
 from apricotcart.coordinator.endpoint_list import (
     FETCH_INTERVAL_S,
@@ -32,7 +33,6 @@
     HOST_TIMEOUT_S,
     LeaderClient,
 )
-from apricotcart.coordinator.leader_search import LeaderSearch
 from apricotcart.coordinator.leader_tasks import (
     MEMBERS_INTERVAL_S,
     LeaderTasks,
@@ -152,10 +152,8 @@
         cfg = self._cfg
         platform = self._adapter.platform_client(cfg.platform.address)
         self._clients = RedialingClients(self._sealer)
-        self._leader = LeaderClient(
-            self._ports,
-            self._clients,
-            LeaderSearch(ip_of(address) for address in cfg.links.seeds),
+        self._leader = LeaderClient.from_seeds(
+            self._ports, self._clients, cfg.links.seeds
         )
         copies = StateCopies()
         self._service = DesiredStateService(
@@ -188,6 +186,7 @@
                 EvacuationFigures(self._state.evacuations, confirmed),
             ),
             evacuations=self._evacuations,
+            applied=AppliedStates(self._node_id, self._loop, self._state),
         )
         self._duties = Duties(
             name=cfg.host.name,
--- a/src/apricotcart/coordinator/services.py
+++ b/src/apricotcart/coordinator/services.py
@@ -31,6 +31,8 @@
 _COMMIT_TIMEOUT_S: Final = 2.5
 # Time limit for a quorum to confirm that this host leads.
 CONFIRM_TIMEOUT_S: Final = 0.7
+# Time limit for a quorum to apply what was committed.
+_SETTLE_TIMEOUT_S: Final = 1.0
 # Time limits for the reply of the leader to a forwarded call. Reads have the
 # shorter one, since operators try another host after a second.
 _FORWARD_TIMEOUT_S: Final = 2.8
@@ -149,6 +151,9 @@
     def commit(self, version: int, document: bytes) -> None:
         """Commit a validated document on this host and let it take effect.
 
+        A quorum has applied it afterwards, so that gateways learn it without
+        this host.
+
         Raises
         ------
         NotLeaderError
@@ -160,6 +165,7 @@
             {'kind': REPLACE_COMMAND, 'version': version, 'document': document},
             _COMMIT_TIMEOUT_S + _transfer_s(document),
         )
+        self._replicated.barrier(_SETTLE_TIMEOUT_S, is_settled=True)
         outdated = self._copies.wait_for(version, _COPIES_TIMEOUT_S)
         if outdated:
             log_decision(COPIES_OUTDATED, version=version, count=outdated)
--- a/src/apricotcart/gateway/block_client.py
+++ b/src/apricotcart/gateway/block_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from apricotcart.consensus.identity import host_name
 from apricotcart.coordinator.addresses import Ports
 from apricotcart.coordinator.any_host_client import AnyHostClient
 from apricotcart.coordinator.messages import (
@@ -70,6 +71,10 @@
         """Addresses of the control hosts."""
         return [self._ports.request_address(ip) for ip in self._hosts.hosts]
 
+    def address_of(self, node_id: str) -> str:
+        """Return the address of a control host, by its identity."""
+        return self._ports.request_address(host_name(node_id))
+
     def fetch_manifest(self, address: str) -> Manifest | None:
         """Return the manifest of a host's newest version, None without one.
 
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -35,6 +35,7 @@
     CallerGateway,
     GrowingThreadPool,
 )
+from apricotcart.gateway.quorum_check import QuorumCheck
 from apricotcart.gateway.reachability.monitor import ReachMonitor
 from apricotcart.gateway.reachability.probe import PROBE_CHECK_S, ReachProbe
 from apricotcart.gateway.reachability.probe_plan import ProbePlan
@@ -160,6 +161,9 @@
             any_host,
             on_adopted=lambda: self._link.sync(),
         )
+        self._quorum_check = QuorumCheck(
+            any_host, self._state, self._state_parts.fetch
+        )
         self._origins = StreamOrigins(
             ControlHostStore(any_host), LeaderVersionSource(leader)
         )
@@ -226,6 +230,8 @@
         RepeatingTimer('tick', TICK_INTERVAL_S, self._dispatcher.tick).start()
         RepeatingTimer('origins', STORE_INTERVAL_S, self._store_origins).start()
         RepeatingTimer('reach', PROBE_CHECK_S, self._probe.run_due).start()
+        check = self._quorum_check
+        RepeatingTimer('quorum', check.interval_s, check.run).start()
         for part in self._threaded_parts():
             part.start()
         configure_engine()
--- a/src/apricotcart/gateway/state_fetch.py
+++ b/src/apricotcart/gateway/state_fetch.py
@@ -4,11 +4,12 @@
 
 import logging
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from contextlib import ExitStack
 from time import sleep
 from typing import Final
 
+from apricotcart.coordinator.applied_states import AppliedState
 from apricotcart.coordinator.exchange_messages import (
     GatewayFigures,
     SharedFigures,
@@ -114,8 +115,38 @@
             for address in shared.state_sources
             if address != self._address
         )
-        self._progress.begin(self._state.newest_version, boot_clock_s())
-        self._is_wanted.set()
+        self._begin()
+
+    def learn(
+        self,
+        version: int,
+        asked_at: float,
+        states: Collection[AppliedState],
+    ) -> None:
+        """Use what a quorum of control hosts has applied.
+
+        Parameters
+        ----------
+        version : int
+            Version that no acknowledged change is newer than.
+        asked_at : float
+            When the hosts were asked, in seconds.
+        states : collection of AppliedState
+            Their answers.
+        """
+        self._state.observe(max(version, self._state.version), asked_at)
+        if not self._state.is_outdated:
+            return
+        newest = max(states, key=lambda applied: applied.version)
+        if newest.document is not None:
+            self._adopt(inflate(newest.document, MAX_DOCUMENT_BYTES))
+            return
+        self._sources.prefer(
+            self._client.address_of(applied.node_id)
+            for applied in states
+            if applied.version >= version
+        )
+        self._begin()
 
     def run_once(self) -> None:
         """Send one request if a newer state is wanted, else wait for one."""
@@ -148,6 +179,10 @@
         else:
             self._sources.on_busy(address, boot_clock_s())
 
+    def _begin(self) -> None:
+        self._progress.begin(self._state.newest_version, boot_clock_s())
+        self._is_wanted.set()
+
     def _fetch_from(self, address: str) -> bool:
         """Return whether a host has sent something that was lacking."""
         if self._assembly.version < self._state.newest_version:
--- a/src/apricotcart/gateway/state_sources.py
+++ b/src/apricotcart/gateway/state_sources.py
@@ -18,7 +18,8 @@
     """Orders control hosts and gateways by when they may be asked again.
 
     The order among those that may be asked is random, so that gateways that
-    need the same blocks ask different hosts.
+    need the same blocks ask different hosts. Those that have just shown that
+    they have the state are asked first.
 
     Parameters
     ----------
@@ -26,19 +27,33 @@
         Selects a host.
     """
 
-    __slots__ = ('_asked', '_lock', '_peers', '_peers_from', '_rng', '_until')
+    __slots__ = (
+        '_asked',
+        '_lock',
+        '_peers',
+        '_peers_from',
+        '_preferred',
+        '_rng',
+        '_until',
+    )
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._lock = threading.Lock()
         self._peers: tuple[str, ...] = ()
         self._peers_from: float = 0
+        self._preferred: frozenset[str] = frozenset()
         self._asked: set[str] = set()
         self._until: dict[str, float] = {}
 
     def replace_peers(self, addresses: Iterable[str]) -> None:
         """Set the gateways that may have blocks of the newest version."""
         self._peers = tuple(addresses)
+        self._preferred = frozenset()
+
+    def prefer(self, addresses: Iterable[str]) -> None:
+        """Set the control hosts to ask first, until peers are set."""
+        self._preferred = frozenset(addresses)
 
     def choose(self, control_hosts: Collection[str], now: float) -> str | None:
         """Return a host that no other thread asks, None to wait.
@@ -54,10 +69,10 @@
             known = set(control_hosts)
             if now >= self._peers_from:
                 known.update(self._peers)
-            free = sorted(known - self._unavailable(now))
+            free = known - self._unavailable(now)
             if not free:
                 return None
-            address = self._rng.choice(free)
+            address = self._rng.choice(sorted(free & self._preferred or free))
             self._asked.add(address)
             return address
 
--- a/src/apricotcart/observability/decisions.py
+++ b/src/apricotcart/observability/decisions.py
@@ -266,6 +266,10 @@
 )
 STATE_ACKNOWLEDGED: Final = Event('state_acknowledged', 'version', _DURATION)
 STATE_REFUSED: Final = Event('state_refused', _REASON)
+# A quorum of control hosts has confirmed the copy while no leader did.
+STATE_CONFIRMED: Final = Event(
+    'state_confirmed', 'version', 'count', 'state_age_s', _DURATION
+)
 # A change was acknowledged although a gateway in touch may not have it.
 COPIES_OUTDATED: Final = Event('copies_outdated', 'version', 'count')
 # An operator has begun or ended the evacuation of a zone.
@@ -360,6 +364,7 @@
     STATE_ACKNOWLEDGED,
     STATE_REFUSED,
     COPIES_OUTDATED,
+    STATE_CONFIRMED,
     EVACUATION_ACKNOWLEDGED,
     EVACUATION_REFUSED,
     EVACUATION_UNCONFIRMED,
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -108,6 +108,9 @@
         self.leader_id = 'a.0'
         self.commit_index = 0
         self.members = Members(voters=['a.0'])
+        self.committed_members = self.members
+        self.members_index = 0
+        self.is_recovered = True
         self.lease: float = 0
         self.requests: list[Any] = []
         self.requested = threading.Event()
@@ -130,7 +133,7 @@
         """Record a command."""
         return self._record(command)
 
-    def read(self, now: float) -> int:
+    def read(self, now: float, *, is_settled: bool = False) -> int:
         """Record a read."""
         return self._record(None)
 
--- a/tests/coordinator/test_evacuations.py
+++ b/tests/coordinator/test_evacuations.py
@@ -53,7 +53,7 @@
             raise UnavailableError('the outcome is unknown')
         return reply
 
-    def barrier(self, timeout_s: float) -> None:
+    def barrier(self, timeout_s: float, *, is_settled: bool = False) -> None:
         """Confirm at once."""
 
     def lease_until(self) -> float:
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -80,7 +80,7 @@
         self.barrier(timeout_s)
         return unpack(self.state.apply(1, pack(command)))
 
-    def barrier(self, timeout_s: float) -> None:
+    def barrier(self, timeout_s: float, *, is_settled: bool = False) -> None:
         if self.error:
             raise self.error
 
@@ -302,6 +302,7 @@
     return CoordinatorRequests(
         figures=FigureStores(()),
         evacuations=Mock(handlers=dict),
+        applied=Mock(handlers=dict),
         replicated=log,
         state=log.state,
         service=service,
--- a/tests/soak/test_lost_leaders.py
+++ b/tests/soak/test_lost_leaders.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+from contextlib import closing
 from pathlib import Path
 from typing import Final
 
@@ -57,7 +58,7 @@
 ) -> None:
     """Guards against waiting for an election to learn a change."""
     linked = SlowFleet(tmp_path, gateways=2, bits_per_s=_FAST_BITS_PER_S)
-    try:
+    with closing(linked):
         linked.fleet.start()
         leaders = Leaders(linked.fleet.coordinators)
         leaders.replace(with_route(2))
@@ -71,8 +72,6 @@
         for gateway in linked.fleet.gateways:
             linked.in_force_s(gateway, WATCHED_PATH)
         assert time.monotonic() < healed_at + _APPLY_S
-    finally:
-        linked.close()
 
 
 def _cut(linked: SlowFleet, *, is_cut: bool) -> None:
