--- a/tests/soak/leaders.py
+++ b/tests/soak/leaders.py
@@ -54,8 +54,8 @@
             self._search,
         )
 
-    def freeze(self) -> None:
-        """Let the leader stand still.
+    def find(self) -> str:
+        """Return the IP address of the leader.
 
         Raises
         ------
@@ -65,7 +65,17 @@
         self._client.call_until_answered(
             {KIND: VIEW}, _VIEW_TIMEOUT_S, _HOST_TIMEOUT_S
         )
-        self._running.pop(self._search.leader).send(signal.SIGSTOP)
+        return self._search.leader
+
+    def freeze(self) -> None:
+        """Let the leader stand still.
+
+        Raises
+        ------
+        ClusterError
+            If no host leads.
+        """
+        self._running.pop(self.find()).send(signal.SIGSTOP)
 
     def replace(self, document: Mapping[str, Any]) -> float:
         """Replace the desired state; ask all hosts that run at once.
