coordinator: the syncs of many gateways do not hold each other up

What callers saw: on large deployments, changes were acknowledged more than a second late or not in ack_ms, and gateways lost a leader that led on.

Cause: a sync occupies one of 24 threads while a quorum confirms the leader, 30 to 55 ms with nine control hosts and processor time charged. Three such syncs a second from 191 gateways need 20 to 25 threads, and each change brought a second sync of each gateway at the same moment. What waited for a thread timed out after 0.4 s and was answered in vain. With a thread, a sync took the lock of the table of gateways eight times, each time behind the others.

Change: 96 threads; a sync takes its turn once, after the quorum; gateways tell their version after a change in a message that needs neither; the number of serving gateways is counted every 0.1 s, and sums are shared, not copied.

--- a/src/apricotcart/coordinator/endpoint_totals.py
+++ b/src/apricotcart/coordinator/endpoint_totals.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 
-Figures = Mapping[str, Iterable[int]]
+Figures = Mapping[str, Sequence[int]]
+_Totals = dict[str, list[int]]
 
 
 class EndpointTotals:
@@ -19,11 +20,12 @@
         Number of figures of an endpoint.
     """
 
-    __slots__ = ('_size', '_totals')
+    __slots__ = ('_totals', '_zeros')
 
     def __init__(self, size: int) -> None:
-        self._size = size
-        self._totals: dict[str, list[int]] = {}
+        self._zeros = [0 for _ in range(size)]
+        # Sums are replaced, never changed, so that copies may share them.
+        self._totals: _Totals = {}
 
     def add(self, figures: Figures) -> None:
         """Add the figures of one gateway."""
@@ -35,7 +37,7 @@
 
     def excluding(self, figures: Figures) -> dict[str, list[int]]:
         """Return the sums without the figures of one gateway."""
-        totals = {name: list(total) for name, total in self._totals.items()}
+        totals = dict(self._totals)
         self._update(totals, figures, -1)
         return totals
 
@@ -44,11 +46,10 @@
     ) -> dict[str, list[int]]:
         """Return the sums whose figure at a position is positive.
 
-        The figures of one gateway are excluded. Only these sums are copied,
-        since they are few of many endpoints.
+        The figures of one gateway are excluded.
         """
         totals = {
-            name: list(total)
+            name: total
             for name, total in self._totals.items()
             if total[position] > 0
         }
@@ -62,13 +63,16 @@
             name: total for name, total in totals.items() if total[position] > 0
         }
 
-    def _update(
-        self, totals: dict[str, list[int]], figures: Figures, sign: int
-    ) -> None:
+    def _update(self, totals: _Totals, figures: Figures, sign: int) -> None:
         for name, added in figures.items():
-            total = totals.setdefault(name, [0 for _ in range(self._size)])
-            # A later build may send further figures.
-            for position, figure in zip(range(self._size), added, strict=False):
-                total[position] += sign * figure
-            if not any(total):
-                totals.pop(name)
+            total = totals.get(name, self._zeros)
+            changed = [
+                known + sign * figure
+                for known, figure in zip(total, added, strict=False)
+            ]
+            # An earlier build may send fewer figures, a later one more.
+            changed.extend(total[len(changed) :])
+            if any(changed):
+                totals[name] = changed
+            else:
+                totals.pop(name, None)
--- a/src/apricotcart/coordinator/hosts.py
+++ b/src/apricotcart/coordinator/hosts.py
@@ -33,10 +33,29 @@
 _RECORD_TTL_S: Final = 60.0
 
 
+class GatewayCounts:
+    """Numbers of gateways.
+
+    Attributes
+    ----------
+    ranked : int
+        Those that have a rank.
+    serving : int
+        Those that callers may be sent to.
+    """
+
+    __slots__ = ('ranked', 'serving')
+
+    def __init__(self, *, ranked: int, serving: int) -> None:
+        self.ranked = ranked
+        self.serving = serving
+
+
 class GatewayTable:
     """Gateways by incarnation, and the sums of what they report."""
 
     __slots__ = (
+        '_counts',
         '_last_expiry_at',
         '_loads',
         '_lock',
@@ -59,6 +78,7 @@
         self._suspects_merged_at: float = 0
         self._ranks: dict[str, int] = {}
         self._ranked_at: float = 0
+        self._counts = GatewayCounts(ranked=1, serving=0)
         self._reach = GatewayReach(random.Random())
 
     def on_sync(self, sync: SyncRequest, now: float) -> None:
@@ -167,10 +187,10 @@
         self._update_ranks(now)
         return self._ranks.get(incarnation, 0)
 
-    def ranked_hosts(self, now: float) -> int:
-        """Return the number of ranked gateways."""
+    def counts(self, now: float) -> GatewayCounts:
+        """Return how many gateways there are."""
         self._update_ranks(now)
-        return max(1, len(self._ranks))
+        return self._counts
 
     def _update_ranks(self, now: float) -> None:
         if now < self._ranked_at + _MERGE_INTERVAL_S:
@@ -183,6 +203,10 @@
         self._ranks = {
             sync.incarnation: rank for rank, sync in enumerate(syncs)
         }
+        self._counts = GatewayCounts(
+            ranked=max(1, len(self._ranks)),
+            serving=sum(1 for _ in self.serving(now)),
+        )
 
     def _add_figures(self, record: GatewayRecord) -> None:
         record.is_counted = True
--- a/src/apricotcart/coordinator/messages.py
+++ b/src/apricotcart/coordinator/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import Final
 
 from apricotcart.codec.envelope import Sealer
@@ -15,7 +16,15 @@
 TERM: Final = 'term'
 # Whether the leader that replied understands the figures of gateways.
 SHARES_FIGURES: Final = 'shares_figures'
+# Whether the leader that replied understands `HAS_VERSION`.
+TAKES_VERSIONS: Final = 'takes_versions'
+# Fields of a reply that say what a leader of this build understands.
+UNDERSTOOD: Final = MappingProxyType(
+    {SHARES_FIGURES: True, TAKES_VERSIONS: True}
+)
 SYNC: Final = 'sync'
+# Tells the leader between two syncs which desired state a gateway obeys.
+HAS_VERSION: Final = 'has_version'
 # Reply to a sync in compressed form.
 DEFLATED_SYNC: Final = 'deflated_sync'
 VIEW: Final = 'view'
--- a/src/apricotcart/coordinator/requests.py
+++ b/src/apricotcart/coordinator/requests.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable, Mapping
 from typing import Any
 
 from apricotcart.control.api import ReplicatedState
-from apricotcart.coordinator.applied_states import AppliedStates
 from apricotcart.coordinator.endpoint_list import EndpointList, WireList
 from apricotcart.coordinator.endpoint_relay import EndpointRelay
 from apricotcart.coordinator.evacuation_service import EvacuationService
@@ -15,9 +15,9 @@
     FETCH,
     KIND,
     REPLACE,
-    SHARES_FIGURES,
     SYNC,
     TERM,
+    UNDERSTOOD,
     VERSIONS,
     VIEW,
 )
@@ -69,8 +69,8 @@
         Figures that gateways share.
     evacuations : EvacuationService
         Begins and ends evacuations of zones.
-    applied : AppliedStates
-        Answers what this host has applied.
+    handlers : mapping
+        Functions that answer other kinds of requests.
     """
 
     def __init__(
@@ -85,8 +85,11 @@
         copies: StateCopies,
         figures: FigureStores,
         evacuations: EvacuationService,
-        applied: AppliedStates,
+        handlers: Mapping[str, Answer],
     ) -> None:
+        # Threads that answer syncs take turns here once, and not at each of the
+        # tables: there, every turn would also cost a switch between threads.
+        self._joining = threading.Lock()
         self._figures = figures
         self._copies = copies
         self._replicated = replicated
@@ -104,7 +107,7 @@
             **OriginRecords().handlers(),
             **EndpointRelay(endpoints).handlers(),
             **evacuations.handlers(),
-            **applied.handlers(),
+            **handlers,
             **StateTransfer(CommittedBlocks(state)).handlers(),
         }
 
@@ -135,9 +138,14 @@
         sync = SyncRequest.from_wire(message)
         # A leader that was replaced without noticing could send old state.
         self._replicated.barrier(CONFIRM_TIMEOUT_S)
+        with self._joining:
+            return self._join_and_reply(sync)
+
+    def _join_and_reply(self, sync: SyncRequest) -> WireMessage:
         now = boot_clock_s()
         self._gateways.on_sync(sync, now)
         mark, instances = self._list_for(sync)
+        counts = self._gateways.counts(now)
         reply = SyncReply(
             document=self._document_for(sync),
             list_mark=mark,
@@ -145,13 +153,13 @@
             instances=instances,
             loads=self._gateways.loads_excluding(sync.incarnation, now),
             failing=self._gateways.failing_excluding(sync.incarnation, now),
-            hosts=len(self._gateways.serving(now)),
+            hosts=counts.serving,
             members=self._members(),
             unix_s=self._clock.now_s(),
             suspects=self._gateways.crash_suspects(now),
             software_versions=self._committed_versions(),
             rank=self._gateways.rank(sync.incarnation, now),
-            ranked_hosts=self._gateways.ranked_hosts(now),
+            ranked_hosts=counts.ranked,
             reachability=self._gateways.reach_reply(sync.incarnation, now),
             exchange=self._figures.exchange(
                 sync.incarnation, sync.exchange, now
@@ -160,7 +168,7 @@
         return {
             'ok': True,
             TERM: self._term(),
-            SHARES_FIGURES: True,
+            **UNDERSTOOD,
             **wire_reply(sync, reply),
         }
 
--- a/src/apricotcart/coordinator/server.py
+++ b/src/apricotcart/coordinator/server.py
@@ -44,6 +44,7 @@
 from apricotcart.coordinator.services import DesiredStateService
 from apricotcart.coordinator.state import CoordinatorState
 from apricotcart.coordinator.state_copies import StateCopies
+from apricotcart.coordinator.version_reports import VersionReports
 from apricotcart.errors.tree import ApricotcartError
 from apricotcart.membership.answers import ServingHost, ServingHostDirectory
 from apricotcart.platform.adapter import PlatformAdapter
@@ -66,7 +67,7 @@
 _LOG = logging.getLogger(__name__)
 # Time between two ticks of the consensus node.
 _TICK_INTERVAL_S: Final = 0.02
-_RPC_WORKERS: Final = 24
+RPC_WORKERS: Final = 96
 _HTTP_THREADS: Final = 12
 _MAX_HEADER_BYTES: Final = 32_768
 _REQUEST_TIMEOUT_S: Final = 10.0
@@ -186,7 +187,12 @@
                 EvacuationFigures(self._state.evacuations, confirmed),
             ),
             evacuations=self._evacuations,
-            applied=AppliedStates(self._node_id, self._loop, self._state),
+            handlers={
+                **AppliedStates(
+                    self._node_id, self._loop, self._state
+                ).handlers(),
+                **VersionReports(self._loop, copies).handlers(),
+            },
         )
         self._duties = Duties(
             name=cfg.host.name,
@@ -208,7 +214,7 @@
             self._ports.request_address(self._cfg.host.address),
             self._requests,
             self._sealer,
-            _RPC_WORKERS,
+            RPC_WORKERS,
         ).start()
         timers = (
             ('view', _VIEW_INTERVAL_S, self._refresh_view),
--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -14,9 +14,11 @@
     LeaderClient,
 )
 from apricotcart.coordinator.messages import (
+    HAS_VERSION,
     KIND,
     SHARES_FIGURES,
     SYNC,
+    TAKES_VERSIONS,
 )
 from apricotcart.coordinator.sync_messages import (
     ANY_VERSION,
@@ -101,6 +103,7 @@
         '_is_due',
         '_incarnation',
         '_leader',
+        '_leader_takes_versions',
         '_lock',
         '_origins',
         '_quarantine',
@@ -148,6 +151,7 @@
         self._failures = 0
         # Whether the next sync follows at once.
         self._is_due = False
+        self._leader_takes_versions = False
 
     def sync(self) -> None:
         """Synchronize once; a failure is logged and the next sync retries."""
@@ -162,6 +166,17 @@
             else:
                 self._failures = 0
 
+    def tell_version(self) -> None:
+        """Tell the leader that a newer desired state is in force."""
+        with self._lock:
+            try:
+                self._tell_version()
+            except ApricotcartError as exc:
+                _LOG.info('the leader was not told: %s', exc.message)
+            is_due = self._is_due
+        if is_due:
+            self.sync()
+
     def is_serving(self) -> bool:
         """Return whether the directory may direct callers to this host."""
         return self._state.is_usable and self._stop_state.phase is Phase.SERVING
@@ -191,8 +206,22 @@
         if not is_first:
             self._apply_version(reply, requested_at)
             self._figures.apply(reply.exchange, requested_at)
-        # The leader waits until this host has the newest version.
-        self._is_due = is_first or self._state.version != version
+        self._leader_takes_versions = bool(fields.get(TAKES_VERSIONS))
+        self._is_due = is_first
+        if not is_first and self._state.version != version:
+            self._tell_version()
+
+    def _tell_version(self) -> None:
+        """Tell the leader, which waits for it, what this host obeys."""
+        if not self._leader_takes_versions:
+            self._is_due = True
+            return
+        message = {
+            KIND: HAS_VERSION,
+            'incarnation': self._incarnation,
+            'version': self._state.version,
+        }
+        self._leader.call(message, HOST_TIMEOUT_S, HOST_TIMEOUT_S)
 
     def _timeout_s(self) -> float:
         if self._state.newest_version >= 0:
--- a/src/apricotcart/gateway/server.py
+++ b/src/apricotcart/gateway/server.py
@@ -159,7 +159,7 @@
             self._state,
             self._dispatcher,
             any_host,
-            on_adopted=lambda: self._link.sync(),
+            on_adopted=lambda: self._link.tell_version(),
         )
         self._quorum_check = QuorumCheck(
             any_host, self._state, self._state_parts.fetch
--- a/tests/coordinator/test_hosts.py
+++ b/tests/coordinator/test_hosts.py
@@ -102,11 +102,11 @@
     for name in ('c', 'a', 'b'):
         table.on_sync(_sync(name, is_serving=name != 'b'), 1)
     assert [table.rank(name, 1.2) for name in ('a', 'b', 'c')] == [0, 1, 2]
-    assert table.ranked_hosts(1.2) == 3
+    assert table.counts(1.2).ranked == 3
     table.on_sync(_sync('a'), 9)
     table.on_sync(_sync('c'), 9)
     assert [table.rank(name, 9.2) for name in ('a', 'c')] == [0, 1]
-    assert table.ranked_hosts(9.2) == 2
+    assert table.counts(9.2).ranked == 2
 
 
 def test_failures_that_many_hosts_see_once_each_are_joined() -> None:
--- a/tests/coordinator/test_services.py
+++ b/tests/coordinator/test_services.py
@@ -302,7 +302,7 @@
     return CoordinatorRequests(
         figures=FigureStores(()),
         evacuations=Mock(handlers=dict),
-        applied=Mock(handlers=dict),
+        handlers={},
         replicated=log,
         state=log.state,
         service=service,
--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -10,7 +10,11 @@
 from gateway.conftest import MemoryStore, Versions
 
 from apricotcart.coordinator.exchange_messages import SharedFigures
-from apricotcart.coordinator.messages import SHARES_FIGURES
+from apricotcart.coordinator.messages import (
+    HAS_VERSION,
+    SHARES_FIGURES,
+    TAKES_VERSIONS,
+)
 from apricotcart.coordinator.sync_messages import ANY_VERSION, SyncReply
 from apricotcart.endpoints.instances import Instance
 from apricotcart.errors.tree import UnavailableError
@@ -323,3 +327,25 @@
     scenario.link.sync()
     assert scenario.state.version == 1
     assert scenario.state.observed == [(5, clock.now)]
+
+
+@pytest.mark.parametrize('takes_versions', [False, True])
+def test_leader_learns_at_once_that_a_change_is_in_force(
+    clock: Clock, *, takes_versions: bool
+) -> None:
+    """Guards against a second whole sync of each gateway after a change."""
+    scenario = Scenario(clock, Platform(), list_mark=7)
+    scenario.leader.fields = {
+        SHARES_FIGURES: True,
+        TAKES_VERSIONS: takes_versions,
+    }
+    scenario.link.sync()
+    scenario.leader.replies = [_reply(document=b'2')]
+    scenario.link.sync()
+    told = [
+        message['version']
+        for message in scenario.leader.messages
+        if message['kind'] == HAS_VERSION
+    ]
+    assert told == ([2] if takes_versions else [])
+    assert bool(scenario.link.interval_s()) == takes_versions
