--- a/tests/gateway/test_link.py
+++ b/tests/gateway/test_link.py
@@ -347,5 +347,6 @@
         for message in scenario.leader.messages
         if message['kind'] == HAS_VERSION
     ]
-    assert told == ([2] if takes_versions else [])
+    expected = [2] if takes_versions else []
+    assert told == expected
     assert bool(scenario.link.interval_s()) == takes_versions
