--- a/tests/coordinator/test_leader_client.py
+++ b/tests/coordinator/test_leader_client.py
@@ -74,12 +74,14 @@
         return _refusal(UnavailableError('no quorum answered'))
 
     def following(
-        self, leader: str, term: int
+        self, leader: str, term: int, **contact: float
     ) -> Callable[[float], WireMessage]:
         def answer(timeout_s: float) -> WireMessage:  # noqa: WPS430
             self.now += _ROUND_TRIP_S
             identity = f'{leader}.1' if leader else ''
-            return _refusal(NotLeaderError('no', leader=identity, term=term))
+            return _refusal(
+                NotLeaderError('no', leader=identity, term=term, **contact)
+            )
 
         return answer
 
@@ -265,6 +267,21 @@
         assert hosts.now < election.elected_at + _FOUND_AFTER_S
 
 
+def test_leader_that_others_hear_is_asked_again_at_once(hosts: Hosts) -> None:
+    """Guards against a host that refuses changes for 2 s after it was frozen.
+
+    Its calls to the leader had failed, while the others were in contact.
+    """
+    for seed in _SEEDS:
+        client = _client_of_stalled_leader(hosts, seed)
+        for _ in range(2):
+            client._search.on_failure('a', hosts.now)  # noqa: SLF001
+        following = hosts.following('a', 1, heard_s=0.1)
+        hosts.answers = {name: following for name in ('b', 'c', 'd', 'e')}
+        hosts.answers['a'] = hosts.leading
+        assert _time_to_leader_s(client, hosts) < _FOUND_AFTER_S
+
+
 def test_change_is_passed_on_to_the_next_leader(hosts: Hosts) -> None:
     """Guards against a call that waits for a stalled leader to its end."""
     for seed in _SEEDS:
