coordinator: a leader that the others hear is asked again

Cause: a host whose calls to the leader had failed twice, as those of a host that was frozen or cut off have, asked it again only after 2 s, since hosts name a lost leader until they elect another one. Each search ended after three refusals that named the leader.

Change: a refusal tells when the host last heard the leader. If that was within two heartbeats, the leader is asked although calls to it have failed. During an election nobody has heard the lost leader for so long.

A slow leader is still asked with more time.

--- a/src/apricotcart/consensus/core.py
+++ b/src/apricotcart/consensus/core.py
@@ -33,6 +33,8 @@
     commit_index, applied_index : int
         Index of the last entry known to be committed, and of the last
         one applied.
+    leader_heard_at : float
+        When the last message of a leader came, in seconds.
     loaded_index : int
         Index of the last entry in the durable state when it was loaded. Until
         that is committed, the node may have applied more before than now.
@@ -46,6 +48,7 @@
         'commit_index',
         'completions',
         'vote_guard_until',
+        'leader_heard_at',
         'leader_id',
         'loaded_index',
         'log',
@@ -147,6 +150,7 @@
         self.loaded_index = self.log.last_index
         self.role = Role.FOLLOWER
         self.leader_id = ''
+        self.leader_heard_at: float = 0
         self.vote_guard_until: float = 0
         self.outbox: list[Message] = []
         self.commit_index = 0
--- a/src/apricotcart/consensus/election_timer.py
+++ b/src/apricotcart/consensus/election_timer.py
@@ -51,6 +51,7 @@
     def on_leader_contact(self) -> None:
         """Restart the election timer and the vote guard."""
         core = self.core
+        core.leader_heard_at = core.now
         self._retry_factor = 1
         core.vote_guard_until = core.now + VOTE_GUARD_S
         self.deadline = core.now + core.rng.uniform(
--- a/src/apricotcart/consensus/replica.py
+++ b/src/apricotcart/consensus/replica.py
@@ -162,9 +162,13 @@
 
 
 def not_leader_error(core: Core) -> NotLeaderError:
-    """Return the error of a request to a node that does not lead."""
+    """Return the error of a request to a node that does not lead.
+
+    It names the leader, and when that was last heard.
+    """
     return NotLeaderError(
         'this node is not the leader',
         leader=core.leader_id,
         term=core.term,
+        heard_s=core.now - core.leader_heard_at,
     )
--- a/src/apricotcart/coordinator/leader_search.py
+++ b/src/apricotcart/coordinator/leader_search.py
@@ -16,6 +16,9 @@
 # name it as the leader. They name a lost leader until they elect another one;
 # a slow one answers when it is asked again with more time.
 _MAX_NAMED_FAILURES: Final = 2
+# Time since a host has heard the leader after which its hint does not tell that
+# the leader is there: two heartbeats.
+_CONTACT_S: Final = 0.4
 # Hosts that one search asks in vain. Soon after an election each of them knows
 # the new leader.
 _MAX_REFUSALS: Final = 3
@@ -143,7 +146,8 @@
 
         A hint of an older term than another one is ignored: the host may
         have been removed from the cluster or be cut off. A host that has not
-        answered since is asked last, unless it leads a newer term.
+        answered since is asked last, unless it leads a newer term or the
+        other host is in contact with it.
 
         Parameters
         ----------
@@ -158,7 +162,8 @@
             return
         is_news = term > self._term
         self._term = term
-        if is_news or hinted_ip not in self._failures:
+        is_there = is_news or _is_in_contact(exc)
+        if is_there or hinted_ip not in self._failures:
             self._leader = hinted_ip
         else:
             self._named = hinted_ip
@@ -197,3 +202,12 @@
     def _failed_at(self, ip: str) -> float:
         failure = self._failures.get(ip)
         return failure.at if failure else 0
+
+
+def _is_in_contact(exc: NotLeaderError) -> bool:
+    """Return whether a host that refused has just heard the leader.
+
+    Hosts of an earlier build do not tell.
+    """
+    heard_s = exc.context.get('heard_s')
+    return heard_s is not None and heard_s < _CONTACT_S
--- a/tests/coordinator/test_leader_client.py
+++ b/tests/coordinator/test_leader_client.py
@@ -203,7 +203,10 @@
         assert _time_to_leader_s(client, hosts) < _APPLY_BOUND_S
 
 
-def test_slow_leader_is_asked_again_with_more_time(hosts: Hosts) -> None:
+@pytest.mark.parametrize('contact', [{}, {'heard_s': 0.1}])
+def test_slow_leader_is_asked_again_with_more_time(
+    hosts: Hosts, contact: dict[str, float]
+) -> None:
     """A leader with a slow disk confirms itself late, but it still leads."""
 
     def slow(timeout_s: float) -> WireMessage:  # noqa: WPS430
@@ -212,7 +215,7 @@
         hosts.now += _SLOW_ANSWER_S
         return {'ok': True}
 
-    following = hosts.following('a', 1)
+    following = hosts.following('a', 1, **contact)
     hosts.answers = {'a': slow, 'b': following, 'c': following}
     for seed in _SEEDS:
         assert _time_to_leader_s(_client(hosts, seed), hosts) < _APPLY_BOUND_S
