--- a/tests/coordinator/test_leader_client.py
+++ b/tests/coordinator/test_leader_client.py
@@ -285,6 +285,18 @@
         assert _time_to_leader_s(client, hosts) < _FOUND_AFTER_S
 
 
+def test_leader_that_nobody_hears_is_not_asked_again(hosts: Hosts) -> None:
+    """Guards against a change that waits for the host that was just lost."""
+    for seed in _SEEDS:
+        client = _client_of_stalled_leader(hosts, seed)
+        following = hosts.following('a', 1, heard_s=1.0)
+        hosts.answers = {name: following for name in ('b', 'c', 'd', 'e')}
+        started_at = hosts.now
+        with pytest.raises(NotLeaderError):
+            client.call({KIND: REPLACE}, 2.8, 0.7)
+        assert hosts.now < started_at + 0.7 + _FOUND_AFTER_S
+
+
 def test_change_is_passed_on_to_the_next_leader(hosts: Hosts) -> None:
     """Guards against a call that waits for a stalled leader to its end."""
     for seed in _SEEDS:
