coordinator: a lost leader that nobody hears is not asked again

Cause: a search asked the host that others named once more at its end, with twice the time, since it could be slow.

Change: hosts that tell when they heard the leader decide: it is asked again if that was within two heartbeats, and not otherwise.

--- a/src/apricotcart/coordinator/leader_search.py
+++ b/src/apricotcart/coordinator/leader_search.py
@@ -146,8 +146,8 @@
 
         A hint of an older term than another one is ignored: the host may
         have been removed from the cluster or be cut off. A host that has not
-        answered since is asked last, unless it leads a newer term or the
-        other host is in contact with it.
+        answered since is asked only if it leads a newer term or the other host
+        is in contact with it, and last if that is not known.
 
         Parameters
         ----------
@@ -162,10 +162,10 @@
             return
         is_news = term > self._term
         self._term = term
-        is_there = is_news or _is_in_contact(exc)
-        if is_there or hinted_ip not in self._failures:
+        is_heard = _is_heard(exc)
+        if is_news or is_heard or hinted_ip not in self._failures:
             self._leader = hinted_ip
-        else:
+        elif is_heard is None:
             self._named = hinted_ip
 
     def _next_candidate(self, asked: Collection[str], now: float) -> str | None:
@@ -204,10 +204,10 @@
         return failure.at if failure else 0
 
 
-def _is_in_contact(exc: NotLeaderError) -> bool:
+def _is_heard(exc: NotLeaderError) -> bool | None:
     """Return whether a host that refused has just heard the leader.
 
-    Hosts of an earlier build do not tell.
+    None if it is of an earlier build, which does not tell.
     """
     heard_s = exc.context.get('heard_s')
-    return heard_s is not None and heard_s < _CONTACT_S
+    return None if heard_s is None else heard_s < _CONTACT_S
