--- a/src/apricotcart/gateway/link.py
+++ b/src/apricotcart/gateway/link.py
@@ -169,10 +169,7 @@
     def tell_version(self) -> None:
         """Tell the leader that a newer desired state is in force."""
         with self._lock:
-            try:
-                self._tell_version()
-            except ApricotcartError as exc:
-                _LOG.info('the leader was not told: %s', exc.message)
+            self._tell_version()
             is_due = self._is_due
         if is_due:
             self.sync()
@@ -221,7 +218,11 @@
             'incarnation': self._incarnation,
             'version': self._state.version,
         }
-        self._leader.call(message, HOST_TIMEOUT_S, HOST_TIMEOUT_S)
+        try:
+            self._leader.call(message, HOST_TIMEOUT_S, HOST_TIMEOUT_S)
+        except ApricotcartError as exc:
+            # The next sync tells it too.
+            _LOG.info('the leader was not told the version: %s', exc.message)
 
     def _timeout_s(self) -> float:
         if self._state.newest_version >= 0:
